--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+TOOLS := $(CURDIR)/.tools
+GOFUMPT := mvdan.cc/gofumpt@v0.12.0
+GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+.PHONY: build test lint format tools long bench
+
+build:
+	go build -o savoryfall .
+
+test:
+	go test -race ./...
+
+tools:
+	GOBIN=$(TOOLS) go install $(GOFUMPT)
+	GOBIN=$(TOOLS) go install $(GOLANGCI)
+
+lint: tools
+	test -z "$$($(TOOLS)/gofumpt -l .)"
+	$(TOOLS)/golangci-lint run ./...
+
+format: tools
+	$(TOOLS)/gofumpt -w .
+
+# The properties again with many more histories than a usual run has.
+long:
+	go test ./core/... -rapid.checks=20000
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./core/...
