core: settings, release notes and the fold of the configuration

Cause: operators drive the fleet by release notes on a log; every router must come to the same configuration from the same offsets. Ruled out: decoding into structs, which stops at the first fault and loses the line of a wrong type.

--- /dev/null
+++ b/core/account/doc.go
@@ -0,0 +1,2 @@
+// Package account describes a client account as a release note lists it.
+package account
--- /dev/null
+++ b/core/candidate/doc.go
@@ -0,0 +1,2 @@
+// Package candidate holds what is known of one endpoint when a request is placed.
+package candidate
--- /dev/null
+++ b/core/header/doc.go
@@ -0,0 +1,2 @@
+// Package header names the HTTP headers of the fleet's own.
+package header
--- /dev/null
+++ b/core/inforce/doc.go
@@ -0,0 +1,2 @@
+// Package inforce folds release notes in offset order into the configuration in force.
+package inforce
--- /dev/null
+++ b/core/note/doc.go
@@ -0,0 +1,2 @@
+// Package note parses and checks release notes, the only way operators change the fleet.
+package note
--- /dev/null
+++ b/core/note/item.go
@@ -0,0 +1,75 @@
+package note
+
+import (
+	"savoryfall/core/account"
+	"savoryfall/core/endpoint"
+	"savoryfall/core/service"
+	"savoryfall/core/tomldoc"
+	"savoryfall/core/version"
+)
+
+// The kinds of items that a release note lists.
+const (
+	KindModels    = "models"
+	KindAdapters  = "adapters"
+	KindVersions  = "versions"
+	KindAccounts  = "accounts"
+	KindEndpoints = "endpoints"
+	KindServices  = "services"
+)
+
+// Kinds are all kinds, in the order in which a note is applied.
+var Kinds = []string{KindModels, KindAdapters, KindVersions, KindAccounts, KindServices, KindEndpoints}
+
+// Item is one thing that a release note adds or changes; its values are those of its TOML table.
+type Item struct {
+	kind   string
+	name   string
+	values map[string]any
+}
+
+// Kind is one of Kinds.
+func (i Item) Kind() string { return i.kind }
+
+// Name is unique within the kind.
+func (i Item) Name() string { return i.name }
+
+// Key is unique within the configuration.
+func (i Item) Key() string { return i.kind + "/" + i.name }
+
+// Values are the values of the item's TOML table; they must not be changed.
+func (i Item) Values() map[string]any { return i.values }
+
+// NewItem makes an item of values that were read earlier.
+func NewItem(kind, name string, values map[string]any) Item {
+	return Item{kind: kind, name: name, values: values}
+}
+
+// Table lets the typed packages read the item.
+func (i Item) Table() *tomldoc.Table {
+	return tomldoc.FromValues(i.Key(), i.values).Root()
+}
+
+// readItem checks the table by its kind and names the item.
+func readItem(kind string, t *tomldoc.Table) Item {
+	i := Item{kind: kind, values: t.Values()}
+	switch kind {
+	case KindAccounts:
+		i.name = account.Read(t).Name()
+	case KindEndpoints:
+		i.name = endpoint.Read(t).Name()
+	case KindServices:
+		i.name = service.Read(t).Name()
+	case KindVersions:
+		i.name = versionName(version.Read(t))
+	case KindAdapters:
+		i.name = versionName(version.ReadAdapter(t))
+	case KindModels:
+		i.name = t.Required("name")
+	}
+	return i
+}
+
+func versionName(v version.Version) string {
+	return v.Model() + "@" + v.Name()
+}
--- /dev/null
+++ b/core/outcome/doc.go
@@ -0,0 +1,2 @@
+// Package outcome says whether a request ran: notRun, ran or unknown.
+package outcome
--- /dev/null
+++ b/core/placement/policy.go
@@ -0,0 +1,66 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sort"
+
+	"savoryfall/core/candidate"
+)
+
+// None is the choice when no candidate is usable.
+const None = -1
+
+// Request is what a policy may know of a request.
+type Request struct {
+	// Key is the hash that places the chat.
+	Key uint64
+	// Warm is the index of the candidate that a ticket names, or None.
+	Warm int
+	// Tokens is how many tokens the request is expected to cost.
+	Tokens float64
+}
+
+// Policy chooses among the members of a pool, which are indexes of all; it never chooses one that is not usable.
+type Policy interface {
+	Choose(r Request, all []candidate.Candidate, members []int32) (index int, reason Reason)
+}
+
+// Reason is why a candidate was chosen.
+type Reason string
+
+// The reasons of all policies.
+const (
+	ReasonWarm    Reason = "warm"
+	ReasonRank    Reason = "rank"
+	ReasonSpilled Reason = "spilled"
+	ReasonLeast   Reason = "leastLoaded"
+	ReasonRandom  Reason = "random"
+	ReasonNone    Reason = "noneUsable"
+)
+
+// New makes the policy of that name; ok is false when there is none.
+func New(name string, bound float64, seed uint64) (p Policy, ok bool) {
+	random := rand.New(rand.NewPCG(seed, seed))
+	switch name {
+	case "bounded":
+		return &Bounded{bound: bound}, true
+	case "random":
+		return &uniform{random: random}, true
+	case "leastLoaded":
+		return leastLoaded{}, true
+	case "twoChoices":
+		return &twoChoices{random: random}, true
+	case "rendezvous":
+		return rendezvous{}, true
+	case "ring":
+		return &ring{}, true
+	}
+	return nil, false
+}
+
+// Names are the names that New takes.
+func Names() []string {
+	names := []string{"bounded", "random", "leastLoaded", "twoChoices", "rendezvous", "ring"}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/core/settings/claims.go
@@ -0,0 +1,25 @@
+package settings
+
+import (
+	"time"
+
+	"savoryfall/core/tomldoc"
+)
+
+// Claims bounds the promise that a call runs at most once.
+type Claims struct {
+	window time.Duration
+	term   time.Duration
+}
+
+func readClaims(t *tomldoc.Table) (c Claims) {
+	c.window = t.Duration("window", 12*time.Hour, time.Second, 1000*time.Hour)
+	c.term = t.Duration("term", 5*time.Second, 10*time.Millisecond, time.Hour)
+	return c
+}
+
+// Window is how long a key is remembered.
+func (c Claims) Window() time.Duration { return c.window }
+
+// Term is how long after its append a claim may be acted on.
+func (c Claims) Term() time.Duration { return c.term }
--- /dev/null
+++ b/core/settings/platform.go
@@ -0,0 +1,55 @@
+package settings
+
+import (
+	"net/url"
+	"time"
+
+	"savoryfall/core/tomldoc"
+)
+
+// Platform says where the platform's services are.
+type Platform struct {
+	log         string
+	vmList      string
+	weightStore string
+	authority   string
+	vmPeriod    time.Duration
+	retention   time.Duration
+}
+
+func readPlatform(t *tomldoc.Table) (p Platform) {
+	p.log = readURL(t, "log")
+	p.vmList = readURL(t, "vmList")
+	p.weightStore = t.Text("weightStore", "")
+	p.authority = t.Text("authority", "")
+	p.vmPeriod = t.Duration("vmListPeriod", 2*time.Second, 20*time.Millisecond, time.Hour)
+	p.retention = t.Duration("retention", 24*time.Hour, time.Second, 10000*time.Hour)
+	return p
+}
+
+func readURL(t *tomldoc.Table, key string) string {
+	text := t.Required(key)
+	u, err := url.Parse(text)
+	if text != "" && (err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https") {
+		t.Fault(key, text, "a URL, such as http://10.0.0.2:7100")
+	}
+	return text
+}
+
+// Log is the base URL of the log service.
+func (p Platform) Log() string { return p.log }
+
+// VMList is the base URL of the VM list.
+func (p Platform) VMList() string { return p.vmList }
+
+// WeightStore is the base URL of the weight store; empty means that engines are given no orders.
+func (p Platform) WeightStore() string { return p.weightStore }
+
+// Authority is the file of the certificates that the platform is checked against; empty means the system's.
+func (p Platform) Authority() string { return p.authority }
+
+// VMPeriod is how often the VM list is read.
+func (p Platform) VMPeriod() time.Duration { return p.vmPeriod }
+
+// Retention is how long the log keeps a record.
+func (p Platform) Retention() time.Duration { return p.retention }
--- /dev/null
+++ b/core/tomldoc/table.go
@@ -0,0 +1,196 @@
+package tomldoc
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Table is one table of a document; a getter returns its fallback and records a fault when the value does not fit.
+type Table struct {
+	doc    *Document
+	path   string
+	values map[string]any
+}
+
+// Path is the full key of the table in its document.
+func (t *Table) Path() string { return t.path }
+
+// Has tells whether the key is present.
+func (t *Table) Has(key string) bool {
+	_, ok := t.values[key]
+	return ok
+}
+
+// Fault records that the value of key was found to be wrong.
+func (t *Table) Fault(key, found, allowed string) {
+	t.doc.add(join(t.path, key), found, allowed)
+}
+
+func (t *Table) value(key string) (v any, ok bool) {
+	t.doc.read[join(t.path, key)] = true
+	v, ok = t.values[key]
+	return v, ok
+}
+
+func (t *Table) wrong(key string, v any, allowed string) {
+	t.Fault(key, fmt.Sprintf("%T %v", v, v), allowed)
+}
+
+// Text reads a string.
+func (t *Table) Text(key, fallback string) string {
+	v, ok := t.value(key)
+	if !ok {
+		return fallback
+	}
+	s, ok := v.(string)
+	if !ok {
+		t.wrong(key, v, "a string")
+		return fallback
+	}
+	return s
+}
+
+// Required reads a string that must be there and not be empty.
+func (t *Table) Required(key string) string {
+	s := t.Text(key, "")
+	if s == "" && (!t.Has(key) || t.values[key] == "") {
+		t.Fault(key, "nothing", "a string that is not empty")
+	}
+	return s
+}
+
+// Choice reads a string that must be one of the allowed ones.
+func (t *Table) Choice(key, fallback string, allowed ...string) string {
+	s := t.Text(key, fallback)
+	if !slices.Contains(allowed, s) {
+		t.Fault(key, fmt.Sprintf("%q", s), "one of "+strings.Join(allowed, ", "))
+		return fallback
+	}
+	return s
+}
+
+// Number reads a whole number between lowest and highest.
+func (t *Table) Number(key string, fallback, lowest, highest int64) int64 {
+	v, ok := t.value(key)
+	if !ok {
+		return fallback
+	}
+	n, ok := v.(int64)
+	if !ok || n < lowest || n > highest {
+		t.wrong(key, v, fmt.Sprintf("a whole number from %d to %d", lowest, highest))
+		return fallback
+	}
+	return n
+}
+
+// Real reads a number between lowest and highest; a whole number is taken too.
+func (t *Table) Real(key string, fallback, lowest, highest float64) float64 {
+	v, ok := t.value(key)
+	if !ok {
+		return fallback
+	}
+	f, ok := v.(float64)
+	if n, whole := v.(int64); whole {
+		f, ok = float64(n), true
+	}
+	if !ok || math.IsNaN(f) || f < lowest || f > highest {
+		t.wrong(key, v, fmt.Sprintf("a number from %v to %v", lowest, highest))
+		return fallback
+	}
+	return f
+}
+
+// Flag reads true or false.
+func (t *Table) Flag(key string, fallback bool) bool {
+	v, ok := t.value(key)
+	if !ok {
+		return fallback
+	}
+	b, ok := v.(bool)
+	if !ok {
+		t.wrong(key, v, "true or false")
+		return fallback
+	}
+	return b
+}
+
+// Duration reads a string such as "250ms" between lowest and highest.
+func (t *Table) Duration(key string, fallback, lowest, highest time.Duration) time.Duration {
+	v, ok := t.value(key)
+	if !ok {
+		return fallback
+	}
+	s, _ := v.(string)
+	d, err := time.ParseDuration(s)
+	if err != nil || d < lowest || d > highest {
+		t.wrong(key, v, fmt.Sprintf("a duration from %v to %v, such as \"250ms\"", lowest, highest))
+		return fallback
+	}
+	return d
+}
+
+// Texts reads an array of strings.
+func (t *Table) Texts(key string) (texts []string) {
+	v, ok := t.value(key)
+	if !ok {
+		return nil
+	}
+	list, ok := v.([]any)
+	if !ok {
+		t.wrong(key, v, "an array of strings")
+		return nil
+	}
+	for _, item := range list {
+		s, ok := item.(string)
+		if !ok {
+			t.wrong(key, item, "an array of strings")
+			return nil
+		}
+		texts = append(texts, s)
+	}
+	return texts
+}
+
+// Table reads a table; one that is absent reads as empty.
+func (t *Table) Table(key string) *Table {
+	v, ok := t.value(key)
+	sub := &Table{doc: t.doc, path: join(t.path, key)}
+	if !ok {
+		return sub
+	}
+	sub.values, ok = v.(map[string]any)
+	if !ok {
+		t.wrong(key, v, "a table")
+	}
+	return sub
+}
+
+// Tables reads an array of tables.
+func (t *Table) Tables(key string) (tables []*Table) {
+	v, ok := t.value(key)
+	if !ok {
+		return nil
+	}
+	list, ok := v.([]any)
+	if !ok {
+		t.wrong(key, v, "an array of tables")
+		return nil
+	}
+	for i, item := range list {
+		path := element(join(t.path, key), i)
+		values, ok := item.(map[string]any)
+		if !ok {
+			t.wrong(key, item, "an array of tables")
+			return tables
+		}
+		t.doc.read[path] = true
+		tables = append(tables, &Table{doc: t.doc, path: path, values: values})
+	}
+	return tables
+}
+
+// Values are the raw values of the table; they must not be changed.
+func (t *Table) Values() map[string]any { return t.values }
--- /dev/null
+++ b/core/version/doc.go
@@ -0,0 +1,2 @@
+// Package version describes a model with its versions and adapters.
+package version
