--- /dev/null
+++ b/core/health/table.go
@@ -0,0 +1,207 @@
+package health
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Table keeps the health of every endpoint in force; the zero value knows none.
+type Table struct {
+	mu sync.Mutex
+	by map[string]*health
+}
+
+// health is what is known of one endpoint.
+type health struct {
+	incarnation string
+	heardAt     time.Time
+	upSince     time.Time
+	failures    int
+	down        bool
+	flaps       int
+	dampedUntil time.Time
+	// leaving holds incarnations that are leaving. A mark is never taken back: an older "live" that arrives late
+	// would send new work to an endpoint that is about to stop. Only a new incarnation is free of it.
+	leaving map[string]bool
+	listed  bool
+}
+
+// State is whether an endpoint may take new work.
+type State string
+
+// The states of an endpoint.
+const (
+	Up      State = "up"
+	Down    State = "down"
+	Damped  State = "damped"
+	Leaving State = "leaving"
+)
+
+const (
+	// softFailures in a row take an endpoint out of use; one alone may be the fault of the request.
+	softFailures = 3
+	// dampStep is the wait after the second return; each further flap doubles it up to dampMax.
+	dampStep = 2 * time.Second
+	dampMax  = time.Minute
+	// calm is how long an endpoint must stay up until its flaps are forgotten.
+	calm = 2 * time.Minute
+)
+
+// Configure takes the names of the endpoints in force.
+func (t *Table) Configure(names []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.by
+	t.by = map[string]*health{}
+	for _, name := range names {
+		t.by[name] = old[name]
+		if t.by[name] == nil {
+			t.by[name] = &health{leaving: map[string]bool{}}
+		}
+	}
+}
+
+// Heard says that an endpoint has answered, under which incarnation, and whether it said that it is leaving.
+// It returns whether this is another incarnation than before, whose cache is empty.
+func (t *Table) Heard(name, incarnation string, leaving bool, now time.Time) (restarted bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.by[name]
+	if h == nil {
+		return false
+	}
+	restarted = h.incarnation != "" && incarnation != "" && h.incarnation != incarnation
+	if restarted || h.down {
+		h.returned(now)
+	}
+	if incarnation != "" {
+		h.incarnation = incarnation
+	}
+	if leaving {
+		h.leaving[h.incarnation] = true
+	}
+	h.heardAt, h.down, h.failures = now, false, 0
+	return restarted
+}
+
+// returned damps an endpoint that comes back again and again: each return with an empty cache pulls chats away
+// from where they are warm, and the next fall loses them once more.
+func (h *health) returned(now time.Time) {
+	if now.Sub(h.upSince) > calm {
+		h.flaps = 0
+	}
+	h.flaps++
+	h.upSince = now
+	if h.flaps < 2 {
+		return
+	}
+	wait := min(dampStep<<min(h.flaps-2, 10), dampMax)
+	h.dampedUntil = now.Add(wait)
+}
+
+// Failed says that an attempt or a probe failed; a hard failure, such as a refused connection, counts at once.
+func (t *Table) Failed(name string, hard bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.by[name]
+	if h == nil {
+		return
+	}
+	h.failures++
+	if hard || h.failures >= softFailures {
+		h.down = true
+	}
+}
+
+// MarkLeaving says that an incarnation is leaving; an empty one means the one known now. It returns whether that
+// was news.
+func (t *Table) MarkLeaving(name, incarnation string) (news bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.by[name]
+	if h == nil {
+		return false
+	}
+	if incarnation == "" {
+		incarnation = h.incarnation
+	}
+	news = !h.leaving[incarnation]
+	h.leaving[incarnation] = true
+	return news
+}
+
+// Listed says whether the VM list shows the endpoint as leaving. Only the change to leaving counts: the list lags,
+// and may go on showing the mark after a new incarnation has come.
+func (t *Table) Listed(name string, leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.by[name]
+	if h == nil {
+		return
+	}
+	if leaving && !h.listed {
+		h.leaving[h.incarnation] = true
+	}
+	h.listed = leaving
+}
+
+// State tells whether the endpoint may take new work.
+func (t *Table) State(name string, now time.Time) State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.by[name]
+	if h == nil {
+		return Down
+	}
+	return h.state(now)
+}
+
+func (h *health) state(now time.Time) State {
+	switch {
+	case h.leaving[h.incarnation]:
+		return Leaving
+	case h.down:
+		return Down
+	case now.Before(h.dampedUntil):
+		return Damped
+	}
+	return Up
+}
+
+// Incarnation is the one that answered last, or empty.
+func (t *Table) Incarnation(name string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.by[name]; h != nil {
+		return h.incarnation
+	}
+	return ""
+}
+
+// HeardAt is when the endpoint answered last.
+func (t *Table) HeardAt(name string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.by[name]; h != nil {
+		return h.heardAt
+	}
+	return time.Time{}
+}
+
+// Mark is a leaving incarnation of an endpoint, as routers tell each other.
+type Mark struct{ Endpoint, Incarnation string }
+
+// Marks are the leaving marks of the incarnations known now, sorted by endpoint.
+func (t *Table) Marks() (marks []Mark) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(t.by)) {
+		h := t.by[name]
+		if h.leaving[h.incarnation] {
+			marks = append(marks, Mark{Endpoint: name, Incarnation: h.incarnation})
+		}
+	}
+	return marks
+}
--- /dev/null
+++ b/core/ledger/doc.go
@@ -0,0 +1,3 @@
+// Package ledger keeps the expected load of every endpoint from reports, own requests and peers'
+// digests.
+package ledger
--- /dev/null
+++ b/core/ledger/ledger.go
@@ -0,0 +1,295 @@
+package ledger
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"savoryfall/core/candidate"
+	"savoryfall/core/endpoint"
+	"savoryfall/core/health"
+	"savoryfall/core/placement"
+)
+
+const (
+	// digestLife is how long a peer's digest counts; a peer that is silent for longer is dead or cut off, and what
+	// it last said would keep load on the books that has long ended.
+	digestLife = 4 * time.Second
+	// reportLife is how long an endpoint's own report counts.
+	reportLife = 2 * time.Second
+)
+
+// Ledger keeps the expected load of every endpoint; the zero value knows none.
+type Ledger struct {
+	mu      sync.Mutex
+	index   map[string]int32
+	all     []candidate.Candidate
+	entries []*entry
+	pools   map[string][]int32
+	peers   map[string]*peerDigest
+	shape   uint32
+}
+
+// entry is what the load of one endpoint is made of.
+type entry struct {
+	name        string
+	state       health.State
+	requests    float64
+	tokens      float64
+	peerRequest float64
+	peerTokens  float64
+	reported    float64
+	reportedAt  time.Time
+	recent      []change
+}
+
+// change is a request of our own that was sent or has ended.
+type change struct {
+	at time.Time
+	by float64
+}
+
+// PoolOfModel names the pool of the engines that serve a model.
+func PoolOfModel(model string) string { return "model/" + model }
+
+// PoolOfService names the pool of the processes of a plain service.
+func PoolOfService(service string) string { return "service/" + service }
+
+// Configure takes the endpoints in force, sorted by name, and keeps what is known of those that stay.
+func (l *Ledger) Configure(endpoints []endpoint.Endpoint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old, oldAll := l.index, l.all
+	oldEntries := l.entries
+	l.index = map[string]int32{}
+	l.pools = map[string][]int32{}
+	l.all, l.entries = nil, nil
+	names := xxhash.New()
+	for i, e := range endpoints {
+		c := candidate.New(e.Name(), e.Weight())
+		en := &entry{name: e.Name()}
+		if j, stays := old[e.Name()]; stays {
+			c, en = oldAll[j], oldEntries[j]
+			c.SetWeight(e.Weight())
+		}
+		l.index[e.Name()] = int32(i)
+		l.all = append(l.all, c)
+		l.entries = append(l.entries, en)
+		l.addToPools(int32(i), e)
+		_, _ = names.WriteString(e.Name() + "\x00")
+	}
+	l.shape = uint32(names.Sum64())
+	l.dropDigests()
+	l.settleUsable()
+}
+
+func (l *Ledger) addToPools(i int32, e endpoint.Endpoint) {
+	for _, m := range e.Models() {
+		l.pools[PoolOfModel(m)] = append(l.pools[PoolOfModel(m)], i)
+	}
+	if e.Kind() == endpoint.KindService {
+		l.pools[PoolOfService(e.Service())] = append(l.pools[PoolOfService(e.Service())], i)
+	}
+}
+
+// SetState takes which endpoints may have new work, and forgets none of the others.
+func (l *Ledger) SetState(name string, state health.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i, ok := l.index[name]
+	if !ok || l.entries[i].state == state {
+		return
+	}
+	l.entries[i].state = state
+	l.settleUsable()
+}
+
+// panicShare is the part of a pool that must be up. When more is down at once, a cut or a fault of our own is
+// likelier than that many deaths, and the few left would be overrun; so the down ones are tried again.
+const panicShare = 0.5
+
+func (l *Ledger) settleUsable() {
+	for i, e := range l.entries {
+		l.all[i].SetUsable(e.state == health.Up || e.state == "")
+	}
+	for _, members := range l.pools {
+		if l.inPanic(members) {
+			l.allowDown(members)
+		}
+	}
+}
+
+func (l *Ledger) inPanic(members []int32) bool {
+	up, staying := 0, 0
+	for _, i := range members {
+		if l.entries[i].state == health.Leaving {
+			continue
+		}
+		staying++
+		if state := l.entries[i].state; state == health.Up || state == "" {
+			up++
+		}
+	}
+	return float64(up) < panicShare*float64(staying)
+}
+
+func (l *Ledger) allowDown(members []int32) {
+	for _, i := range members {
+		if l.entries[i].state != health.Leaving {
+			l.all[i].SetUsable(true)
+		}
+	}
+}
+
+// Report takes how many requests an endpoint said it held, and when that was on the clock of this process.
+func (l *Ledger) Report(name string, requests int, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i, ok := l.index[name]
+	if !ok || at.Before(l.entries[i].reportedAt) {
+		return
+	}
+	l.entries[i].reported = float64(requests)
+	l.entries[i].reportedAt = at
+	l.refresh(i)
+}
+
+// refresh works the load of one endpoint out anew. A report is late: what was sent since is missing in it, and
+// without adding that every router would see the same idle engine and send to it. What the peers said covers what
+// the report missed of theirs; the larger of the two views is taken, since each can only have missed requests.
+func (l *Ledger) refresh(i int32) {
+	e := l.entries[i]
+	requests := e.requests + e.peerRequest
+	if time.Since(e.reportedAt) < reportLife {
+		requests = max(requests, e.reported+e.since(e.reportedAt))
+	}
+	tokens := e.tokens + e.peerTokens
+	if known := e.requests + e.peerRequest; known > 0 {
+		tokens *= requests / known
+	}
+	l.all[i].SetLoad(requests, tokens)
+}
+
+func (e *entry) since(at time.Time) (sum float64) {
+	for _, c := range e.recent {
+		if c.at.After(at) {
+			sum += c.by
+		}
+	}
+	return sum
+}
+
+func (e *entry) record(by float64, now time.Time) {
+	n := 0
+	for n < len(e.recent) && now.Sub(e.recent[n].at) > reportLife {
+		n++
+	}
+	e.recent = append(e.recent[n:], change{at: now, by: by})
+}
+
+// Choice is the outcome of a placement, with the figures that explain it.
+type Choice struct {
+	Endpoint   string
+	Reason     placement.Reason
+	Requests   float64
+	Tokens     float64
+	MeanTokens float64
+	Usable     int
+	Members    int
+}
+
+// Query is one request to place.
+type Query struct {
+	Pool    string
+	Key     uint64
+	Warm    string
+	Tokens  float64
+	Exclude []string
+}
+
+// Choose places a request by the policy, and never on an excluded endpoint.
+func (l *Ledger) Choose(p placement.Policy, q Query) (c Choice) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	members := l.pools[q.Pool]
+	defer l.exclude(q.Exclude)()
+	r := placement.Request{Key: q.Key, Warm: placement.None, Tokens: q.Tokens}
+	if i, ok := l.index[q.Warm]; ok {
+		r.Warm = int(i)
+	}
+	i, reason := p.Choose(r, l.all, members)
+	c = l.explain(members)
+	c.Reason = reason
+	if i != placement.None {
+		c.Endpoint = l.entries[i].name
+		c.Requests, c.Tokens = l.all[i].Requests(), l.all[i].Tokens()
+	}
+	return c
+}
+
+// exclude forbids endpoints for one choice; the returned function allows them again.
+func (l *Ledger) exclude(names []string) (restore func()) {
+	var hidden []int32
+	for _, name := range names {
+		if i, ok := l.index[name]; ok && l.all[i].Usable() {
+			l.all[i].SetUsable(false)
+			hidden = append(hidden, i)
+		}
+	}
+	return func() {
+		for _, i := range hidden {
+			l.all[i].SetUsable(true)
+		}
+	}
+}
+
+func (l *Ledger) explain(members []int32) (c Choice) {
+	c.Members = len(members)
+	for _, i := range members {
+		if l.all[i].Usable() {
+			c.Usable++
+			c.MeanTokens += l.all[i].Tokens()
+		}
+	}
+	c.MeanTokens /= float64(max(c.Usable, 1))
+	return c
+}
+
+// State is the load of one endpoint, for people.
+type State struct {
+	Endpoint string  `json:"endpoint"`
+	Usable   bool    `json:"usable"`
+	Requests float64 `json:"requests"`
+	Tokens   float64 `json:"tokens"`
+	Own      float64 `json:"own"`
+	Peers    float64 `json:"peers"`
+	Reported float64 `json:"reported"`
+}
+
+// States are the loads of all endpoints, sorted by name.
+func (l *Ledger) States() (states []State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, e := range l.entries {
+		c := &l.all[i]
+		states = append(states, State{
+			Endpoint: e.name, Usable: c.Usable(), Requests: c.Requests(), Tokens: c.Tokens(),
+			Own: e.requests, Peers: e.peerRequest, Reported: e.reported,
+		})
+	}
+	return states
+}
+
+// Capacity is how many requests a pool may hold when each endpoint of weight one may hold perEndpoint.
+func (l *Ledger) Capacity(pool string, perEndpoint int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := 0.0
+	for _, i := range l.pools[pool] {
+		if l.all[i].Usable() {
+			sum += l.all[i].Weight() * float64(perEndpoint)
+		}
+	}
+	return int(sum)
+}
--- /dev/null
+++ b/core/membership/doc.go
@@ -0,0 +1,3 @@
+// Package membership decides which routers are alive, from the VM list, from what was heard and
+// from rumours.
+package membership
--- /dev/null
+++ b/core/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry holds the budget that retries draw on.
+package retry
