io: platform clients, endpoints and their stand-ins

Cause: outside systems are met through their protocol against small stand-ins. Change: log, VM list, weight store, engine and plain service, each with switches for faults; an endpoint client whose requests the transport cannot resend by itself; control bytes counted at the connection. Ruled out: the default transport, which replays a request with an Idempotency-Key on a dead pooled connection.

--- /dev/null
+++ b/io/platformlog/doc.go
@@ -0,0 +1,2 @@
+// Package platformlog speaks to the platform's append-only log service over HTTP.
+package platformlog
--- /dev/null
+++ b/io/platformlog/log.go
@@ -0,0 +1,118 @@
+package platformlog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"savoryfall/core/annotate"
+)
+
+// maxAnswer bounds what one read may bring, so that a faulty service cannot fill the memory.
+const maxAnswer = 64 << 20
+
+// Log is a client of the log service; an append is never repeated by it, because the first may have taken effect.
+type Log struct {
+	base   string
+	client *http.Client
+}
+
+// New makes a client of the service at the base URL; client carries the transport that counts and bounds.
+func New(base string, client *http.Client) *Log {
+	return &Log{base: base, client: client}
+}
+
+// Record is one record of a stream.
+type Record struct {
+	Offset int64     `json:"offset"`
+	At     time.Time `json:"at"`
+	Data   []byte    `json:"data"`
+}
+
+// Page is a run of records; First is the oldest offset still kept and Next the one after the newest.
+type Page struct {
+	First   int64    `json:"first"`
+	Next    int64    `json:"next"`
+	Records []Record `json:"records"`
+}
+
+// TrimmedError says that records from Want on are no longer kept.
+type TrimmedError struct{ Want, First int64 }
+
+func (e TrimmedError) Error() string {
+	return fmt.Sprintf("the log keeps records from offset %d on, want %d", e.First, e.Want)
+}
+
+// Append adds a record; after any error but a refusal it is unknown whether the record is on the stream.
+func (l *Log) Append(ctx context.Context, stream string, data []byte) (offset int64, err error) {
+	defer annotate.Error(&err, "append to stream %s", stream)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, l.url(stream, nil), bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	r.GetBody = nil
+	r.Header.Set("Content-Type", "application/octet-stream")
+	var answer struct {
+		Offset int64 `json:"offset"`
+	}
+	err = l.do(r, &answer)
+	return answer.Offset, err
+}
+
+// Read brings records from the offset on, and waits up to wait for one when there is none yet.
+func (l *Log) Read(ctx context.Context, stream string, from int64, max int, wait time.Duration) (p Page, err error) {
+	defer annotate.Error(&err, "read stream %s from %d", stream, from)
+	q := url.Values{}
+	q.Set("from", strconv.FormatInt(from, 10))
+	q.Set("max", strconv.Itoa(max))
+	q.Set("waitMs", strconv.FormatInt(wait.Milliseconds(), 10))
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, l.url(stream, q), nil)
+	if err != nil {
+		return p, err
+	}
+	err = l.do(r, &p)
+	if err == nil && from < p.First {
+		err = TrimmedError{Want: from, First: p.First}
+	}
+	return p, err
+}
+
+func (l *Log) url(stream string, q url.Values) string {
+	u := l.base + "/v1/streams/" + url.PathEscape(stream) + "/records"
+	if len(q) == 0 {
+		return u
+	}
+	return u + "?" + q.Encode()
+}
+
+func (l *Log) do(r *http.Request, answer any) (err error) {
+	resp, err := l.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return StatusError{Status: resp.StatusCode, Text: string(bytes.TrimSpace(body))}
+	}
+	return json.Unmarshal(body, answer)
+}
+
+// StatusError is an answer of the service other than 200; the service promises that it did nothing.
+type StatusError struct {
+	Status int
+	Text   string
+}
+
+func (e StatusError) Error() string {
+	return fmt.Sprintf("the log service answered %d: %s", e.Status, e.Text)
+}
--- /dev/null
+++ b/io/standin/engine/events.go
@@ -0,0 +1,63 @@
+package engine
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	eventStored  = "stored"
+	eventRemoved = "removed"
+
+	rememberedEvents = 4096
+)
+
+// Event is one change of the prefix cache, published late and with gaps.
+type Event struct {
+	Sequence int64     `json:"sequence"`
+	Kind     string    `json:"kind"`
+	Prefix   string    `json:"prefix"`
+	At       time.Time `json:"at"`
+}
+
+type eventFeed struct {
+	next   int64
+	events []Event
+}
+
+func (e *Engine) publish(events []Event) {
+	for _, ev := range events {
+		ev.Sequence = e.events.next
+		ev.At = time.Now()
+		e.events.next++
+		if e.faults.EventGap > 0 && rand.Float64() < e.faults.EventGap {
+			continue
+		}
+		e.events.events = append(e.events.events, ev)
+	}
+	if n := len(e.events.events); n > rememberedEvents {
+		e.events.events = e.events.events[n-rememberedEvents:]
+	}
+}
+
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.ParseInt(r.FormValue("from"), 10, 64)
+	visible := time.Now().Add(-e.opts.ReportLag)
+	events := []Event{}
+	e.mu.Lock()
+	for _, ev := range e.events.events {
+		if ev.Sequence >= from && ev.At.Before(visible) {
+			events = append(events, ev)
+		}
+	}
+	e.mu.Unlock()
+	writeJSON(w, map[string]any{"incarnation": e.incarnation, "events": events})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/io/tracing/tracing.go
@@ -0,0 +1,72 @@
+package tracing
+
+import (
+	"context"
+	"os"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	"go.opentelemetry.io/otel/sdk/trace"
+	api "go.opentelemetry.io/otel/trace"
+
+	"savoryfall/core/annotate"
+)
+
+// Tracing makes spans; without a place to send them it makes none that cost anything.
+type Tracing struct {
+	provider *trace.TracerProvider
+	file     *os.File
+}
+
+// New sends spans to the OTLP URL or appends them to the file; both may be empty.
+func New(ctx context.Context, vm, otlpURL, file string) (t *Tracing, err error) {
+	defer annotate.Error(&err, "set up traces")
+	t = &Tracing{}
+	options := []trace.TracerProviderOption{
+		trace.WithResource(resource.NewSchemaless(attribute.String("service.name", "savoryfall"), attribute.String("vm", vm))),
+	}
+	switch {
+	case otlpURL != "":
+		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(otlpURL))
+		if err != nil {
+			return nil, err
+		}
+		options = append(options, trace.WithBatcher(exporter))
+	case file != "":
+		t.file, err = os.OpenFile(file, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		exporter, err := stdouttrace.New(stdouttrace.WithWriter(t.file))
+		if err != nil {
+			return nil, err
+		}
+		options = append(options, trace.WithSyncer(exporter))
+	default:
+		options = append(options, trace.WithSampler(trace.NeverSample()))
+	}
+	t.provider = trace.NewTracerProvider(options...)
+	return t, nil
+}
+
+// Tracer makes the spans of the fleet.
+func (t *Tracing) Tracer() api.Tracer { return t.provider.Tracer("savoryfall") }
+
+// Propagator carries a trace in the header traceparent.
+func Propagator() propagation.TextMapPropagator { return propagation.TraceContext{} }
+
+// Start does nothing; spans are made from the first request on.
+func (t *Tracing) Start(context.Context) error { return nil }
+
+// Stop sends what is left.
+func (t *Tracing) Stop(ctx context.Context) (err error) {
+	defer annotate.Error(&err, "stop traces")
+	err = t.provider.Shutdown(ctx)
+	if t.file != nil {
+		_ = t.file.Close()
+	}
+	return err
+}
