io: routers, callers, peers and the embedded fleet

Cause: one request is to be served whole, end to end. Change: the front for callers, the follower of the configuration, claims on the log, net/rpc between routers, probes, the operators' desk, the command line and a fleet in one process.

--- /dev/null
+++ b/io/caller/front.go
@@ -0,0 +1,121 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/gorilla/mux"
+	"go.opentelemetry.io/otel/trace"
+
+	"savoryfall/core/decision"
+	"savoryfall/core/health"
+	"savoryfall/core/inforce"
+	"savoryfall/core/ledger"
+	"savoryfall/core/placement"
+	"savoryfall/core/retry"
+	"savoryfall/core/settings"
+	"savoryfall/core/ticket"
+	"savoryfall/core/tokens"
+	"savoryfall/io/endpoint"
+)
+
+// Configuration gives what is in force.
+type Configuration interface {
+	Current() *inforce.Configuration
+	Ready() bool
+}
+
+// Endpoints makes attempts.
+type Endpoints interface {
+	Do(ctx context.Context, call endpoint.Call) (resp *http.Response, err error)
+}
+
+// Admission lets requests in, in their turn.
+type Admission interface {
+	Enter(ctx context.Context, account string, weight float64, pool string) (leave func(), err error)
+}
+
+// Claims makes sure that a call that may not be repeated runs at most once.
+type Claims interface {
+	Claim(ctx context.Context, c ClaimRequest) (g Grant, err error)
+	Settle(ctx context.Context, g Grant, result Result)
+}
+
+// Parts are the services that the front works with.
+type Parts struct {
+	Configuration Configuration
+	Endpoints     Endpoints
+	Admission     Admission
+	Claims        Claims
+	Ledger        *ledger.Ledger
+	Health        *health.Table
+	Policy        placement.Policy
+	Tickets       *ticket.Sealer
+	Tokens        *tokens.Estimator
+	Retries       *retry.Budget
+	Decisions     *decision.Ring
+	Tracer        trace.Tracer
+	Metrics       *metrics.Set
+	Logger        log.Logger
+	Callers       settings.Callers
+	Limits        settings.Limits
+	VM            string
+}
+
+// Front is the part of a router that callers reach.
+type Front struct {
+	Parts
+	draining atomic.Bool
+	figures  figures
+}
+
+// New makes a front of its parts.
+func New(p Parts) *Front {
+	return &Front{Parts: p, figures: newFigures(p.Metrics)}
+}
+
+// Handler serves callers; what no route names goes to the plain services.
+func (f *Front) Handler() http.Handler {
+	m := mux.NewRouter()
+	m.SkipClean(true)
+	m.HandleFunc("/v1/chat/completions", f.completions).Methods(http.MethodPost)
+	m.HandleFunc("/v1/models", f.models).Methods(http.MethodGet)
+	m.HandleFunc("/healthz", f.alive).Methods(http.MethodGet)
+	m.HandleFunc("/readyz", f.readyz).Methods(http.MethodGet)
+	m.PathPrefix("/").HandlerFunc(f.plain)
+	return m
+}
+
+// Drain fails the readiness check, so that the balancer sends no more callers; what comes all the same is served.
+func (f *Front) Drain() { f.draining.Store(true) }
+
+// Draining tells whether this router is stopping.
+func (f *Front) Draining() bool { return f.draining.Load() }
+
+func (f *Front) alive(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (f *Front) readyz(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case f.Draining():
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+	case !f.Configuration.Ready():
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+// deadline is the caller's own, bounded by the setting.
+func (f *Front) deadline(r *http.Request) time.Duration {
+	ms, err := time.ParseDuration(r.Header.Get(headerDeadline) + "ms")
+	if err != nil || ms <= 0 || ms > f.Limits.Deadline() {
+		return f.Limits.Deadline()
+	}
+	return ms
+}
--- /dev/null
+++ b/io/command/demo.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"savoryfall/io/fleet"
+)
+
+func init() { register(demoCommand) }
+
+const (
+	demoAccount  = "guardia"
+	demoRouters  = 3
+	demoEngines  = 4
+	demoServices = 2
+	demoDrain    = 10 * time.Second
+)
+
+func demoCommand(s streams) *ffcli.Command {
+	flags := newFlags("demo", s)
+	quiet := flags.Bool("quiet", false, "write no log lines")
+	return &ffcli.Command{
+		Name: "demo", ShortUsage: "savoryfall demo", ShortHelp: "run a small fleet and its stand-ins in this process",
+		LongHelp: page("demo"), FlagSet: flags,
+		Exec: func(ctx context.Context, _ []string) error { return runDemo(ctx, s, *quiet) },
+	}
+}
+
+func runDemo(ctx context.Context, s streams, quiet bool) (err error) {
+	logger := newLogger(s)
+	if quiet {
+		logger = log.NewLogfmtLogger(io.Discard)
+	}
+	f := fleet.New(fleet.Options{
+		Routers: demoRouters, Engines: demoEngines, Services: demoServices, Accounts: []string{demoAccount},
+		Extra: map[string]string{"callers": "lameDuck = \"0s\"\n"},
+	}, logger)
+	err = f.Start(ctx)
+	if err != nil {
+		return err
+	}
+	printDemo(s, f)
+	<-ctx.Done()
+	stop, cancel := context.WithTimeout(context.Background(), demoDrain)
+	defer cancel()
+	return f.Stop(stop)
+}
+
+func printDemo(s streams, f *fleet.Fleet) {
+	r := f.Routers()[0]
+	_, _ = fmt.Fprintf(s.out, "callers    http://%s/v1\noperators  http://%s\nkey        %s\n\n", r.Callers(), r.Operators(), fleet.Key(demoAccount))
+	_, _ = fmt.Fprintf(s.out, "curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"sur-large\","+
+		"\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"What is the firewood quota?\"}]}'\n\n", r.Callers(), fleet.Key(demoAccount))
+	_, _ = fmt.Fprintln(s.out, "stop with an interrupt")
+}
--- /dev/null
+++ b/io/operator/desk.go
@@ -0,0 +1,164 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+
+	"savoryfall/core/decision"
+	"savoryfall/core/health"
+	"savoryfall/core/inforce"
+	"savoryfall/core/ledger"
+	"savoryfall/core/membership"
+	"savoryfall/io/meter"
+)
+
+// Configuration is what is in force, and how it came.
+type Configuration interface {
+	Current() *inforce.Configuration
+	Ready() bool
+	AppliedAt() (at time.Time, source string)
+}
+
+// Parts are what an operator may look at.
+type Parts struct {
+	VM            string
+	FailureDomain string
+	Configuration Configuration
+	Members       *membership.Table
+	Ledger        *ledger.Ledger
+	Health        *health.Table
+	Decisions     *decision.Ring
+	Meter         *meter.Meter
+	Metrics       *metrics.Set
+	Waiting       func() int
+	Claims        func() int
+	Draining      func() bool
+}
+
+// Desk answers operators.
+type Desk struct {
+	Parts
+}
+
+// New makes a desk of its parts.
+func New(p Parts) *Desk { return &Desk{Parts: p} }
+
+// Handler serves the operators' address.
+func (d *Desk) Handler() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/status", d.status).Methods(http.MethodGet)
+	m.HandleFunc("/explain/{request}", d.explain).Methods(http.MethodGet)
+	m.HandleFunc("/release", d.release).Methods(http.MethodGet)
+	m.HandleFunc("/notes/{note}", d.note).Methods(http.MethodGet)
+	m.HandleFunc("/metrics", d.metrics).Methods(http.MethodGet)
+	return m
+}
+
+// Status is what one router believes.
+type Status struct {
+	VM            string            `json:"vm"`
+	FailureDomain string            `json:"failureDomain"`
+	Ready         bool              `json:"ready"`
+	Draining      bool              `json:"draining"`
+	Release       Release           `json:"release"`
+	Members       []membership.Peer `json:"members"`
+	Endpoints     []Endpoint        `json:"endpoints"`
+	Waiting       int               `json:"waiting"`
+	Claims        int               `json:"claims"`
+	ControlBytes  map[string]uint64 `json:"controlBytes"`
+}
+
+// Release is which configuration is in force in one router.
+type Release struct {
+	Next      int64     `json:"next"`
+	Note      string    `json:"note"`
+	Digest    string    `json:"digest"`
+	AppliedAt time.Time `json:"appliedAt"`
+	Source    string    `json:"source"`
+}
+
+// Endpoint is what one router believes of an endpoint.
+type Endpoint struct {
+	ledger.State
+	Health      health.State `json:"health"`
+	Incarnation string       `json:"incarnation"`
+	Address     string       `json:"address"`
+}
+
+func (d *Desk) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, d.Status())
+}
+
+// Status collects what this router believes now.
+func (d *Desk) Status() (s Status) {
+	s = Status{
+		VM: d.VM, FailureDomain: d.FailureDomain, Ready: d.Configuration.Ready(), Draining: d.Draining(),
+		Release: d.inForce(), Members: d.Members.Peers(), Waiting: d.Waiting(), Claims: d.Claims(),
+		ControlBytes: map[string]uint64{},
+	}
+	for _, k := range meter.Kinds {
+		sent, received := d.Meter.Bytes(k)
+		s.ControlBytes[string(k)] = sent + received
+	}
+	c := d.Configuration.Current()
+	now := time.Now()
+	for _, l := range d.Ledger.States() {
+		e, _ := c.Endpoint(l.Endpoint)
+		s.Endpoints = append(s.Endpoints, Endpoint{
+			State: l, Health: d.Health.State(l.Endpoint, now), Incarnation: d.Health.Incarnation(l.Endpoint),
+			Address: e.Address(),
+		})
+	}
+	return s
+}
+
+func (d *Desk) inForce() (r Release) {
+	c := d.Configuration.Current()
+	r = Release{Next: c.Next(), Note: c.Current(), Digest: c.Digest()}
+	r.AppliedAt, r.Source = d.Configuration.AppliedAt()
+	return r
+}
+
+func (d *Desk) explain(w http.ResponseWriter, r *http.Request) {
+	found, ok := d.Decisions.Find(mux.Vars(r)["request"])
+	if !ok {
+		http.Error(w, "this router has no decision on that request", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, found)
+}
+
+func (d *Desk) release(w http.ResponseWriter, _ *http.Request) {
+	data, err := d.Configuration.Current().Snapshot()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
+
+// Verdict is what became of a published note.
+type Verdict struct {
+	Known   bool   `json:"known"`
+	Refusal string `json:"refusal,omitempty"`
+}
+
+func (d *Desk) note(w http.ResponseWriter, r *http.Request) {
+	refusal, known := d.Configuration.Current().Refusal(mux.Vars(r)["note"])
+	writeJSON(w, Verdict{Known: known, Refusal: refusal})
+}
+
+func (d *Desk) metrics(w http.ResponseWriter, _ *http.Request) {
+	d.Metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/io/peer/agent.go
@@ -0,0 +1,369 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"savoryfall/core/annotate"
+	"savoryfall/core/health"
+	"savoryfall/core/inforce"
+	"savoryfall/core/ledger"
+	"savoryfall/core/membership"
+	"savoryfall/io/meter"
+)
+
+// Configuration is what the agent needs of the follower.
+type Configuration interface {
+	Current() *inforce.Configuration
+	Ready() bool
+	Records(from int64, max int) [][]byte
+	Offer(offset int64, data []byte)
+	Listen(listener func(*inforce.Configuration))
+}
+
+// Prober looks at one endpoint now, because a peer has found something.
+type Prober interface {
+	Look(endpoint string)
+}
+
+// Parts are the services that the agent works with.
+type Parts struct {
+	Members       *membership.Table
+	Ledger        *ledger.Ledger
+	Health        *health.Table
+	Configuration Configuration
+	Prober        Prober
+	Meter         *meter.Meter
+	Logger        log.Logger
+	TLS           *tls.Config
+	Period        time.Duration
+	Budget        int64
+}
+
+// Agent exchanges heartbeats, load digests, marks and news of the configuration with the other routers.
+type Agent struct {
+	Parts
+	listener net.Listener
+	mu       sync.Mutex
+	conns    map[string]*connection
+	accepted map[net.Conn]bool
+	findings map[string]spreading
+	marks    map[Mark]int
+	lean     bool
+	round    int
+	last     uint64
+	cut      func(name string) bool
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+}
+
+type spreading struct {
+	down bool
+	left int
+}
+
+const (
+	// meshSize is up to how many members all pairs exchange in every period; larger fleets take a few at random.
+	meshSize   = 8
+	fanout     = 3
+	spreadings = 4
+	maxRumours = 16
+	maxNews    = 8
+	recordsMax = 200
+)
+
+// New takes the address for peers at once.
+func New(address string, p Parts) (a *Agent, err error) {
+	defer annotate.Error(&err, "listen for peers on %s", address)
+	a = &Agent{
+		Parts: p, conns: map[string]*connection{}, accepted: map[net.Conn]bool{},
+		findings: map[string]spreading{}, marks: map[Mark]int{},
+	}
+	a.listener, err = net.Listen("tcp", address)
+	return a, err
+}
+
+// Address is where peers reach this router.
+func (a *Agent) Address() string { return a.listener.Addr().String() }
+
+// Start serves peers and exchanges with them in the background until Stop.
+func (a *Agent) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	a.Configuration.Listen(func(*inforce.Configuration) {
+		a.running.Go(func() { a.announce(ctx) })
+	})
+	a.running.Go(a.serve)
+	a.running.Go(func() { a.loop(ctx) })
+	return nil
+}
+
+// Stop tells the peers that this router leaves, and ends.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.Members.Leave()
+	a.exchangeAll(ctx, a.peers())
+	a.Kill()
+	return nil
+}
+
+// Kill ends without a word, as the loss of the VM would.
+func (a *Agent) Kill() {
+	a.cancel()
+	_ = a.listener.Close()
+	a.mu.Lock()
+	for _, c := range a.conns {
+		c.close()
+	}
+	for c := range a.accepted {
+		_ = c.Close()
+	}
+	a.mu.Unlock()
+	a.running.Wait()
+}
+
+func (a *Agent) loop(ctx context.Context) {
+	tick := time.NewTicker(a.Period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			a.step(ctx)
+		}
+	}
+}
+
+func (a *Agent) step(ctx context.Context) {
+	now := time.Now()
+	for _, name := range a.Members.Sweep(now) {
+		a.Ledger.Forget(name)
+		_ = a.Logger.Log("event", "memberDead", "member", name)
+	}
+	a.Ledger.Expire(now)
+	a.weigh()
+	a.exchangeAll(ctx, a.targets(now))
+}
+
+// weigh compares the control traffic with its budget. When it is over, load digests are sent only every other
+// period: without them placement gets worse, without heartbeats, marks and news of the configuration promises break.
+func (a *Agent) weigh() {
+	var sum uint64
+	for _, k := range meter.Kinds {
+		sent, received := a.Meter.Bytes(k)
+		sum += sent + received
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	spent := float64(sum-a.last) / a.Period.Seconds()
+	a.lean = a.round > 0 && spent > float64(a.Budget)
+	a.last = sum
+	a.round++
+}
+
+func (a *Agent) peers() (peers []membership.Peer) {
+	for _, p := range a.Members.Peers() {
+		if p.State != membership.Dead.String() && p.State != membership.Leaving.String() {
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
+
+// targets are whom to call in this period. In a small fleet the lower name of each pair calls, and the other one
+// only when it has heard nothing; in a large one each calls a few at random.
+func (a *Agent) targets(now time.Time) (targets []membership.Peer) {
+	peers := a.peers()
+	if len(peers) >= meshSize {
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		return append(peers[:fanout], a.dead(now)...)
+	}
+	self := a.Members.Self().Name
+	for _, p := range peers {
+		if self < p.Name || now.Sub(p.Heard) > a.Period*3/2 {
+			targets = append(targets, p)
+		}
+	}
+	return append(targets, a.dead(now)...)
+}
+
+const deadRetry = 8
+
+// dead picks now and then a dead member to try, so that two sides of a healed cut find each other again.
+func (a *Agent) dead(time.Time) (targets []membership.Peer) {
+	a.mu.Lock()
+	round := a.round
+	a.mu.Unlock()
+	if round%deadRetry != 0 {
+		return nil
+	}
+	for _, p := range a.Members.Peers() {
+		if p.State == membership.Dead.String() {
+			targets = append(targets, p)
+		}
+	}
+	if len(targets) > 1 {
+		i := rand.IntN(len(targets))
+		targets = targets[i : i+1]
+	}
+	return targets
+}
+
+func (a *Agent) exchangeAll(ctx context.Context, targets []membership.Peer) {
+	var all sync.WaitGroup
+	for _, p := range targets {
+		all.Go(func() { a.exchange(ctx, p) })
+	}
+	all.Wait()
+}
+
+func (a *Agent) exchange(ctx context.Context, p membership.Peer) {
+	var reply Message
+	err := a.call(ctx, p, "Exchange", a.message(), &reply)
+	if err == nil {
+		a.take(&reply)
+		a.catchUp(ctx, p, reply.Next)
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	a.probeThrough(ctx, p)
+}
+
+// probeThrough asks two others to try a member that did not answer, so that a cut between it and this router alone
+// does not make it look dead.
+func (a *Agent) probeThrough(ctx context.Context, target membership.Peer) {
+	asked := 0
+	for _, helper := range a.peers() {
+		if helper.Name == target.Name || asked == 2 {
+			continue
+		}
+		asked++
+		var answer Answer
+		err := a.call(ctx, helper, "Try", Probe{Target: target.Name}, &answer)
+		if err == nil && answer.Heard {
+			a.Members.Vouched(target.Name, time.Now())
+			return
+		}
+	}
+	a.Members.Missed(target.Name, time.Now())
+}
+
+// message says what there is to say; the caller of an exchange and the one that is called send the same.
+func (a *Agent) message() *Message {
+	c := a.Configuration.Current()
+	m := &Message{Self: a.Members.Self(), Next: c.Next(), Rumours: a.Members.Gossip(maxRumours)}
+	m.Self.Address, m.Self.FailureDomain = "", ""
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.lean || a.round%2 == 0 {
+		m.Shape, m.Load = a.Ledger.Digest()
+	}
+	a.addNews(m)
+	return m
+}
+
+func (a *Agent) addNews(m *Message) {
+	for mark, left := range a.marks {
+		if len(m.Marks) == maxNews {
+			break
+		}
+		m.Marks = append(m.Marks, mark)
+		a.marks[mark] = left - 1
+		if left <= 1 {
+			delete(a.marks, mark)
+		}
+	}
+	for name, f := range a.findings {
+		if len(m.Findings) == maxNews {
+			break
+		}
+		m.Findings = append(m.Findings, Finding{Endpoint: name, Down: f.down})
+		f.left--
+		a.findings[name] = f
+		if f.left <= 0 {
+			delete(a.findings, name)
+		}
+	}
+}
+
+// take believes what a peer says: of itself, of the load it puts on endpoints, and of who is leaving.
+func (a *Agent) take(m *Message) {
+	now := time.Now()
+	a.Members.Heard(m.Self, now)
+	a.Members.Rumours(m.Rumours, now)
+	if m.Load != nil {
+		a.Ledger.Peer(m.Self.Name, m.Shape, m.Load, now)
+	}
+	for _, mark := range m.Marks {
+		a.takeMark(mark)
+	}
+	for _, f := range m.Findings {
+		a.takeFinding(f, now)
+	}
+}
+
+func (a *Agent) takeMark(m Mark) {
+	if a.Health.MarkLeaving(m.Endpoint, m.Incarnation) {
+		a.SpreadMark(m)
+	}
+}
+
+// SpreadMark passes a leaving mark on, a few times to each peer.
+func (a *Agent) SpreadMark(m Mark) {
+	times := spreadings * (len(a.peers()) + 1)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.marks[m] = times
+}
+
+// SpreadFinding tells the peers that an endpoint was seen to fall or to return.
+func (a *Agent) SpreadFinding(f Finding) {
+	times := len(a.peers()) + 1
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.findings[f.Endpoint] = spreading{down: f.Down, left: times}
+}
+
+func (a *Agent) takeFinding(f Finding, now time.Time) {
+	down := a.Health.State(f.Endpoint, now) == health.Down
+	if down != f.Down && a.Prober != nil {
+		a.Prober.Look(f.Endpoint)
+	}
+}
+
+// announce tells a few peers at once that a record of the configuration has come, without waiting for the period.
+func (a *Agent) announce(ctx context.Context) {
+	next := a.Configuration.Current().Next()
+	peers := a.peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers[:min(fanout, len(peers))] {
+		var none Nothing
+		_ = a.call(ctx, p, "News", News{From: a.Members.Self().Name, Next: next}, &none)
+	}
+}
+
+// catchUp brings records of the configuration from a peer that has more.
+func (a *Agent) catchUp(ctx context.Context, p membership.Peer, next int64) {
+	for a.Configuration.Ready() && a.Configuration.Current().Next() < next {
+		from := a.Configuration.Current().Next()
+		var got Records
+		err := a.call(ctx, p, "Records", RecordsRequest{From: from, Max: recordsMax}, &got)
+		if err != nil || len(got.Records) == 0 {
+			return
+		}
+		for i, data := range got.Records {
+			a.Configuration.Offer(from+int64(i), data)
+		}
+		if a.Configuration.Current().Next() == from {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer speaks net/rpc with the other routers of the fleet.
+package peer
--- /dev/null
+++ b/io/router/doc.go
@@ -0,0 +1,2 @@
+// Package router puts the services of one router process together.
+package router
--- /dev/null
+++ b/io/router/find.go
@@ -0,0 +1,48 @@
+package router
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"savoryfall/core/admission"
+	"savoryfall/core/health"
+	"savoryfall/core/ledger"
+	"savoryfall/core/membership"
+	"savoryfall/io/caller"
+	"savoryfall/io/claims"
+	"savoryfall/io/configuration"
+	"savoryfall/io/endpoint"
+	"savoryfall/io/httpserver"
+	"savoryfall/io/meter"
+	"savoryfall/io/peer"
+	"savoryfall/io/probe"
+	"savoryfall/io/tracing"
+)
+
+// What follows finds a service by its name and says what it is.
+
+func (r *Router) metrics() *metrics.Set     { return r.kernel.Find(nameMetrics).(*metrics.Set) }
+func (r *Router) meter() *meter.Meter       { return r.kernel.Find(nameMeter).(*meter.Meter) }
+func (r *Router) tracing() *tracing.Tracing { return r.kernel.Find(nameTracing).(*tracing.Tracing) }
+func (r *Router) members() *membership.Table {
+	return r.kernel.Find(nameMembers).(*membership.Table)
+}
+func (r *Router) health() *health.Table  { return r.kernel.Find(nameHealth).(*health.Table) }
+func (r *Router) ledger() *ledger.Ledger { return r.kernel.Find(nameLedger).(*ledger.Ledger) }
+func (r *Router) probe() *probe.Keeper   { return r.kernel.Find(nameProbe).(*probe.Keeper) }
+func (r *Router) follower() *configuration.Follower {
+	return r.kernel.Find(nameConfiguration).(*configuration.Follower)
+}
+func (r *Router) claims() *claims.Keeper { return r.kernel.Find(nameClaims).(*claims.Keeper) }
+func (r *Router) agent() *peer.Agent     { return r.kernel.Find(namePeers).(*peer.Agent) }
+func (r *Router) gate() *admission.Gate  { return r.kernel.Find(nameAdmission).(*admission.Gate) }
+func (r *Router) endpoints() *endpoint.Client {
+	return r.kernel.Find(nameEndpoints).(*endpoint.Client)
+}
+func (r *Router) front() *caller.Front { return r.kernel.Find(nameFront).(*caller.Front) }
+func (r *Router) callers() *httpserver.Server {
+	return r.kernel.Find(nameCallers).(*httpserver.Server)
+}
+
+func (r *Router) operatorsServer() *httpserver.Server {
+	return r.kernel.Find(nameOperators).(*httpserver.Server)
+}
--- /dev/null
+++ b/io/router/router.go
@@ -0,0 +1,285 @@
+package router
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"savoryfall/core/admission"
+	"savoryfall/core/annotate"
+	"savoryfall/core/decision"
+	"savoryfall/core/health"
+	"savoryfall/core/kernel"
+	"savoryfall/core/ledger"
+	"savoryfall/core/membership"
+	"savoryfall/core/placement"
+	"savoryfall/core/retry"
+	"savoryfall/core/settings"
+	"savoryfall/core/ticket"
+	"savoryfall/core/tokens"
+	"savoryfall/io/caller"
+	"savoryfall/io/claims"
+	"savoryfall/io/configuration"
+	"savoryfall/io/endpoint"
+	"savoryfall/io/httpserver"
+	"savoryfall/io/meter"
+	"savoryfall/io/operator"
+	"savoryfall/io/peer"
+	"savoryfall/io/platformlog"
+	"savoryfall/io/probe"
+	"savoryfall/io/tracing"
+	"savoryfall/io/vmlist"
+)
+
+// Router is one router process, or one of several in a process.
+type Router struct {
+	kernel   kernel.Kernel
+	settings *settings.Settings
+	logger   log.Logger
+}
+
+// The names of the services, by which they find each other.
+const (
+	nameTracing       = "tracing"
+	nameMeter         = "meter"
+	nameMetrics       = "metrics"
+	nameLog           = "log"
+	nameConfiguration = "configuration"
+	nameClaims        = "claims"
+	nameMembers       = "members"
+	nameHealth        = "health"
+	nameLedger        = "ledger"
+	nameProbe         = "probe"
+	namePeers         = "peers"
+	nameAdmission     = "admission"
+	nameEndpoints     = "endpoints"
+	nameFront         = "front"
+	nameCallers       = "callers"
+	nameOperators     = "operators"
+	nameWatch         = "watch"
+	nameSnapshots     = "snapshots"
+)
+
+// New builds a router of its settings and takes its addresses; nothing runs before Start.
+func New(s *settings.Settings, logger log.Logger) (r *Router, err error) {
+	defer annotate.Error(&err, "build router %s", s.VM().Name())
+	r = &Router{settings: s, logger: log.With(logger, "vm", s.VM().Name())}
+	for _, build := range []func() error{
+		r.buildBase, r.buildState, r.buildConfiguration, r.buildPeers, r.buildFront, r.buildOperators,
+	} {
+		err = build()
+		if err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+func (r *Router) buildBase() (err error) {
+	s := r.settings
+	set := metrics.NewSet()
+	r.kernel.Register(nameMetrics, set)
+	r.kernel.Register(nameMeter, meter.New(set))
+	t, err := tracing.New(context.Background(), s.VM().Name(), s.Traces().OTLP(), s.Traces().File())
+	if err != nil {
+		return err
+	}
+	r.kernel.Register(nameTracing, t)
+	return nil
+}
+
+func (r *Router) buildState() (err error) {
+	v := r.settings.VM()
+	self := membership.Rumour{
+		Name: v.Name(), Address: r.settings.Peers().Address(), FailureDomain: v.FailureDomain(),
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	r.kernel.Register(nameMembers, membership.New(self, r.settings.Peers().Period()))
+	r.kernel.Register(nameHealth, &health.Table{})
+	r.kernel.Register(nameLedger, &ledger.Ledger{})
+	r.kernel.Register(nameProbe, probe.New(r.health(), r.ledger(), r.meter(), r.settings.Routing().ProbePeriod(), r.logger))
+	return nil
+}
+
+func (r *Router) buildConfiguration() (err error) {
+	s := r.settings
+	client, err := r.platformClient(meter.KindLog)
+	if err != nil {
+		return err
+	}
+	l := platformlog.New(s.Platform().Log(), client)
+	r.kernel.Register(nameLog, l)
+	f := configuration.New(l, r.logger)
+	f.Listen(r.probe().Configure)
+	r.kernel.Register(nameConfiguration, f)
+	r.kernel.Register(nameClaims, claims.New(l, s.Claims().Window(), s.Claims().Term(), r.logger))
+	return nil
+}
+
+// platformClient marks requests with the name of the VM, for the platform's own records.
+func (r *Router) platformClient(k meter.Kind) (c *http.Client, err error) {
+	t := r.meter().Transport(k)
+	t.TLSClientConfig, err = clientTLS(r.settings.Platform().Authority())
+	if err != nil {
+		return nil, err
+	}
+	return &http.Client{Transport: named{vm: r.settings.VM().Name(), next: t}}, nil
+}
+
+func (r *Router) buildPeers() (err error) {
+	s := r.settings
+	var cfg *tls.Config
+	if s.Peers().Certificate() != "" {
+		cfg, err = mutualTLS(s.Peers().Certificate(), s.Peers().Key(), s.Peers().Authority())
+		if err != nil {
+			return err
+		}
+	}
+	a, err := peer.New(s.Peers().Address(), peer.Parts{
+		Members: r.members(), Ledger: r.ledger(), Health: r.health(), Configuration: r.follower(), Prober: r.probe(),
+		Meter: r.meter(), Logger: r.logger, TLS: cfg, Period: s.Peers().Period(), Budget: s.Peers().Budget(),
+	})
+	if err != nil {
+		return err
+	}
+	r.follower().Use(a)
+	r.probe().Use(r.members(), gossip{a})
+	r.kernel.Register(namePeers, a)
+	client, err := r.platformClient(meter.KindVMList)
+	if err != nil {
+		return err
+	}
+	r.kernel.Register(nameWatch, &watch{
+		list: vmlist.New(s.Platform().VMList(), client), members: r.members(), probe: r.probe(),
+		period: s.Platform().VMPeriod(), logger: r.logger,
+	})
+	r.kernel.Register(nameSnapshots, &snapshots{
+		follower: r.follower(), members: r.members(), retention: s.Platform().Retention(), logger: r.logger,
+	})
+	return nil
+}
+
+// gossip lets the probes pass on what they find.
+type gossip struct{ agent *peer.Agent }
+
+func (g gossip) Finding(name string, down bool) {
+	g.agent.SpreadFinding(peer.Finding{Endpoint: name, Down: down})
+}
+
+func (g gossip) Mark(name, incarnation string) {
+	g.agent.SpreadMark(peer.Mark{Endpoint: name, Incarnation: incarnation})
+}
+
+func (r *Router) buildFront() (err error) {
+	s := r.settings
+	policy, _ := placement.New(s.Routing().Policy(), s.Routing().Bound(), uint64(time.Now().UnixNano()))
+	key, err := readSecret(s.Routing().TicketKey())
+	if err != nil {
+		return err
+	}
+	gate := admission.NewGate(s.Limits().Queue(), r.capacity)
+	r.kernel.Register(nameAdmission, gate)
+	r.kernel.Register(nameEndpoints, endpoint.New(r.probe()))
+	f := caller.New(caller.Parts{
+		Configuration: r.follower(), Endpoints: r.endpoints(), Admission: gate, Claims: r.claims(),
+		Ledger: r.ledger(), Health: r.health(), Policy: policy, Tickets: ticket.NewSealer(key),
+		Tokens: &tokens.Estimator{}, Retries: retry.NewBudget(s.Limits().RetryRatio()), Decisions: &decision.Ring{},
+		Tracer: r.tracing().Tracer(), Metrics: r.metrics(), Logger: r.logger, Callers: s.Callers(),
+		Limits: s.Limits(), VM: s.VM().Name(),
+	})
+	r.kernel.Register(nameFront, f)
+	cfg, err := serverTLS(s.Callers().Certificate(), s.Callers().Key())
+	if err != nil {
+		return err
+	}
+	server, err := httpserver.New(s.Callers().Address(), f.Handler(), httpserver.Options{
+		MaxHeader: s.Callers().MaxHeader(), HeaderTimeout: s.Callers().HeaderTimeout(), TLS: cfg,
+	})
+	if err != nil {
+		return err
+	}
+	r.kernel.Register(nameCallers, server)
+	return nil
+}
+
+// capacity is this router's part of what a pool may hold; the balancer spreads callers evenly.
+func (r *Router) capacity(pool string) int {
+	whole := r.ledger().Capacity(pool, r.settings.Limits().Concurrency())
+	return max(whole/r.members().Count(), 1)
+}
+
+func (r *Router) buildOperators() (err error) {
+	s := r.settings
+	d := operator.New(operator.Parts{
+		VM: s.VM().Name(), FailureDomain: s.VM().FailureDomain(), Configuration: r.follower(), Members: r.members(),
+		Ledger: r.ledger(), Health: r.health(), Decisions: r.front().Decisions, Meter: r.meter(),
+		Metrics: r.metrics(), Waiting: r.gate().Waiting, Claims: r.claims().Len, Draining: r.front().Draining,
+	})
+	cfg, err := serverTLS(s.Operators().Certificate(), s.Operators().Key())
+	if err != nil {
+		return err
+	}
+	server, err := httpserver.New(s.Operators().Address(), d.Handler(), httpserver.Options{TLS: cfg})
+	if err != nil {
+		return err
+	}
+	r.kernel.Register(nameOperators, server)
+	return nil
+}
+
+// Start starts all services.
+func (r *Router) Start(ctx context.Context) (err error) {
+	err = r.kernel.Start(ctx)
+	if err == nil {
+		_ = r.logger.Log("event", "started", "callers", r.Callers(), "operators", r.Operators(), "peers", r.Peers())
+	}
+	return err
+}
+
+// Stop drains: the readiness check fails at once, the peers are told, requests in flight end, then the rest stops.
+func (r *Router) Stop(ctx context.Context) (err error) {
+	_ = r.logger.Log("event", "draining")
+	r.front().Drain()
+	r.members().Leave()
+	select {
+	case <-time.After(r.settings.Callers().LameDuck()):
+	case <-ctx.Done():
+	}
+	err = r.kernel.Stop(ctx)
+	_ = r.logger.Log("event", "stopped", "err", err)
+	return err
+}
+
+// Kill ends the router without a word to anybody, as the loss of its VM would.
+func (r *Router) Kill() {
+	r.callers().Kill()
+	r.operatorsServer().Kill()
+	r.agent().Kill()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, s := range []kernel.Service{r.follower(), r.claims(), r.probe(), r.endpoints()} {
+		_ = s.Stop(ctx)
+	}
+	for _, name := range []string{nameWatch, nameSnapshots} {
+		_ = r.kernel.Find(name).(kernel.Service).Stop(ctx)
+	}
+}
+
+// Callers is the address for callers.
+func (r *Router) Callers() string { return r.callers().Address() }
+
+// Operators is the address for operators.
+func (r *Router) Operators() string { return r.operatorsServer().Address() }
+
+// Peers is the address for peers.
+func (r *Router) Peers() string { return r.agent().Address() }
+
+// Agent speaks with the peers.
+func (r *Router) Agent() *peer.Agent { return r.agent() }
+
+// Ready tells whether the router has a configuration.
+func (r *Router) Ready() bool { return r.follower().Ready() }
--- /dev/null
+++ b/io/router/watch.go
@@ -0,0 +1,86 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"savoryfall/core/membership"
+	"savoryfall/io/probe"
+	"savoryfall/io/vmlist"
+)
+
+// watch reads the VM list, for members and for leaving marks of endpoints.
+type watch struct {
+	list    *vmlist.List
+	members *membership.Table
+	probe   *probe.Keeper
+	period  time.Duration
+	logger  log.Logger
+	tag     string
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+const listTimeout = 5 * time.Second
+
+func (w *watch) Start(ctx context.Context) error {
+	w.read(ctx)
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel = cancel
+	w.running.Go(func() { w.loop(ctx) })
+	return nil
+}
+
+func (w *watch) Stop(context.Context) error {
+	w.cancel()
+	w.running.Wait()
+	return nil
+}
+
+func (w *watch) loop(ctx context.Context) {
+	tick := time.NewTicker(w.period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			w.read(ctx)
+		}
+	}
+}
+
+// read goes on with the list that is known when the platform does not answer.
+func (w *watch) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	vms, tag, changed, err := w.list.Read(ctx, w.tag)
+	if err != nil {
+		_ = w.logger.Log("event", "vmListUnread", "err", err)
+		return
+	}
+	if !changed {
+		return
+	}
+	w.tag = tag
+	w.take(vms)
+}
+
+func (w *watch) take(vms []vmlist.VM) {
+	var routers []membership.Rumour
+	for _, vm := range vms {
+		if vm.Role == vmlist.RoleEndpoint {
+			w.probe.Listed(vm.Name, vm.Leaving)
+			continue
+		}
+		r := membership.Rumour{Name: vm.Name, Address: vm.Address, FailureDomain: vm.FailureDomain}
+		if vm.Leaving {
+			r.State = membership.Leaving
+		}
+		routers = append(routers, r)
+	}
+	w.members.Listed(routers, time.Now())
+}
