command: golden sessions over separate processes

Change: a testscript session starts the log, the VM list, two engines, a plain service and a router as processes, publishes one note, and compares every answer, log line and span. Ruled out: fixed ports, and ports of the system's own range, which another socket may take between choice and use.

--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -91,7 +91,7 @@
 		return
 	}
 	x.told(http.StatusOK, p.outcome, p.message)
-	_, _ = fmt.Fprintf(x.w, "data: %s\n\n", p.body(x.id))
+	fmt.Fprintf(x.w, "data: %s\n\n", p.body(x.id))
 	_ = http.NewResponseController(x.w).Flush()
 }
 
--- a/io/command/command.go
+++ b/io/command/command.go
@@ -80,10 +80,10 @@
 	case err == nil:
 		return exitDone
 	case errors.As(err, &usage):
-		_, _ = fmt.Fprintln(s.err, "savoryfall:", usage.problem)
+		fmt.Fprintln(s.err, "savoryfall:", usage.problem)
 		return exitWrongUse
 	}
-	_, _ = fmt.Fprintln(s.err, err)
+	fmt.Fprintln(s.err, err)
 	return exitFailed
 }
 
--- a/io/command/demo.go
+++ b/io/command/demo.go
@@ -54,8 +54,8 @@
 
 func printDemo(s streams, f *fleet.Fleet) {
 	r := f.Routers()[0]
-	_, _ = fmt.Fprintf(s.out, "callers    http://%s/v1\noperators  http://%s\nkey        %s\n\n", r.Callers(), r.Operators(), fleet.Key(demoAccount))
-	_, _ = fmt.Fprintf(s.out, "curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"sur-large\","+
+	fmt.Fprintf(s.out, "callers    http://%s/v1\noperators  http://%s\nkey        %s\n\n", r.Callers(), r.Operators(), fleet.Key(demoAccount))
+	fmt.Fprintf(s.out, "curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"sur-large\","+
 		"\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"What is the firewood quota?\"}]}'\n\n", r.Callers(), fleet.Key(demoAccount))
-	_, _ = fmt.Fprintln(s.out, "stop with an interrupt")
+	fmt.Fprintln(s.out, "stop with an interrupt")
 }
--- a/io/command/explain.go
+++ b/io/command/explain.go
@@ -52,12 +52,12 @@
 }
 
 func printDecision(s streams, d decision.Decision) {
-	_, _ = fmt.Fprintf(s.out, "request %s at %s\n", d.Request, d.At.Format(time.RFC3339Nano))
-	_, _ = fmt.Fprintf(s.out, "  account %s, pool %s, chat %s, waited %d ms\n", d.Account, d.Pool, d.Key, d.WaitedMs)
+	fmt.Fprintf(s.out, "request %s at %s\n", d.Request, d.At.Format(time.RFC3339Nano))
+	fmt.Fprintf(s.out, "  account %s, pool %s, chat %s, waited %d ms\n", d.Account, d.Pool, d.Key, d.WaitedMs)
 	for i, a := range d.Attempts {
-		_, _ = fmt.Fprintf(s.out, "  attempt %d on %s because %s: %.0f requests and %.0f tokens there, %.0f tokens the mean of %d usable of %d\n",
+		fmt.Fprintf(s.out, "  attempt %d on %s because %s: %.0f requests and %.0f tokens there, %.0f tokens the mean of %d usable of %d\n",
 			i+1, a.Endpoint, a.Reason, a.Requests, a.Tokens, a.MeanTokens, a.Usable, a.Members)
-		_, _ = fmt.Fprintf(s.out, "    %s after %d ms %s\n", a.Outcome, a.Ms, a.Problem)
+		fmt.Fprintf(s.out, "    %s after %d ms %s\n", a.Outcome, a.Ms, a.Problem)
 	}
-	_, _ = fmt.Fprintf(s.out, "  told %d %s %s\n", d.Status, d.Told, d.Problem)
+	fmt.Fprintf(s.out, "  told %d %s %s\n", d.Status, d.Told, d.Problem)
 }
--- a/io/command/release.go
+++ b/io/command/release.go
@@ -163,7 +163,7 @@
 }
 
 func printDifference(s streams, d difference) {
-	_, _ = fmt.Fprintf(s.out, "%s %s\n", d.Verb, d.Item)
+	fmt.Fprintf(s.out, "%s %s\n", d.Verb, d.Item)
 	keys := map[string]bool{}
 	for k := range d.Before {
 		keys[k] = true
@@ -177,10 +177,10 @@
 			continue
 		}
 		if d.Before[k] != nil {
-			_, _ = fmt.Fprintf(s.out, "  - %s = %s\n", k, before)
+			fmt.Fprintf(s.out, "  - %s = %s\n", k, before)
 		}
 		if d.After[k] != nil {
-			_, _ = fmt.Fprintf(s.out, "  + %s = %s\n", k, after)
+			fmt.Fprintf(s.out, "  + %s = %s\n", k, after)
 		}
 	}
 }
@@ -211,7 +211,7 @@
 		if err == nil {
 			break
 		}
-		_, _ = fmt.Fprintln(s.err, "append failed, trying again:", err)
+		fmt.Fprintln(s.err, "append failed, trying again:", err)
 	}
 	if err != nil {
 		return err
@@ -223,7 +223,7 @@
 	if refusal, known := c.Refusal(n.ID()); !known || refusal != "" {
 		return refusedError{id: n.ID(), reason: refusal}
 	}
-	_, _ = fmt.Fprintf(s.out, "note %q is accepted at offset %d, digest %s\n", n.ID(), c.Next()-1, c.Digest())
+	fmt.Fprintf(s.out, "note %q is accepted at offset %d, digest %s\n", n.ID(), c.Next()-1, c.Digest())
 	return f.awaitInForce(ctx, s, c, began)
 }
 
--- /dev/null
+++ b/io/command/session_test.go
@@ -0,0 +1,231 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"savoryfall/io/command"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"savoryfall": func() {
+		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		os.Exit(command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+	}})
+}
+
+// TestSessions runs whole sessions, every process on its own, and compares all that can be seen with golden text.
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/session",
+		Setup: func(e *testscript.Env) error {
+			// The race detector sleeps a second at the end of each process otherwise.
+			e.Setenv("GORACE", "atexit_sleep_ms=0")
+			return nil
+		},
+		UpdateScripts: os.Getenv("UPDATE_GOLDEN") != "",
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"port": pickPort, "await": await, "call": call, "complete": complete, "fill": fill, "shown": shown, "spans": spans,
+		},
+	})
+}
+
+// Ports below the range that the system gives out, so that no other socket takes one between choice and use.
+var nextPort atomic.Int64
+
+const (
+	firstPort = 21000
+	lastPort  = 29000
+	patience  = 15 * time.Second
+)
+
+func pickPort(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		ts.Setenv(name, freePort(ts))
+	}
+}
+
+func freePort(ts *testscript.TestScript) string {
+	start := firstPort + os.Getpid()%1000*8
+	for range lastPort - firstPort {
+		port := firstPort + (start-firstPort+int(nextPort.Add(1)))%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			ts.Check(l.Close())
+			return strconv.Itoa(port)
+		}
+	}
+	ts.Fatalf("no free port")
+	return ""
+}
+
+// await polls a URL until it answers 200.
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	deadline := time.Now().Add(patience)
+	for time.Now().Before(deadline) {
+		resp, err := http.Get(args[0])
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	ts.Fatalf("%s did not answer 200", args[0])
+}
+
+// call makes one request and prints the answer: call METHOD URL [NAME=VALUE headers] [@FILE or text].
+func call(ts *testscript.TestScript, _ bool, args []string) {
+	r, err := http.NewRequest(args[0], args[1], nil)
+	ts.Check(err)
+	for _, a := range args[2:] {
+		name, value, isHeader := strings.Cut(a, "=")
+		switch {
+		case strings.HasPrefix(a, "@"):
+			r.Body = io.NopCloser(strings.NewReader(ts.ReadFile(a[1:])))
+		case isHeader && !strings.HasPrefix(a, "{"):
+			r.Header.Set(name, value)
+		default:
+			r.Body = io.NopCloser(strings.NewReader(a))
+		}
+	}
+	resp, err := http.DefaultClient.Do(r)
+	ts.Check(err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	fmt.Fprintf(ts.Stdout(), "%d outcome=%s retryAfter=%s\n%s\n", resp.StatusCode, resp.Header.Get("Savoryfall-Outcome"),
+		resp.Header.Get("Retry-After"), strings.TrimSpace(string(body)))
+	if err != nil {
+		fmt.Fprintf(ts.Stdout(), "broken off: %v\n", err)
+	}
+}
+
+// complete streams a completion by the OpenAI client and prints the whole text: complete BASE KEY MODEL TEXT.
+func complete(ts *testscript.TestScript, _ bool, args []string) {
+	c := openai.NewClient(option.WithBaseURL(args[0]+"/v1"), option.WithAPIKey(args[1]), option.WithMaxRetries(0))
+	s := c.Chat.Completions.NewStreaming(context.Background(), openai.ChatCompletionNewParams{
+		Model: args[2], Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage(args[3])},
+	})
+	var all openai.ChatCompletionAccumulator
+	for s.Next() {
+		if !all.AddChunk(s.Current()) {
+			fmt.Fprintln(ts.Stdout(), "a chunk does not fit the others")
+		}
+	}
+	if s.Err() != nil {
+		fmt.Fprintln(ts.Stdout(), "error:", s.Err())
+		return
+	}
+	fmt.Fprintln(ts.Stdout(), all.Choices[0].FinishReason, strings.TrimSpace(all.Choices[0].Message.Content))
+}
+
+// fill replaces $NAME in a file by the environment: fill FILE…
+func fill(ts *testscript.TestScript, _ bool, args []string) {
+	for _, file := range args {
+		text := os.Expand(ts.ReadFile(file), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(file), []byte(text), 0o600))
+	}
+}
+
+var normal = []struct {
+	pattern *regexp.Regexp
+	by      string
+}{
+	{regexp.MustCompile(`\bts=\S+ `), ""},
+	{regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`), "<id>"},
+	{regexp.MustCompile(`(\w*[mM]s)=-?\d+`), "$1=<n>"},
+	{regexp.MustCompile(`incarnation=\w+`), "incarnation=<incarnation>"},
+	{regexp.MustCompile(`digest=[0-9a-f]{16}`), "digest=<digest>"},
+	{regexp.MustCompile(`digest [0-9a-f]{16}`), "digest <digest>"},
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "<address>"},
+	{regexp.MustCompile(`"created":\d+`), `"created":<time>`},
+	{regexp.MustCompile(`after \d+\.\d+ s`), "after <n> s"},
+	{regexp.MustCompile(`by the (log|peer)`), "by the <source>"},
+	{regexp.MustCompile(`source=(log|peer)`), "source=<source>"},
+}
+
+// shown prints a file with only its random values made equal: shown FILE [PATTERN of lines to keep].
+func shown(ts *testscript.TestScript, _ bool, args []string) {
+	keep := regexp.MustCompile("")
+	if len(args) > 1 {
+		keep = regexp.MustCompile(args[1])
+	}
+	for line := range strings.Lines(ts.ReadFile(args[0])) {
+		if !keep.MatchString(line) {
+			continue
+		}
+		for _, n := range normal {
+			line = n.pattern.ReplaceAllString(line, n.by)
+		}
+		fmt.Fprint(ts.Stdout(), line)
+	}
+}
+
+type span struct {
+	Name        string
+	StartTime   time.Time
+	SpanContext struct{ SpanID, TraceID string }
+	Parent      struct{ SpanID string }
+	Attributes  []struct {
+		Key   string
+		Value struct{ Value any }
+	}
+}
+
+// spans prints the spans of a file as trees, in the order of their start: spans FILE.
+func spans(ts *testscript.TestScript, _ bool, args []string) {
+	var all []span
+	d := json.NewDecoder(strings.NewReader(ts.ReadFile(args[0])))
+	for {
+		var s span
+		if d.Decode(&s) != nil {
+			break
+		}
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b span) int { return a.StartTime.Compare(b.StartTime) })
+	for _, s := range all {
+		if !slices.ContainsFunc(all, func(p span) bool { return p.SpanContext.SpanID == s.Parent.SpanID }) {
+			printSpan(ts.Stdout(), all, s, "")
+		}
+	}
+}
+
+func printSpan(w io.Writer, all []span, s span, indent string) {
+	var line bytes.Buffer
+	fmt.Fprintf(&line, "%s%s", indent, s.Name)
+	for _, a := range s.Attributes {
+		fmt.Fprintf(&line, " %s=%v", a.Key, a.Value.Value)
+	}
+	text := line.String()
+	for _, n := range normal {
+		text = n.pattern.ReplaceAllString(text, n.by)
+	}
+	fmt.Fprintln(w, text)
+	for _, child := range all {
+		if child.Parent.SpanID == s.SpanContext.SpanID {
+			printSpan(w, all, child, indent+"  ")
+		}
+	}
+}
--- a/io/command/standin.go
+++ b/io/command/standin.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	_, _ = fmt.Fprintf(s.out, "listening on %s\n", server.Address())
+	fmt.Fprintf(s.out, "listening on %s\n", server.Address())
 	<-ctx.Done()
 	stop, cancel := context.WithTimeout(context.Background(), killGrace)
 	defer cancel()
--- a/io/command/status.go
+++ b/io/command/status.go
@@ -50,14 +50,14 @@
 }
 
 func printStatus(s streams, r operator.Status) {
-	_, _ = fmt.Fprintf(s.out, "%s in %s: ready=%t draining=%t note=%s digest=%s waiting=%d claims=%d\n", r.VM, r.FailureDomain,
+	fmt.Fprintf(s.out, "%s in %s: ready=%t draining=%t note=%s digest=%s waiting=%d claims=%d\n", r.VM, r.FailureDomain,
 		r.Ready, r.Draining, r.Release.Note, r.Release.Digest, r.Waiting, r.Claims)
 	for _, m := range r.Members {
-		_, _ = fmt.Fprintf(s.out, "  member %-16s %-8s %s heard %s ago\n", m.Name, m.State, m.Address,
+		fmt.Fprintf(s.out, "  member %-16s %-8s %s heard %s ago\n", m.Name, m.State, m.Address,
 			time.Since(m.Heard).Round(100*time.Millisecond))
 	}
 	for _, e := range r.Endpoints {
-		_, _ = fmt.Fprintf(s.out, "  endpoint %-16s %-8s %s requests=%.0f tokens=%.0f own=%.0f peers=%.0f reported=%.0f\n", e.Endpoint,
+		fmt.Fprintf(s.out, "  endpoint %-16s %-8s %s requests=%.0f tokens=%.0f own=%.0f peers=%.0f reported=%.0f\n", e.Endpoint,
 			e.Health, e.Address, e.Requests, e.Tokens, e.Own, e.Peers, e.Reported)
 	}
 }
--- a/io/standin/engine/completions.go
+++ b/io/standin/engine/completions.go
@@ -205,7 +205,7 @@
 		c.Choices = []choice{{Delta: &delta{}, FinishReason: &stop}}
 		c.Usage = s.usage()
 		writeEvent(w, c)
-		_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+		fmt.Fprint(w, "data: [DONE]\n\n")
 		return
 	}
 	c.Object = "chat.completion"
@@ -281,7 +281,7 @@
 func writeEvent(w http.ResponseWriter, c completion) {
 	data, err := json.Marshal(c)
 	if err == nil {
-		_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+		fmt.Fprintf(w, "data: %s\n\n", data)
 	}
 }
 
