--- a/io/command/session_test.go
+++ b/io/command/session_test.go
@@ -90,7 +90,7 @@
 				return
 			}
 		}
-		time.Sleep(10 * time.Millisecond)
+		<-time.After(10 * time.Millisecond)
 	}
 	ts.Fatalf("%s did not answer 200", args[0])
 }
--- a/io/standin/plainservice/service.go
+++ b/io/standin/plainservice/service.go
@@ -98,6 +98,7 @@
 	if h.dropBefore {
 		panic(http.ErrAbortHandler)
 	}
+	s.echo(w, r, h)
 	if h.refuse {
 		w.Header().Set(header.Outcome, string(outcome.NotRun))
 		http.Error(w, "refused", http.StatusServiceUnavailable)
@@ -115,12 +116,15 @@
 	s.answer(w, r, body, h)
 }
 
-func (s *Service) answer(w http.ResponseWriter, r *http.Request, body []byte, h hit) {
+func (s *Service) echo(w http.ResponseWriter, r *http.Request, h hit) {
 	w.Header().Set(header.Request, r.Header.Get(header.Request))
 	w.Header().Set(header.Attempt, r.Header.Get(header.Attempt))
 	if h.cross {
 		w.Header().Set(header.Attempt, "somebody-else")
 	}
+}
+
+func (s *Service) answer(w http.ResponseWriter, r *http.Request, body []byte, h hit) {
 	text := fmt.Sprintf("%s %s %s", r.Method, r.URL.Path, body)
 	if h.short {
 		w.Header().Set("Content-Length", fmt.Sprint(len(text)+1))
