--- /dev/null
+++ b/core/claim/book_test.go
@@ -0,0 +1,162 @@
+package claim_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"savoryfall/core/claim"
+	"savoryfall/core/outcome"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261203")
+	os.Exit(m.Run())
+}
+
+const (
+	claimants = 4
+	keys      = 2
+	window    = time.Hour
+)
+
+// step is one thing that one claimant does; which one depends on how far it has come.
+type step struct {
+	who  int
+	lost bool
+	fate outcome.Outcome
+}
+
+func histories() *rapid.Generator[[]step] {
+	one := rapid.Custom(func(t *rapid.T) step {
+		return step{
+			who:  rapid.IntRange(0, claimants-1).Draw(t, "who"),
+			lost: rapid.IntRange(0, 4).Draw(t, "lost") == 0,
+			fate: rapid.SampledFrom([]outcome.Outcome{outcome.Ran, outcome.Unknown, outcome.NotRun}).Draw(t, "fate"),
+		}
+	})
+	return rapid.SliceOfN(one, 1, 60)
+}
+
+// claimant goes through: append the claim, read back, send when it owns the key, append the outcome; then anew.
+type claimant struct {
+	stage   int
+	attempt int
+	key     string
+	fate    outcome.Outcome
+}
+
+// run plays a history and counts how often the call of each key ran. Without readBack a claimant sends as soon as its
+// append was taken.
+func run(steps []step, readBack bool) (ran map[string]int) {
+	book := claim.NewBook(window)
+	ran = map[string]int{}
+	offset := int64(0)
+	at := time.Unix(1_000_000, 0)
+	add := func(r claim.Record) {
+		at = at.Add(time.Second)
+		book.Apply(offset, at, claim.Encode([]claim.Record{r}))
+		offset++
+	}
+	all := make([]claimant, claimants)
+	for _, s := range steps {
+		c := &all[s.who]
+		attempt := fmt.Sprintf("attempt-%d-%d", s.who, c.attempt)
+		switch c.stage {
+		case 0:
+			c.key = fmt.Sprintf("key-%d", (s.who+c.attempt)%keys)
+			if !s.lost {
+				add(claim.Record{Kind: claim.KindClaim, Account: "a", Key: c.key, Attempt: attempt, Digest: "d"})
+			}
+			c.stage = 1
+		case 1:
+			standing, _ := book.Stand("a", c.key, attempt, "d")
+			if readBack && standing != claim.Owner {
+				c.stage, c.attempt = 0, c.attempt+1
+				continue
+			}
+			c.fate = s.fate
+			if c.fate != outcome.NotRun {
+				ran[c.key]++
+			}
+			c.stage = 2
+		case 2:
+			if !s.lost {
+				add(claim.Record{Kind: claim.KindOutcome, Account: "a", Key: c.key, Attempt: attempt, Outcome: c.fate})
+			}
+			c.stage, c.attempt = 0, c.attempt+1
+		}
+	}
+	return ran
+}
+
+func ranTwice(ran map[string]int) bool {
+	for _, n := range ran {
+		if n > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// A claimed call runs at most once, in whatever order claimants, lost appends and outcomes come.
+func TestClaimedCallRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ran := run(histories().Draw(t, "history"), true)
+		if ranTwice(ran) {
+			t.Fatalf("ran %v", ran)
+		}
+	})
+}
+
+// A claimant that trusts its append and does not read the order of the log back is caught.
+func TestClaimWithoutReadBackIsCaught(t *testing.T) {
+	caught := 0
+	for seed := range 200 {
+		if ran := run(histories().Example(seed), false); ranTwice(ran) {
+			caught++
+		}
+	}
+	assert.Assert(t, caught > 0)
+}
+
+// The caller that lost its claim may not send, and learns the outcome once it is recorded; another body is refused.
+func TestStandings(t *testing.T) {
+	b := claim.NewBook(window)
+	at := time.Unix(1_000_000, 0)
+	apply := func(offset int64, r claim.Record) { b.Apply(offset, at, claim.Encode([]claim.Record{r})) }
+	stand := func(attempt, digest string) claim.Standing {
+		s, _ := b.Stand("a", "k", attempt, digest)
+		return s
+	}
+	assert.Equal(t, stand("first", "d"), claim.Free)
+	apply(0, claim.Record{Kind: claim.KindClaim, Account: "a", Key: "k", Attempt: "first", Digest: "d"})
+	apply(1, claim.Record{Kind: claim.KindClaim, Account: "a", Key: "k", Attempt: "second", Digest: "d"})
+	assert.Equal(t, stand("first", "d"), claim.Owner)
+	assert.Equal(t, stand("second", "d"), claim.Open)
+	assert.Equal(t, stand("third", "other"), claim.Mismatch)
+	apply(2, claim.Record{Kind: claim.KindOutcome, Account: "a", Key: "k", Attempt: "second", Outcome: outcome.NotRun})
+	assert.Equal(t, stand("second", "d"), claim.Open, "only the owner's outcome counts")
+	apply(3, claim.Record{Kind: claim.KindOutcome, Account: "a", Key: "k", Attempt: "first", Outcome: outcome.Ran, Status: 201})
+	s, result := b.Stand("a", "k", "second", "d")
+	assert.Equal(t, s, claim.Settled)
+	assert.Equal(t, result.Status, 201)
+}
+
+// After the window a key is forgotten; until it has passed, a book that starts late does not cover all keys.
+func TestWindow(t *testing.T) {
+	b := claim.NewBook(window)
+	at := time.Unix(1_000_000, 0)
+	b.SkipTo(7, at)
+	b.Apply(7, at, claim.Encode([]claim.Record{{Kind: claim.KindClaim, Account: "a", Key: "k", Attempt: "x", Digest: "d"}}))
+	assert.Assert(t, !b.Covers(at.Add(window-time.Second)))
+	assert.Assert(t, b.Covers(at.Add(window)))
+	assert.Equal(t, b.Len(), 1)
+	b.Apply(8, at.Add(window+time.Second), claim.Encode(nil))
+	assert.Equal(t, b.Len(), 0)
+}
--- a/core/endpoint/endpoint.go
+++ b/core/endpoint/endpoint.go
@@ -42,7 +42,8 @@
 }
 
 func (e Endpoint) check(t *tomldoc.Table) {
-	if _, _, err := net.SplitHostPort(e.address); err != nil && e.address != "" {
+	host, _, err := net.SplitHostPort(e.address)
+	if e.address != "" && (err != nil || net.ParseIP(host) == nil) {
 		t.Fault("address", e.address, "an IP number and a port, such as 10.0.0.7:8000")
 	}
 	if e.kind == KindEngine && len(e.models) == 0 {
--- a/core/health/table.go
+++ b/core/health/table.go
@@ -1,8 +1,6 @@
 package health
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 )
@@ -26,6 +24,9 @@
 	// would send new work to an endpoint that is about to stop. Only a new incarnation is free of it.
 	leaving map[string]bool
 	listed  bool
+	// unsure is set while the list shows a leaving mark that was there before any incarnation was heard: it may be of
+	// the one that is up or of its predecessor. It counts, but only as long as the list shows it.
+	unsure bool
 }
 
 // State is whether an endpoint may take new work.
@@ -141,8 +142,13 @@
 	if h == nil {
 		return
 	}
-	if leaving && !h.listed {
+	switch {
+	case leaving && h.incarnation == "":
+		h.unsure = true
+	case leaving && !h.listed:
 		h.leaving[h.incarnation] = true
+	case !leaving:
+		h.unsure = false
 	}
 	h.listed = leaving
 }
@@ -160,7 +166,7 @@
 
 func (h *health) state(now time.Time) State {
 	switch {
-	case h.leaving[h.incarnation]:
+	case h.leaving[h.incarnation] || h.unsure:
 		return Leaving
 	case h.down:
 		return Down
@@ -190,18 +196,10 @@
 	return time.Time{}
 }
 
-// Mark is a leaving incarnation of an endpoint, as routers tell each other.
-type Mark struct{ Endpoint, Incarnation string }
-
-// Marks are the leaving marks of the incarnations known now, sorted by endpoint.
-func (t *Table) Marks() (marks []Mark) {
+// Marked tells whether it is sure that the incarnation known now is leaving, so that others may be told.
+func (t *Table) Marked(name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, name := range slices.Sorted(maps.Keys(t.by)) {
-		h := t.by[name]
-		if h.leaving[h.incarnation] {
-			marks = append(marks, Mark{Endpoint: name, Incarnation: h.incarnation})
-		}
-	}
-	return marks
+	h := t.by[name]
+	return h != nil && h.leaving[h.incarnation]
 }
--- /dev/null
+++ b/core/inforce/fold_test.go
@@ -0,0 +1,248 @@
+package inforce_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"savoryfall/core/inforce"
+	"savoryfall/core/note"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261203")
+	os.Exit(m.Run())
+}
+
+// edit is one operator's note: written after reading the log up to a point, it sets or withdraws some models.
+type edit struct {
+	read  int
+	items []int
+	drop  bool
+	twice bool
+}
+
+const models = 4
+
+func edits() *rapid.Generator[[]edit] {
+	one := rapid.Custom(func(t *rapid.T) edit {
+		return edit{
+			read:  rapid.IntRange(0, 3).Draw(t, "read"),
+			items: rapid.SliceOfNDistinct(rapid.IntRange(0, models-1), 1, 2, rapid.ID[int]).Draw(t, "items"),
+			drop:  rapid.IntRange(0, 3).Draw(t, "drop") == 0,
+			twice: rapid.IntRange(0, 4).Draw(t, "twice") == 0,
+		}
+	})
+	return rapid.SliceOfN(one, 1, 25)
+}
+
+// stream writes the notes as operators would who read the log read notes ago.
+func stream(list []edit) (records [][]byte, notes []*note.Note) {
+	states := []*inforce.Configuration{{}}
+	for n, e := range list {
+		saw := states[max(len(states)-1-e.read, 0)]
+		text := write(fmt.Sprintf("note-%d", n), saw, e)
+		parsed, err := note.Parse("note", []byte(text))
+		if err != nil {
+			continue
+		}
+		for range 1 + map[bool]int{true: 1}[e.twice] {
+			records = append(records, inforce.NoteRecord(text))
+			last := states[len(states)-1]
+			next, err := last.Apply(last.Next(), inforce.NoteRecord(text))
+			if err != nil {
+				panic(err)
+			}
+			states = append(states, next)
+		}
+		notes = append(notes, parsed)
+	}
+	return records, notes
+}
+
+func write(id string, saw *inforce.Configuration, e edit) string {
+	text := fmt.Sprintf("id = %q\nbasedOn = %q\n", id, saw.Current())
+	dropped := ""
+	for _, i := range e.items {
+		name := fmt.Sprintf("m%d", i)
+		switch {
+		case e.drop && saw.HasModel(name):
+			dropped += fmt.Sprintf("%q,", name)
+		case saw.HasModel(name):
+			text += fmt.Sprintf("[[changed.models]]\nname = %q\n", name)
+		default:
+			text += fmt.Sprintf("[[added.models]]\nname = %q\n", name)
+		}
+	}
+	if dropped != "" {
+		text += "[withdrawn]\nmodels = [" + dropped + "]\n"
+	}
+	return text
+}
+
+func fold(t interface{ Fatalf(string, ...any) }, records [][]byte) *inforce.Configuration {
+	c := &inforce.Configuration{}
+	var err error
+	for o, data := range records {
+		c, err = c.Apply(int64(o), data)
+		if err != nil {
+			t.Fatalf("apply %d: %v", o, err)
+		}
+	}
+	return c
+}
+
+// lostUpdate tells whether an accepted note touched an item whose newest accepted change its author had not read.
+func lostUpdate(notes []*note.Note, accepted func(id string) bool) bool {
+	order := map[string]int{}
+	newest := map[string]int{}
+	for n, parsed := range notes {
+		if !accepted(parsed.ID()) {
+			continue
+		}
+		base, ok := order[parsed.BasedOn()]
+		if !ok {
+			base = -1
+		}
+		for _, i := range parsed.Touched() {
+			if last, changed := newest[i.Key()]; changed && last > base {
+				return true
+			}
+			newest[i.Key()] = n
+		}
+		order[parsed.ID()] = n
+	}
+	return false
+}
+
+// Of two operators that publish at once the second is refused: no accepted note undoes a change that its author had
+// not read.
+func TestNoAcceptedNoteLosesAnUpdate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records, notes := stream(edits().Draw(t, "edits"))
+		c := fold(t, records)
+		if lostUpdate(notes, func(id string) bool { refusal, known := c.Refusal(id); return known && refusal == "" }) {
+			t.Fatalf("an update was lost")
+		}
+	})
+}
+
+// A fold that does not check the base, but only whether the items are there, is caught.
+func TestFoldWithoutBaseCheckIsCaught(t *testing.T) {
+	caught := 0
+	for seed := range 200 {
+		_, notes := stream(edits().Example(seed))
+		present := map[string]bool{}
+		accepted := map[string]bool{}
+		for _, n := range notes {
+			ok := true
+			for _, i := range n.Added() {
+				ok = ok && !present[i.Key()]
+			}
+			for _, i := range append(n.Changed(), n.Withdrawn()...) {
+				ok = ok && present[i.Key()]
+			}
+			if !ok {
+				continue
+			}
+			accepted[n.ID()] = true
+			for _, i := range n.Added() {
+				present[i.Key()] = true
+			}
+			for _, i := range n.Withdrawn() {
+				delete(present, i.Key())
+			}
+		}
+		if lostUpdate(notes, func(id string) bool { return accepted[id] }) {
+			caught++
+		}
+	}
+	assert.Assert(t, caught > 0)
+}
+
+// A VM that starts from a snapshot anywhere in the stream and reads the tail has the same in force as one that has
+// read everything, whatever it is told twice.
+func TestSnapshotAndTailEqualTheWholeStream(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records, _ := stream(edits().Draw(t, "edits"))
+		cut := rapid.IntRange(0, len(records)).Draw(t, "cut")
+		whole := fold(t, records)
+		data, err := fold(t, records[:cut]).Snapshot()
+		if err != nil {
+			t.Fatalf("%v", err)
+		}
+		c, err := inforce.Restore(data)
+		if err != nil {
+			t.Fatalf("%v", err)
+		}
+		for o := rapid.IntRange(0, cut).Draw(t, "from"); o < len(records); o++ {
+			c, err = c.Apply(int64(o), records[o])
+			if err != nil {
+				t.Fatalf("%v", err)
+			}
+		}
+		if c.Digest() != whole.Digest() || c.Next() != whole.Next() || c.Current() != whole.Current() {
+			t.Fatalf("from the snapshot %s at %d, from the start %s at %d", c.Digest(), c.Next(), whole.Digest(), whole.Next())
+		}
+	})
+}
+
+// A router that missed a record stops, rather than apply what comes after it.
+func TestGapIsNotApplied(t *testing.T) {
+	c := &inforce.Configuration{}
+	same, err := c.Apply(1, inforce.NoteRecord("id = \"a\"\n[[added.models]]\nname = \"m\"\n"))
+	var gap inforce.GapError
+	assert.Assert(t, errors.As(err, &gap))
+	assert.Equal(t, gap.Want, int64(0))
+	assert.Equal(t, same.Next(), int64(0))
+}
+
+// A snapshot whose items do not have its digest is not taken.
+func TestForgedSnapshotIsRefused(t *testing.T) {
+	records, _ := stream([]edit{{items: []int{0}}})
+	data, err := fold(t, records).Snapshot()
+	assert.NilError(t, err)
+	_, err = inforce.Restore([]byte(strings.Replace(string(data), `"m0"`, `"m9"`, 1)))
+	assert.ErrorContains(t, err, "digest")
+}
+
+// Parts of snapshots of two writers that race, with one broken off, leave the whole one to be found.
+func TestRecoveryFindsTheWholeSnapshot(t *testing.T) {
+	records, _ := stream([]edit{{items: []int{0}}, {items: []int{1}}})
+	data, err := fold(t, records).Snapshot()
+	assert.NilError(t, err)
+	whole, err := inforce.SnapshotRecords("one", data)
+	assert.NilError(t, err)
+	broken, err := inforce.SnapshotRecords("two", []byte(strings.Repeat("x", inforce.PartBytes+1)))
+	assert.NilError(t, err)
+	var r inforce.Recovery
+	for _, rec := range [][]byte{broken[0], whole[0], broken[1], []byte("not JSON")} {
+		r.Read(rec)
+	}
+	assert.Assert(t, r.Best() != nil)
+	assert.Equal(t, r.Best().Next(), int64(2))
+}
+
+// Each wrong reference is refused with what is wrong.
+func TestRefusals(t *testing.T) {
+	base := "id = \"base\"\n[[added.models]]\nname = \"m\"\n" +
+		"[[added.endpoints]]\nname = \"e\"\naddress = \"127.0.0.1:1\"\nfailureDomain = \"d\"\nmodels = [\"m\"]\n"
+	c := fold(t, [][]byte{inforce.NoteRecord(base)})
+	for _, given := range []struct{ text, want string }{
+		{"[withdrawn]\nmodels = [\"gone\"]\n", "models/gone is changed or withdrawn, but is not in force"},
+		{"[[added.endpoints]]\nname = \"f\"\naddress = \"127.0.0.1:2\"\nfailureDomain = \"d\"\nmodels = [\"x\"]\n", `serves the model "x"`},
+		{"[[added.endpoints]]\nname = \"f\"\naddress = \"127.0.0.1:1\"\nfailureDomain = \"d\"\nmodels = [\"m\"]\n", `has the address 127.0.0.1:1 of endpoint "e"`},
+		{"[withdrawn]\nmodels = [\"m\"]\n", `endpoint "e" serves it`},
+		{"[[added.versions]]\nmodel = \"x\"\nname = \"v\"\n", `the model "x", which is not in force`},
+	} {
+		n, err := note.Parse("note", []byte("id = \"next\"\nbasedOn = \"base\"\n"+given.text))
+		assert.NilError(t, err)
+		assert.Assert(t, strings.Contains(c.Check(n), given.want), "%q", c.Check(n))
+	}
+}
--- a/core/kernel/kernel.go
+++ b/core/kernel/kernel.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"savoryfall/core/annotate"
 )
@@ -43,6 +42,9 @@
 	return s
 }
 
+// Lookup returns the service of that name, or nil when this process does without it.
+func (k *Kernel) Lookup(name string) any { return k.services[name] }
+
 // Start starts the services in the order of their registration, and stops the started ones when one fails.
 func (k *Kernel) Start(ctx context.Context) (err error) {
 	for _, name := range k.names {
@@ -70,6 +72,3 @@
 	k.running = nil
 	return err
 }
-
-// DrainBound is how long a planned stop may wait for requests in flight when the settings do not say.
-const DrainBound = 2 * time.Minute
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -70,6 +70,13 @@
 	return t.self
 }
 
+// ListensOn sets the address that this router tells others, which is known only once it listens.
+func (t *Table) ListensOn(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self.Address = address
+}
+
 // Leave marks this router itself as leaving, and has the rumour spread.
 func (t *Table) Leave() {
 	t.mu.Lock()
@@ -132,7 +139,7 @@
 	defer t.mu.Unlock()
 	if m := t.members[name]; m != nil {
 		m.heard = now
-		if m.State == Suspect {
+		if m.State == Suspect || m.State == Dead {
 			t.set(m, Alive, now)
 		}
 	}
--- /dev/null
+++ b/core/membership/table_test.go
@@ -0,0 +1,140 @@
+package membership_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"savoryfall/core/membership"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20261203")
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func table(name string, others ...string) *membership.Table {
+	t := membership.New(membership.Rumour{Name: name, Incarnation: 1}, time.Second)
+	var listed []membership.Rumour
+	for _, o := range others {
+		listed = append(listed, membership.Rumour{Name: o, Address: o + ":1"})
+	}
+	t.Listed(listed, start)
+	return t
+}
+
+func state(t *membership.Table, name string) string {
+	for _, p := range t.Peers() {
+		if p.Name == name {
+			return p.State
+		}
+	}
+	return "unknown"
+}
+
+func rumours() *rapid.Generator[[]membership.Rumour] {
+	one := rapid.Custom(func(t *rapid.T) membership.Rumour {
+		return membership.Rumour{
+			Name:        fmt.Sprintf("r%d", rapid.IntRange(0, 2).Draw(t, "name")),
+			Incarnation: uint64(rapid.IntRange(1, 4).Draw(t, "incarnation")),
+			State:       membership.State(rapid.IntRange(0, 3).Draw(t, "state")),
+		}
+	})
+	return rapid.SliceOfN(one, 0, 20)
+}
+
+// Two routers that have heard the same rumours believe the same, in whatever order and however often they came.
+func TestMergeDoesNotDependOnOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := rumours().Draw(t, "rumours")
+		shuffled := rapid.Permutation(list).Draw(t, "shuffled")
+		a, b := table("a", "r0", "r1", "r2"), table("b", "r0", "r1", "r2")
+		a.Rumours(list, start)
+		b.Rumours(append(shuffled, list...), start)
+		for _, name := range []string{"r0", "r1", "r2"} {
+			if state(a, name) != state(b, name) {
+				t.Fatalf("%s is %s here and %s there", name, state(a, name), state(b, name))
+			}
+		}
+	})
+}
+
+// A merge that takes the latest arrival, without regard to incarnations, is caught.
+func TestMergeByArrivalIsCaught(t *testing.T) {
+	caught := 0
+	for seed := range 100 {
+		list := rumours().Example(seed)
+		latest, reversed := map[string]membership.State{}, map[string]membership.State{}
+		for i := range list {
+			latest[list[i].Name] = list[i].State
+			reversed[list[len(list)-1-i].Name] = list[len(list)-1-i].State
+		}
+		for name := range latest {
+			if latest[name] != reversed[name] {
+				caught++
+			}
+		}
+	}
+	assert.Assert(t, caught > 0)
+}
+
+// A leaving mark of an incarnation is never taken back by an older "alive" that arrives late, or by a suspicion.
+func TestLeavingNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := table("a", "r0", "r1", "r2")
+		a.Rumours([]membership.Rumour{{Name: "r0", Incarnation: 4, State: membership.Leaving}}, start)
+		a.Rumours(rumours().Draw(t, "rumours"), start)
+		if state(a, "r0") != "leaving" {
+			t.Fatalf("r0 is %s", state(a, "r0"))
+		}
+	})
+}
+
+// A silent router is dead after the suspicion; one that another router vouches for is not, as behind a cut.
+func TestSuspicion(t *testing.T) {
+	a := table("a", "b", "c")
+	a.Missed("b", start)
+	a.Missed("c", start)
+	a.Vouched("c", start.Add(500*time.Millisecond))
+	assert.Equal(t, len(a.Sweep(start.Add(900*time.Millisecond))), 0)
+	assert.DeepEqual(t, a.Sweep(start.Add(1100*time.Millisecond)), []string{"b"})
+	assert.Equal(t, state(a, "c"), "alive")
+	a.Heard(membership.Rumour{Name: "b", Incarnation: 2}, start.Add(2*time.Second))
+	assert.Equal(t, state(a, "b"), "alive")
+}
+
+// A router that hears it is taken for dead outranks the rumour by a higher incarnation.
+func TestRefutation(t *testing.T) {
+	a, b := table("a", "b"), table("b", "a")
+	dead := membership.Rumour{Name: "a", Incarnation: 1, State: membership.Dead}
+	b.Rumours([]membership.Rumour{dead}, start)
+	a.Rumours([]membership.Rumour{dead}, start)
+	assert.Equal(t, state(b, "a"), "dead")
+	b.Rumours(a.Gossip(16), start)
+	assert.Equal(t, state(b, "a"), "alive")
+}
+
+// Duties move only from the one that is gone.
+func TestDutiesMoveOnlyFromTheDead(t *testing.T) {
+	a := table("a", "b", "c", "d")
+	before := map[string]string{}
+	for i := range 40 {
+		d := fmt.Sprint("duty", i)
+		before[d] = a.Duty(d)
+	}
+	a.Rumours([]membership.Rumour{{Name: "c", Incarnation: 1, State: membership.Dead}}, start)
+	for d, holder := range before {
+		if holder != "c" {
+			assert.Equal(t, a.Duty(d), holder)
+		} else {
+			assert.Assert(t, a.Duty(d) != "c")
+		}
+	}
+}
--- /dev/null
+++ b/core/orders/doc.go
@@ -0,0 +1,3 @@
+// Package orders plans which versions each engine shall hold, from what is wanted and what is
+// reported.
+package orders
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -11,10 +11,10 @@
 }
 
 const (
-	// reserve lets a quiet pool retry at all.
-	reserve = 3
+	// reserve lets a quiet pool move the streams of one engine that dies.
+	reserve = 20
 	// most bounds what a long calm can save up for a storm.
-	most = 50
+	most = 500
 )
 
 // NewBudget allows ratio retries for each first attempt.
--- a/core/settings/limits.go
+++ b/core/settings/limits.go
@@ -23,7 +23,7 @@
 	l.firstToken = t.Duration("firstToken", 30*time.Second, 10*time.Millisecond, time.Hour)
 	l.betweenGap = t.Duration("betweenTokens", 10*time.Second, 10*time.Millisecond, time.Hour)
 	l.attempts = t.Number("attempts", 3, 1, 10)
-	l.retryRatio = t.Real("retryRatio", 0.1, 0, 1)
+	l.retryRatio = t.Real("retryRatio", 0.2, 0, 1)
 	l.concurrency = t.Number("requestsPerEndpoint", 64, 1, 100000)
 	l.queue = t.Number("queue", 1000, 0, 1000000)
 	l.drain = t.Duration("drain", 2*time.Minute, 0, time.Hour)
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -16,6 +16,7 @@
 	routing   Routing
 	limits    Limits
 	claims    Claims
+	orders    Orders
 	traces    Traces
 }
 
@@ -35,6 +36,7 @@
 	s.routing = readRouting(t.Table("routing"))
 	s.limits = readLimits(t.Table("limits"))
 	s.claims = readClaims(t.Table("claims"))
+	s.orders = readOrders(t.Table("orders"))
 	s.traces = readTraces(t.Table("traces"))
 	s.checkAddresses(t)
 	return s, doc.Err()
@@ -64,6 +66,9 @@
 // Claims is the section of calls that may not be repeated.
 func (s *Settings) Claims() Claims { return s.claims }
 
+// Orders is the section of orders to engines.
+func (s *Settings) Orders() Orders { return s.orders }
+
 // Traces is the section of traces.
 func (s *Settings) Traces() Traces { return s.traces }
 
--- a/core/tomldoc/document.go
+++ b/core/tomldoc/document.go
@@ -127,6 +127,9 @@
 
 // Error is the fault as one line that an editor can jump to.
 func (f Fault) Error() string {
+	if f.Key == "" {
+		return fmt.Sprintf("%s:%d: found %s; allowed: %s", f.File, f.Line, f.Found, f.Allowed)
+	}
 	return fmt.Sprintf("%s:%d: %s: found %s; allowed: %s", f.File, f.Line, f.Key, f.Found, f.Allowed)
 }
 
--- a/core/tomldoc/table.go
+++ b/core/tomldoc/table.go
@@ -36,7 +36,26 @@
 }
 
 func (t *Table) wrong(key string, v any, allowed string) {
-	t.Fault(key, fmt.Sprintf("%T %v", v, v), allowed)
+	t.Fault(key, describe(v), allowed)
+}
+
+// describe says a value in the words of TOML.
+func describe(v any) string {
+	switch v.(type) {
+	case string:
+		return fmt.Sprintf("the string %q", v)
+	case int64:
+		return fmt.Sprintf("the whole number %d", v)
+	case float64:
+		return fmt.Sprintf("the number %v", v)
+	case bool:
+		return fmt.Sprint(v)
+	case []any:
+		return "an array"
+	case map[string]any:
+		return "a table"
+	}
+	return fmt.Sprintf("%v", v)
 }
 
 // Text reads a string.
--- a/io/claims/keeper.go
+++ b/io/claims/keeper.go
@@ -12,6 +12,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-kit/log"
 
+	"savoryfall/core/background"
 	"savoryfall/core/claim"
 	"savoryfall/core/outcome"
 	"savoryfall/io/caller"
@@ -50,7 +51,7 @@
 	abandoned map[string]caller.ClaimRequest
 	batch     *batcher
 	cancel    context.CancelFunc
-	running   sync.WaitGroup
+	running   background.Group
 }
 
 // New makes a keeper; a key is remembered for the window, and a claim may be acted on for the term.
@@ -75,7 +76,7 @@
 // Stop ends the reading; requests in flight must have ended before.
 func (k *Keeper) Stop(context.Context) error {
 	k.cancel()
-	k.running.Wait()
+	k.running.Stop()
 	return nil
 }
 
@@ -157,7 +158,9 @@
 			continue
 		}
 		delete(k.abandoned, attempt)
-		go k.Settle(context.Background(), caller.Grant{Claim: c}, caller.Result{Outcome: outcome.NotRun})
+		k.running.Go(func() {
+			k.Settle(context.Background(), caller.Grant{Claim: c}, caller.Result{Outcome: outcome.NotRun})
+		})
 	}
 }
 
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -241,7 +241,7 @@
 	text += fmt.Sprintf("\n[platform]\nlog = \"http://%s\"\nvmList = \"http://%s\"\nweightStore = \"http://%s\"\n%s",
 		f.Address("log"), f.Address("vms"), f.Address("weights"), f.opts.Extra["platform"])
 	text += fmt.Sprintf("\n[routing]\nticketKeyFile = %q\n%s", f.secretFile(), f.opts.Extra["routing"])
-	for _, section := range []string{"limits", "claims", "traces"} {
+	for _, section := range []string{"limits", "claims", "orders", "traces"} {
 		text += fmt.Sprintf("\n[%s]\n%s", section, f.opts.Extra[section])
 	}
 	return text
--- a/io/peer/agent.go
+++ b/io/peer/agent.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 
 	"savoryfall/core/annotate"
+	"savoryfall/core/background"
 	"savoryfall/core/health"
 	"savoryfall/core/inforce"
 	"savoryfall/core/ledger"
@@ -60,7 +61,7 @@
 	last     uint64
 	cut      func(name string) bool
 	cancel   context.CancelFunc
-	running  sync.WaitGroup
+	running  background.Group
 }
 
 type spreading struct {
@@ -124,7 +125,7 @@
 		_ = c.Close()
 	}
 	a.mu.Unlock()
-	a.running.Wait()
+	a.running.Stop()
 }
 
 func (a *Agent) loop(ctx context.Context) {
--- a/io/probe/keeper.go
+++ b/io/probe/keeper.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log"
 
+	"savoryfall/core/background"
 	"savoryfall/core/health"
 	"savoryfall/core/inforce"
 	"savoryfall/core/ledger"
@@ -46,7 +47,7 @@
 	states  map[string]health.State
 	looking map[string]bool
 	cancel  context.CancelFunc
-	running sync.WaitGroup
+	running background.Group
 }
 
 const (
@@ -100,7 +101,7 @@
 // Stop ends the probes.
 func (k *Keeper) Stop(context.Context) error {
 	k.cancel()
-	k.running.Wait()
+	k.running.Stop()
 	k.client.CloseIdleConnections()
 	return nil
 }
@@ -145,7 +146,7 @@
 	}
 	_ = k.logger.Log("event", "endpointState", "endpoint", name, "state", state, "before", before)
 	switch {
-	case state == health.Leaving:
+	case state == health.Leaving && k.health.Marked(name):
 		k.gossip.Mark(name, k.health.Incarnation(name))
 	case state == health.Down:
 		k.gossip.Finding(name, true)
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -14,6 +14,7 @@
 	"savoryfall/core/decision"
 	"savoryfall/core/health"
 	"savoryfall/core/kernel"
+	"savoryfall/core/lease"
 	"savoryfall/core/ledger"
 	"savoryfall/core/membership"
 	"savoryfall/core/placement"
@@ -26,8 +27,10 @@
 	"savoryfall/io/configuration"
 	"savoryfall/io/endpoint"
 	"savoryfall/io/httpserver"
+	"savoryfall/io/leases"
 	"savoryfall/io/meter"
 	"savoryfall/io/operator"
+	"savoryfall/io/orders"
 	"savoryfall/io/peer"
 	"savoryfall/io/platformlog"
 	"savoryfall/io/probe"
@@ -62,6 +65,8 @@
 	nameOperators     = "operators"
 	nameWatch         = "watch"
 	nameSnapshots     = "snapshots"
+	nameLeases        = "leases"
+	nameOrders        = "orders"
 )
 
 // New builds a router of its settings and takes its addresses; nothing runs before Start.
@@ -69,7 +74,7 @@
 	defer annotate.Error(&err, "build router %s", s.VM().Name())
 	r = &Router{settings: s, logger: log.With(logger, "vm", s.VM().Name())}
 	for _, build := range []func() error{
-		r.buildBase, r.buildState, r.buildConfiguration, r.buildPeers, r.buildFront, r.buildOperators,
+		r.buildBase, r.buildState, r.buildConfiguration, r.buildPeers, r.buildOrders, r.buildFront, r.buildOperators,
 	} {
 		err = build()
 		if err != nil {
@@ -92,13 +97,16 @@
 	return nil
 }
 
+// suspicionPeriods is for how many half periods a silent member is suspected before it counts as dead: long enough
+// for it to be heard once more, and short enough that a dead one is known within three periods.
+const suspicionPeriods = 3
+
 func (r *Router) buildState() (err error) {
 	v := r.settings.VM()
 	self := membership.Rumour{
-		Name: v.Name(), Address: r.settings.Peers().Address(), FailureDomain: v.FailureDomain(),
-		Incarnation: uint64(time.Now().UnixMilli()),
+		Name: v.Name(), FailureDomain: v.FailureDomain(), Incarnation: uint64(time.Now().UnixMilli()),
 	}
-	r.kernel.Register(nameMembers, membership.New(self, r.settings.Peers().Period()))
+	r.kernel.Register(nameMembers, membership.New(self, suspicionPeriods*r.settings.Peers().Period()/2))
 	r.kernel.Register(nameHealth, &health.Table{})
 	r.kernel.Register(nameLedger, &ledger.Ledger{})
 	r.kernel.Register(nameProbe, probe.New(r.health(), r.ledger(), r.meter(), r.settings.Routing().ProbePeriod(), r.logger))
@@ -146,6 +154,7 @@
 	if err != nil {
 		return err
 	}
+	r.members().ListensOn(a.Address())
 	r.follower().Use(a)
 	r.probe().Use(r.members(), gossip{a})
 	r.kernel.Register(namePeers, a)
@@ -163,6 +172,22 @@
 	return nil
 }
 
+// buildOrders leaves orders out when no weight store is set: the engines then load by themselves.
+func (r *Router) buildOrders() (err error) {
+	s := r.settings
+	if s.Platform().WeightStore() == "" {
+		return nil
+	}
+	mine := func(duty string) bool { return r.members().Mine(duty, 1) }
+	l := leases.New(r.kernel.Find(nameLog).(*platformlog.Log), s.VM().Name(),
+		lease.Terms{Term: s.Orders().Term(), Longest: s.Orders().Longest()}, mine, r.logger)
+	r.kernel.Register(nameLeases, l)
+	client := &http.Client{Transport: r.meter().Transport(meter.KindOrders), Timeout: s.Orders().Longest()}
+	r.kernel.Register(nameOrders, orders.New(l, r.follower(), r.health(), client, s.Orders().Period(),
+		s.Orders().Longest(), s.Orders().Loads(), r.logger))
+	return nil
+}
+
 // gossip lets the probes pass on what they find.
 type gossip struct{ agent *peer.Agent }
 
@@ -264,8 +289,10 @@
 	for _, s := range []kernel.Service{r.follower(), r.claims(), r.probe(), r.endpoints()} {
 		_ = s.Stop(ctx)
 	}
-	for _, name := range []string{nameWatch, nameSnapshots} {
-		_ = r.kernel.Find(name).(kernel.Service).Stop(ctx)
+	for _, name := range []string{nameWatch, nameSnapshots, nameOrders, nameLeases} {
+		if s, ok := r.kernel.Lookup(name).(kernel.Service); ok {
+			_ = s.Stop(ctx)
+		}
 	}
 }
 
--- a/io/router/snapshots.go
+++ b/io/router/snapshots.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"savoryfall/core/background"
 	"savoryfall/core/membership"
 	"savoryfall/io/configuration"
 )
@@ -18,7 +18,7 @@
 	retention time.Duration
 	logger    log.Logger
 	cancel    context.CancelFunc
-	running   sync.WaitGroup
+	running   background.Group
 }
 
 const (
@@ -37,7 +37,7 @@
 
 func (s *snapshots) Stop(context.Context) error {
 	s.cancel()
-	s.running.Wait()
+	s.running.Stop()
 	return nil
 }
 
--- a/io/router/watch.go
+++ b/io/router/watch.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"savoryfall/core/background"
 	"savoryfall/core/membership"
 	"savoryfall/io/probe"
 	"savoryfall/io/vmlist"
@@ -21,7 +21,7 @@
 	logger  log.Logger
 	tag     string
 	cancel  context.CancelFunc
-	running sync.WaitGroup
+	running background.Group
 }
 
 const listTimeout = 5 * time.Second
@@ -36,7 +36,7 @@
 
 func (w *watch) Stop(context.Context) error {
 	w.cancel()
-	w.running.Wait()
+	w.running.Stop()
 	return nil
 }
 
--- a/io/standin/logservice/service.go
+++ b/io/standin/logservice/service.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -239,3 +240,18 @@
 	offset, _ = s.add(name, data)
 	return offset
 }
+
+// Records are the data of the records that a stream keeps, read past all switches.
+func (s *Service) Records(name string) (records [][]byte) {
+	page, _ := s.page(name, s.first(name), math.MaxInt32)
+	for _, r := range page.Records {
+		records = append(records, r.Data)
+	}
+	return records
+}
+
+func (s *Service) first(name string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stream(name).first
+}
