--- /dev/null
+++ b/core/loadplan/doc.go
@@ -0,0 +1,2 @@
+// Package loadplan reads the plan of a load experiment.
+package loadplan
--- /dev/null
+++ b/core/loadplan/plan.go
@@ -0,0 +1,174 @@
+package loadplan
+
+import (
+	"time"
+
+	"savoryfall/core/tomldoc"
+)
+
+// Plan says what fleet is driven, by which callers, through which disturbances. Exported fields, because it is only
+// read, and only by the load tool.
+type Plan struct {
+	Seed     uint64
+	Duration time.Duration
+	Warmup   time.Duration
+	Fleet    Fleet
+	Engine   Engine
+	Accounts Accounts
+	Chats    Chats
+	Surges   []Surge
+	Churn    []Churn
+	Outages  []Outage
+}
+
+// Fleet is how many of each there are.
+type Fleet struct {
+	Routers        int
+	Engines        int
+	Services       int
+	FailureDomains []string
+}
+
+// Engine shapes the stand-in engines.
+type Engine struct {
+	Step          time.Duration
+	TokensPerStep int
+	Batch         int
+	PrefillTokens int
+	CacheTokens   int
+	ReportLag     time.Duration
+}
+
+// Accounts are of Zipf size.
+type Accounts struct {
+	Count int
+	Zipf  float64
+}
+
+// Chats are how callers behave; nothing of it is told to the fleet.
+type Chats struct {
+	RequestsPerSecond float64
+	CallsPerSecond    float64
+	Pause             time.Duration
+	Turns             int
+	SystemTokens      int
+	OpeningTokens     int
+	TurnTokens        int
+	ShortTokens       int
+	LongTokens        int
+	LongShare         float64
+	TicketShare       float64
+}
+
+// Surge multiplies the requests of the account of that rank for a while.
+type Surge struct {
+	Account int
+	At      time.Duration
+	For     time.Duration
+	Times   float64
+}
+
+// The actions of a churn.
+const (
+	ActionKill  = "kill"
+	ActionLeave = "leave"
+	ActionStart = "start"
+)
+
+// Churn is what happens to an engine.
+type Churn struct {
+	At     time.Duration
+	Engine int
+	Action string
+}
+
+// Outage is a time in which the log is down.
+type Outage struct {
+	At  time.Duration
+	For time.Duration
+}
+
+const longest = 10 * time.Minute
+
+// Parse reads a plan; the error is a tomldoc.Faults with every fault.
+func Parse(file string, data []byte) (p *Plan, err error) {
+	doc, err := tomldoc.Parse(file, data)
+	if err != nil {
+		return nil, err
+	}
+	t := doc.Root()
+	p = &Plan{
+		Seed:     uint64(t.Number("seed", 1, 1, 1<<40)),
+		Duration: t.Duration("duration", 30*time.Second, time.Second, longest),
+		Warmup:   t.Duration("warmup", 5*time.Second, 0, longest),
+	}
+	p.readFleet(t.Table("fleet"))
+	p.readEngine(t.Table("engine"))
+	p.readAccounts(t.Table("accounts"))
+	p.readChats(t.Table("chats"))
+	p.readDisturbances(t)
+	return p, doc.Err()
+}
+
+func (p *Plan) readFleet(t *tomldoc.Table) {
+	p.Fleet = Fleet{
+		Routers:        int(t.Number("routers", 6, 1, 100)),
+		Engines:        int(t.Number("engines", 10, 1, 1000)),
+		Services:       int(t.Number("services", 4, 0, 100)),
+		FailureDomains: t.Texts("failureDomains"),
+	}
+}
+
+func (p *Plan) readEngine(t *tomldoc.Table) {
+	p.Engine = Engine{
+		Step:          t.Duration("step", 40*time.Millisecond, time.Millisecond, time.Second),
+		TokensPerStep: int(t.Number("tokensPerStep", 4, 1, 1000)),
+		Batch:         int(t.Number("batch", 64, 1, 10000)),
+		PrefillTokens: int(t.Number("prefillTokensPerStep", 8192, 1, 1<<30)),
+		CacheTokens:   int(t.Number("cacheTokens", 200_000, 1, 1<<40)),
+		ReportLag:     t.Duration("reportLag", 300*time.Millisecond, 0, time.Minute),
+	}
+}
+
+func (p *Plan) readAccounts(t *tomldoc.Table) {
+	p.Accounts = Accounts{
+		Count: int(t.Number("count", 10, 1, 100000)),
+		Zipf:  t.Real("zipf", 1.3, 1.01, 10),
+	}
+}
+
+func (p *Plan) readChats(t *tomldoc.Table) {
+	p.Chats = Chats{
+		RequestsPerSecond: t.Real("requestsPerSecond", 100, 0.1, 100000),
+		CallsPerSecond:    t.Real("callsPerSecond", 0, 0, 100000),
+		Pause:             t.Duration("pause", 4*time.Second, time.Millisecond, longest),
+		Turns:             int(t.Number("turns", 6, 1, 1000)),
+		SystemTokens:      int(t.Number("systemTokens", 200, 1, 1<<20)),
+		OpeningTokens:     int(t.Number("openingTokens", 300, 1, 1<<20)),
+		TurnTokens:        int(t.Number("turnTokens", 80, 1, 1<<20)),
+		ShortTokens:       int(t.Number("shortTokens", 40, 1, 1<<16)),
+		LongTokens:        int(t.Number("longTokens", 300, 1, 1<<16)),
+		LongShare:         t.Real("longShare", 0.3, 0, 1),
+		TicketShare:       t.Real("ticketShare", 0.5, 0, 1),
+	}
+}
+
+func (p *Plan) readDisturbances(t *tomldoc.Table) {
+	for _, s := range t.Tables("surges") {
+		p.Surges = append(p.Surges, Surge{
+			Account: int(s.Number("account", 1, 1, 100000)), At: s.Duration("at", 0, 0, longest),
+			For: s.Duration("for", 5*time.Second, 0, longest), Times: s.Real("times", 20, 1, 1000),
+		})
+	}
+	for _, c := range t.Tables("churn") {
+		p.Churn = append(p.Churn, Churn{
+			At: c.Duration("at", 0, 0, longest), Engine: int(c.Number("engine", 1, 1, 1000)),
+			Action: c.Choice("action", ActionKill, ActionKill, ActionLeave, ActionStart),
+		})
+	}
+	for _, o := range t.Tables("outages") {
+		p.Outages = append(p.Outages, Outage{
+			At: o.Duration("at", 0, 0, longest), For: o.Duration("for", time.Second, 0, longest),
+		})
+	}
+}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -310,3 +310,6 @@
 
 // Ready tells whether the router has a configuration.
 func (r *Router) Ready() bool { return r.follower().Ready() }
+
+// Meter counts this router's control traffic.
+func (r *Router) Meter() *meter.Meter { return r.meter() }
