claims: partitions, each kept by one router

Ruled out: rarer polls, which delay every claim by the gap and still carry all records to all. Change: the keys are split into streams; the calls of one go through one router by rendezvous over the members, which needs no reading back when nothing lies between its append and what it has read; when that router does not answer, the caller's own goes to the stream with the same attempt.

--- a/core/claim/book.go
+++ b/core/claim/book.go
@@ -114,7 +114,9 @@
 	c := b.claims[key]
 	switch r.Kind {
 	case KindClaim:
-		if c != nil && !c.free() {
+		// An attempt that has given its key back does not take it again: its claim was appended twice, because an answer
+		// was lost, and the second one landed late.
+		if c != nil && (!c.free() || c.attempt == r.Attempt) {
 			return
 		}
 		b.claims[key] = &claim{attempt: r.Attempt, digest: r.Digest, offset: offset, at: at}
--- a/io/caller/claims.go
+++ b/core/claim/grant.go
@@ -1,4 +1,4 @@
-package caller
+package claim
 
 import (
 	"fmt"
@@ -7,8 +7,8 @@
 	"savoryfall/core/outcome"
 )
 
-// ClaimRequest is a call that may run at most once.
-type ClaimRequest struct {
+// Request is a call that may run at most once.
+type Request struct {
 	Account string
 	Key     string
 	Digest  string
@@ -18,7 +18,7 @@
 
 // Grant is the right to send the call once, until Expired.
 type Grant struct {
-	Claim   ClaimRequest
+	Claim   Request
 	Offset  int64
 	Expires time.Time
 	// Recorded is set in place of the right to send when the call has run before.
--- a/io/caller/front.go
+++ b/io/caller/front.go
@@ -11,6 +11,7 @@
 	"github.com/gorilla/mux"
 	"go.opentelemetry.io/otel/trace"
 
+	"savoryfall/core/claim"
 	"savoryfall/core/decision"
 	"savoryfall/core/health"
 	"savoryfall/core/inforce"
@@ -41,8 +42,8 @@
 
 // Claims makes sure that a call that may not be repeated runs at most once.
 type Claims interface {
-	Claim(ctx context.Context, c ClaimRequest) (g Grant, err error)
-	Settle(ctx context.Context, g Grant, result Result)
+	Claim(ctx context.Context, c claim.Request) (g claim.Grant, err error)
+	Settle(ctx context.Context, g claim.Grant, result claim.Result)
 }
 
 // Parts are the services that the front works with.
--- a/io/caller/plain.go
+++ b/io/caller/plain.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"savoryfall/core/claim"
 	"savoryfall/core/decision"
 	"savoryfall/core/header"
 	"savoryfall/core/ledger"
@@ -36,7 +37,7 @@
 	rest       io.Reader
 	length     int64
 	exclude    []string
-	grant      *Grant
+	grant      *claim.Grant
 }
 
 func (f *Front) plain(w http.ResponseWriter, r *http.Request) {
@@ -233,14 +234,17 @@
 	}
 }
 
+// digestBytes is how much of a body's digest tells requests under one key apart.
+const digestBytes = 16
+
 // runClaimed sends the call under a claim, or tells the recorded outcome of the call that came before.
 func (c *plainCall) runClaimed() {
 	x := c.x
 	sum := sha256.Sum256(append([]byte(x.r.Method+" "+x.r.URL.RequestURI()+"\x00"), c.head...))
 	created, _ := time.Parse(time.RFC3339, x.r.Header.Get(header.KeyCreated))
 	ctx, span := x.front.Tracer.Start(x.ctx, "claim")
-	g, err := x.front.Claims.Claim(ctx, ClaimRequest{
-		Account: x.account.Name(), Key: x.r.Header.Get(header.Idempotency), Digest: hex.EncodeToString(sum[:]),
+	g, err := x.front.Claims.Claim(ctx, claim.Request{
+		Account: x.account.Name(), Key: x.r.Header.Get(header.Idempotency), Digest: hex.EncodeToString(sum[:digestBytes]),
 		Attempt: x.id, Created: created,
 	})
 	span.End()
@@ -253,13 +257,13 @@
 		return
 	}
 	c.grant = &g
-	var result Result
+	var result claim.Result
 	p := c.tryAll(func(resp *http.Response) *problem { return c.record(resp, &result) })
 	c.settle(g, &result, p)
 }
 
 func claimProblem(err error) *problem {
-	var refused *RefusedError
+	var refused *claim.RefusedError
 	if !errors.As(err, &refused) {
 		return unavailable("the claim could not be made: "+err.Error(), outcome.NotRun)
 	}
@@ -270,21 +274,21 @@
 }
 
 // record reads a whole answer, which is then both told and kept.
-func (c *plainCall) record(resp *http.Response, result *Result) (p *problem) {
+func (c *plainCall) record(resp *http.Response, result *claim.Result) (p *problem) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWholeAnswer))
 	if err != nil {
 		return failed("the answer broke off: "+err.Error(), outcome.Unknown)
 	}
-	*result = Result{
+	*result = claim.Result{
 		Outcome: outcome.Ran, Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body,
 	}
 	return nil
 }
 
 // settle puts the outcome on the log, even when the caller has gone, and then tells it.
-func (c *plainCall) settle(g Grant, result *Result, p *problem) {
+func (c *plainCall) settle(g claim.Grant, result *claim.Result, p *problem) {
 	if p != nil {
-		*result = Result{Outcome: p.outcome, Status: p.status}
+		*result = claim.Result{Outcome: p.outcome, Status: p.status}
 	}
 	kept := *result
 	if len(kept.Body) > maxRecorded {
@@ -302,7 +306,7 @@
 
 const settleTimeout = 5 * time.Second
 
-func (x *exchange) replay(result *Result) {
+func (x *exchange) replay(result *claim.Result) {
 	if result.ContentType != "" {
 		x.w.Header().Set("Content-Type", result.ContentType)
 	}
--- a/io/claims/batcher.go
+++ b/io/claims/batcher.go
@@ -10,9 +10,11 @@
 
 // batcher puts records that come together into one append, because the log takes only a few hundred a second.
 type batcher struct {
-	log  Log
-	in   chan pending
-	stop chan struct{}
+	log    Log
+	stream string
+	landed func(offset int64, data []byte)
+	in     chan pending
+	stop   chan struct{}
 }
 
 type pending struct {
@@ -33,8 +35,8 @@
 // errStopped says that a record was not appended, because the keeper is stopping.
 var errStopped = errors.New("the keeper of claims is stopping")
 
-func newBatcher(l Log) *batcher {
-	return &batcher{log: l, in: make(chan pending), stop: make(chan struct{})}
+func newBatcher(l Log, stream string, landed func(offset int64, data []byte)) *batcher {
+	return &batcher{log: l, stream: stream, landed: landed, in: make(chan pending), stop: make(chan struct{})}
 }
 
 // append returns where the record stands; after an error other than a refusal it may or may not be on the stream.
@@ -88,7 +90,11 @@
 	for _, p := range batch {
 		records = append(records, p.record)
 	}
-	offset, err := b.log.Append(ctx, Stream, claim.Encode(records))
+	data := claim.Encode(records)
+	offset, err := b.log.Append(ctx, b.stream, data)
+	if err == nil {
+		b.landed(offset, data)
+	}
 	for _, p := range batch {
 		p.done <- appended{offset: offset, err: err}
 	}
--- a/io/claims/keeper.go
+++ b/io/claims/keeper.go
@@ -15,116 +15,120 @@
 	"savoryfall/core/background"
 	"savoryfall/core/claim"
 	"savoryfall/core/outcome"
-	"savoryfall/io/caller"
 	"savoryfall/io/platformlog"
 )
 
-// Stream is the stream of the log that carries the claims.
-const Stream = "claims"
-
 const (
 	pageRecords   = 1000
-	longPoll      = 20 * time.Second
-	readTimeout   = 30 * time.Second
+	readTimeout   = 10 * time.Second
 	appendTimeout = 2 * time.Second
+	refresh       = 5 * time.Second
 	maxRetry      = time.Second
 	settleRetries = time.Minute
 	comeBack      = 2 * time.Second
 )
 
-// Log is what the keeper needs of the log service.
+// Log is what a keeper needs of the log service.
 type Log interface {
 	Append(ctx context.Context, stream string, data []byte) (offset int64, err error)
 	Read(ctx context.Context, stream string, from int64, max int, wait time.Duration) (p platformlog.Page, err error)
 }
 
-// Keeper claims calls on behalf of one router. The order of the log decides who owns a key; the keeper only appends
-// and reads back.
-type Keeper struct {
+// keeper claims calls on one partition of the keys. The order of the log decides who owns a key; the keeper only
+// appends and reads back. It reads no more than it must: after an append it knows where its record stands, and only
+// what lies between that and what it has read is fetched.
+type keeper struct {
 	log       Log
+	stream    string
 	logger    log.Logger
 	term      time.Duration
 	mu        sync.Mutex
+	reading   sync.Mutex
 	book      *claim.Book
 	changed   chan struct{}
 	healthy   bool
-	abandoned map[string]caller.ClaimRequest
+	tried     bool
+	abandoned map[string]claim.Request
+	used      time.Time
 	batch     *batcher
 	cancel    context.CancelFunc
 	running   background.Group
 }
 
-// New makes a keeper; a key is remembered for the window, and a claim may be acted on for the term.
-func New(l Log, window, term time.Duration, logger log.Logger) *Keeper {
-	k := &Keeper{
-		log: l, logger: logger, term: term, book: claim.NewBook(window),
-		changed: make(chan struct{}), abandoned: map[string]caller.ClaimRequest{},
+func newKeeper(l Log, stream string, window, term time.Duration, logger log.Logger) *keeper {
+	k := &keeper{
+		log: l, stream: stream, logger: log.With(logger, "stream", stream), term: term, book: claim.NewBook(window),
+		changed: make(chan struct{}), abandoned: map[string]claim.Request{}, used: time.Now(),
 	}
-	k.batch = newBatcher(l)
-	return k
-}
-
-// Start reads the stream in the background until Stop.
-func (k *Keeper) Start(context.Context) error {
+	k.batch = newBatcher(l, stream, k.appended)
 	ctx, cancel := context.WithCancel(context.Background())
 	k.cancel = cancel
-	k.running.Go(func() { k.tail(ctx) })
+	k.running.Go(func() { k.follow(ctx) })
 	k.running.Go(func() { k.batch.run(ctx) })
-	return nil
+	return k
 }
 
-// Stop ends the reading; requests in flight must have ended before.
-func (k *Keeper) Stop(context.Context) error {
+func (k *keeper) stop() {
 	k.cancel()
 	k.running.Stop()
-	return nil
 }
 
-func (k *Keeper) tail(ctx context.Context) {
+// follow reads to the end at the start, and now and then afterwards, so that an outage is known before a caller asks.
+func (k *keeper) follow(ctx context.Context) {
 	wait := backoff.NewExponentialBackOff()
 	wait.MaxInterval = maxRetry
 	for ctx.Err() == nil {
-		err := k.readPage(ctx)
+		pause := refresh
+		err := k.catchUp(ctx, 0)
+		k.setTried()
+		if err != nil && ctx.Err() == nil {
+			pause = wait.NextBackOff()
+			_ = k.logger.Log("event", "claimsBehind", "err", err)
+		}
 		if err == nil {
 			wait.Reset()
-			continue
 		}
-		if ctx.Err() != nil {
-			return
-		}
-		k.setHealthy(false)
-		_ = k.logger.Log("event", "claimsBehind", "err", err)
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait.NextBackOff()):
+		case <-time.After(pause):
 		}
 	}
 }
 
-func (k *Keeper) readPage(ctx context.Context) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	k.mu.Lock()
-	next, wait := k.book.Next(), longPoll
-	if !k.healthy {
+// catchUp reads until the end of the stream; the first read waits for a record when there is none yet.
+func (k *keeper) catchUp(ctx context.Context, wait time.Duration) (err error) {
+	k.reading.Lock()
+	defer k.reading.Unlock()
+	for {
+		k.mu.Lock()
+		next := k.book.Next()
+		k.mu.Unlock()
+		p, err := k.read(ctx, next, wait)
+		if err != nil {
+			k.setHealthy(false)
+			return err
+		}
+		if k.apply(p) {
+			return nil
+		}
 		wait = 0
 	}
-	k.mu.Unlock()
-	p, err := k.log.Read(ctx, Stream, next, pageRecords, wait)
+}
+
+func (k *keeper) read(ctx context.Context, next int64, wait time.Duration) (p platformlog.Page, err error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	p, err = k.log.Read(ctx, k.stream, next, pageRecords, wait)
 	var trimmed platformlog.TrimmedError
-	if errors.As(err, &trimmed) {
-		return k.skip(ctx, trimmed.First)
-	}
-	if err != nil {
-		return err
+	if !errors.As(err, &trimmed) {
+		return p, err
 	}
-	k.apply(p)
-	return nil
+	return p, k.skip(ctx, trimmed.First)
 }
 
 // skip goes on behind records that the log has trimmed, and notes from when on the claims are whole.
-func (k *Keeper) skip(ctx context.Context, first int64) (err error) {
-	p, err := k.log.Read(ctx, Stream, first, 1, 0)
+func (k *keeper) skip(ctx context.Context, first int64) (err error) {
+	p, err := k.log.Read(ctx, k.stream, first, 1, 0)
 	if err != nil {
 		return err
 	}
@@ -138,20 +142,34 @@
 	return nil
 }
 
-func (k *Keeper) apply(p platformlog.Page) {
+// apply returns whether the end of the stream was reached.
+func (k *keeper) apply(p platformlog.Page) (end bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, r := range p.Records {
 		k.book.Apply(r.Offset, r.At, r.Data)
 	}
 	k.healthy = k.book.Next() >= p.Next
-	k.giveBack()
-	close(k.changed)
-	k.changed = make(chan struct{})
+	k.progress()
+	return k.healthy
 }
 
-// giveBack frees keys whose claim landed after its router had told the caller that the call would not run.
-func (k *Keeper) giveBack() {
+// appended takes a record whose offset the log has answered. When nothing lies between it and what was read, it needs
+// no reading back: what it says and where it stands are both known.
+func (k *keeper) appended(offset int64, data []byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if offset == k.book.Next() {
+		k.book.Apply(offset, time.Now(), data)
+		k.progress()
+	}
+}
+
+// progress wakes those that wait for a record, and frees keys whose claim landed after its caller had been told that
+// the call would not run.
+func (k *keeper) progress() {
+	close(k.changed)
+	k.changed = make(chan struct{})
 	for attempt, c := range k.abandoned {
 		s, _ := k.book.Stand(c.Account, c.Key, attempt, c.Digest)
 		if s != claim.Owner {
@@ -159,20 +177,47 @@
 		}
 		delete(k.abandoned, attempt)
 		k.running.Go(func() {
-			k.Settle(context.Background(), caller.Grant{Claim: c}, caller.Result{Outcome: outcome.NotRun})
+			k.settle(context.Background(), claim.Grant{Claim: c}, claim.Result{Outcome: outcome.NotRun})
 		})
 	}
 }
 
-func (k *Keeper) setHealthy(healthy bool) {
+func (k *keeper) setHealthy(healthy bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.healthy = healthy
 }
 
-// Claim gets the right to send a call, or says why there is none. The term runs from before the append, so that the
+// setTried notes that the stream was read, or could not be.
+func (k *keeper) setTried() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.tried {
+		k.tried = true
+		k.progress()
+	}
+}
+
+// awaitStart waits until a keeper that has just started has read its stream, or could not.
+func (k *keeper) awaitStart(ctx context.Context) {
+	for {
+		k.mu.Lock()
+		done, changed := k.healthy || k.tried, k.changed
+		k.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// claim gets the right to send a call, or says why there is none. The term runs from before the append, so that the
 // holder's own clock gives the right up first.
-func (k *Keeper) Claim(ctx context.Context, c caller.ClaimRequest) (g caller.Grant, err error) {
+func (k *keeper) claim(ctx context.Context, c claim.Request) (g claim.Grant, err error) {
 	g, known, err := k.known(c)
 	if known || err != nil {
 		return g, err
@@ -182,9 +227,10 @@
 	offset, err := k.batch.append(ctx, record)
 	var refused platformlog.StatusError
 	if errors.As(err, &refused) {
-		return g, logDown("the log refused the claim: " + refused.Error())
+		k.setHealthy(false)
+		return g, notNow("the log refused the claim: " + refused.Error())
 	}
-	g = caller.Grant{Claim: c, Offset: offset, Expires: began.Add(k.term)}
+	g = claim.Grant{Claim: c, Offset: offset, Expires: began.Add(k.term)}
 	if err != nil {
 		offset = unknownOffset
 	}
@@ -194,25 +240,26 @@
 const unknownOffset = -1
 
 // known answers from what was read already, and refuses at once what cannot be promised now.
-func (k *Keeper) known(c caller.ClaimRequest) (g caller.Grant, known bool, err error) {
+func (k *keeper) known(c claim.Request) (g claim.Grant, known bool, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.used = time.Now()
 	s, result := k.book.Stand(c.Account, c.Key, c.Attempt, c.Digest)
 	if s != claim.Free {
-		g, err = k.verdict(s, result, caller.Grant{Claim: c})
+		g, err = verdict(s, result, claim.Grant{Claim: c, Expires: time.Now().Add(k.term)})
 		return g, true, err
 	}
 	if !k.healthy {
-		return g, false, logDown("the log that keeps calls from running twice cannot be read")
+		return g, false, notNow("the log that keeps calls from running twice cannot be read")
 	}
 	return g, false, k.checkWindow(c)
 }
 
 // checkWindow refuses keys that may have been claimed before the oldest claim that is still known.
-func (k *Keeper) checkWindow(c caller.ClaimRequest) error {
+func (k *keeper) checkWindow(c claim.Request) error {
 	now := time.Now()
 	if !c.Created.IsZero() && now.Sub(c.Created) > k.book.Window() {
-		return &caller.RefusedError{
+		return &claim.RefusedError{
 			Status: http.StatusConflict, Outcome: outcome.Unknown,
 			Reason: fmt.Sprintf("the key is older than %v, for which calls are remembered", k.book.Window()),
 		}
@@ -220,15 +267,12 @@
 	if k.book.Covers(now) || c.Created.After(k.book.From()) {
 		return nil
 	}
-	return &caller.RefusedError{
-		Status: http.StatusServiceUnavailable, Outcome: outcome.NotRun, RetryAfter: comeBack,
-		Reason: "the log has lost claims within the window; only keys created since are taken",
-	}
+	return notNow("the log has lost claims within the window; only keys created since are taken")
 }
 
 // readBack waits until the book has read the claim, or, when the answer of the append was lost, until it is clear
 // that it cannot be waited for any longer. It never appends a second time: both might land.
-func (k *Keeper) readBack(ctx context.Context, g caller.Grant, offset int64) (granted caller.Grant, err error) {
+func (k *keeper) readBack(ctx context.Context, g claim.Grant, offset int64) (granted claim.Grant, err error) {
 	ctx, cancel := context.WithDeadline(ctx, g.Expires)
 	defer cancel()
 	c := g.Claim
@@ -236,68 +280,82 @@
 		k.mu.Lock()
 		s, result := k.book.Stand(c.Account, c.Key, c.Attempt, c.Digest)
 		read := offset != unknownOffset && k.book.Next() > offset
-		changed := k.changed
 		k.mu.Unlock()
 		if s != claim.Free || read {
-			return k.verdict(s, result, g)
+			return verdict(s, result, g)
 		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
+		err = k.catchUp(ctx, time.Until(g.Expires)/readBackShare)
+		if err != nil && k.pause(ctx) != nil {
 			return g, k.abandon(c)
 		}
+		if ctx.Err() != nil {
+			return g, k.abandon(c)
+		}
+	}
+}
+
+const (
+	readBackShare = 4
+	readBackPause = 50 * time.Millisecond
+)
+
+func (k *keeper) pause(ctx context.Context) error {
+	select {
+	case <-time.After(readBackPause):
+	case <-ctx.Done():
 	}
+	return ctx.Err()
 }
 
 // abandon gives a claim up that could not be read back. The call was not sent and never will be, so notRun is true;
 // should the claim land later, its key is given back.
-func (k *Keeper) abandon(c caller.ClaimRequest) error {
+func (k *keeper) abandon(c claim.Request) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.abandoned[c.Attempt] = c
-	return logDown("the claim could not be read back from the log")
+	return notNow("the claim could not be read back from the log")
 }
 
-func logDown(reason string) error {
-	return &caller.RefusedError{
+func notNow(reason string) error {
+	return &claim.RefusedError{
 		Status: http.StatusServiceUnavailable, Outcome: outcome.NotRun, Reason: reason,
 		RetryAfter: comeBack + rand.N(comeBack),
 	}
 }
 
-func (k *Keeper) verdict(s claim.Standing, result claim.Record, g caller.Grant) (granted caller.Grant, err error) {
+func verdict(s claim.Standing, result claim.Record, g claim.Grant) (granted claim.Grant, err error) {
 	switch s {
 	case claim.Owner:
 		return g, nil
 	case claim.Settled:
-		return k.recorded(result, g)
+		return recorded(result, g)
 	case claim.Mismatch:
-		return g, &caller.RefusedError{
+		return g, &claim.RefusedError{
 			Status: http.StatusUnprocessableEntity, Outcome: outcome.NotRun,
 			Reason: "the key was used for another request",
 		}
 	}
-	return g, &caller.RefusedError{
+	return g, &claim.RefusedError{
 		Status: http.StatusConflict, Outcome: outcome.Unknown, RetryAfter: comeBack,
 		Reason: "a call with this key was claimed; whether it has run is not known yet",
 	}
 }
 
-func (k *Keeper) recorded(result claim.Record, g caller.Grant) (granted caller.Grant, err error) {
+func recorded(result claim.Record, g claim.Grant) (granted claim.Grant, err error) {
 	if result.Outcome != outcome.Ran {
-		return g, &caller.RefusedError{
+		return g, &claim.RefusedError{
 			Status: http.StatusConflict, Outcome: outcome.Unknown,
 			Reason: "a call with this key was sent; whether it has run is not known",
 		}
 	}
-	g.Recorded = &caller.Result{
+	g.Recorded = &claim.Result{
 		Outcome: result.Outcome, Status: result.Status, ContentType: result.ContentType, Body: result.Body,
 	}
 	return g, nil
 }
 
-// Settle puts the outcome of a granted call on the log. It may be appended twice, because the first one counts.
-func (k *Keeper) Settle(ctx context.Context, g caller.Grant, result caller.Result) {
+// settle puts the outcome of a granted call on the log. It may be appended twice, because the first one counts.
+func (k *keeper) settle(ctx context.Context, g claim.Grant, result claim.Result) {
 	record := claim.Record{
 		Kind: claim.KindOutcome, Account: g.Claim.Account, Key: g.Claim.Key, Attempt: g.Claim.Attempt,
 		Outcome: result.Outcome, Status: result.Status, ContentType: result.ContentType, Body: result.Body,
@@ -309,7 +367,7 @@
 	}
 }
 
-func (k *Keeper) settleLater(record claim.Record) {
+func (k *keeper) settleLater(record claim.Record) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleRetries)
 	defer cancel()
 	_, err := backoff.Retry(ctx, func() (int64, error) {
@@ -324,9 +382,14 @@
 	}
 }
 
-// Len is how many keys are remembered.
-func (k *Keeper) Len() int {
+func (k *keeper) len() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.book.Len()
 }
+
+func (k *keeper) idleSince() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.used
+}
--- a/io/fleet/claims_test.go
+++ b/io/fleet/claims_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"savoryfall/core/header"
+	"savoryfall/io/claims"
 	"savoryfall/io/fleet"
 	"savoryfall/io/standin/logservice"
 	"savoryfall/io/standin/plainservice"
@@ -51,9 +52,14 @@
 }
 
 func claimFleet(t *testing.T, routers int) *fleet.Fleet {
+	t.Helper()
+	return partitionedFleet(t, routers, 4)
+}
+
+func partitionedFleet(t *testing.T, routers, partitions int) *fleet.Fleet {
 	t.Helper()
 	return start(t, fleet.Options{Routers: routers, Services: 2, Extra: map[string]string{
-		"peers": quick, "callers": "lameDuck = \"0s\"\n", "routing": "probePeriod = \"200ms\"\n", "claims": "term = \"2s\"\n",
+		"peers": quick, "callers": "lameDuck = \"0s\"\n", "routing": "probePeriod = \"200ms\"\n", "claims": "term = \"2s\"\npartitions = " + fmt.Sprint(partitions) + "\n",
 	}})
 }
 
@@ -165,19 +171,20 @@
 // The log has trimmed claims early. A key that may have been claimed among them is refused; one that was made since
 // is taken; one that is older than the window is refused always.
 func TestKeysOutsideTheWindowAreRefused(t *testing.T) {
-	f := claimFleet(t, 1)
+	f := partitionedFleet(t, 1, 1)
 	assert.Equal(t, issue(t, f, 0, "old", "permit").status, http.StatusOK)
-	f.Log.Trim("claims", 2)
+	f.Log.Trim(claims.Stream(claims.PartitionOf("guardia", "old", 1)), 2)
+	f.KillRouter(f.Routers()[0])
 	_, err := f.AddRouter(t.Context())
 	assert.NilError(t, err)
-	eventually(t, "the new router is ready", func() bool { return f.Routers()[1].Ready() })
+	eventually(t, "the new router is ready", func() bool { return f.Routers()[0].Ready() })
 	eventually(t, "the new router refuses", func() bool {
-		got := issue(t, f, 1, "old", "permit")
+		got := issue(t, f, 0, "old", "permit")
 		return got.status == http.StatusServiceUnavailable && strings.Contains(got.body, "lost claims")
 	})
 	fresh := time.Now().Add(time.Minute).Format(time.RFC3339)
-	assert.Equal(t, issue(t, f, 1, "new", "permit", header.KeyCreated, fresh).status, http.StatusOK)
+	assert.Equal(t, issue(t, f, 0, "new", "permit", header.KeyCreated, fresh).status, http.StatusOK)
 	ancient := time.Now().Add(-1000 * time.Hour).Format(time.RFC3339)
-	assert.Equal(t, issue(t, f, 1, "older", "permit", header.KeyCreated, ancient).status, http.StatusConflict)
+	assert.Equal(t, issue(t, f, 0, "older", "permit", header.KeyCreated, ancient).status, http.StatusConflict)
 	assert.Equal(t, ran(f, "old"), 1)
 }
--- a/io/load/figures.go
+++ b/io/load/figures.go
@@ -76,7 +76,6 @@
 	found       int64
 	knowable    int64
 	firstP95Ms  float64
-	controlRate float64
 }
 
 const (
--- a/io/load/files.go
+++ b/io/load/files.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }()
 	w := csv.NewWriter(f)
 	rows := [][]string{{"second", "requestSkew", "tokenSkew", "outstandingPerEngine", "whole", "notWhole", "foundTokens", "knowableTokens", "firstTokenP95Ms"}}
 	for _, s := range r.figures.seconds {
--- a/io/peer/agent.go
+++ b/io/peer/agent.go
@@ -12,6 +12,7 @@
 
 	"savoryfall/core/annotate"
 	"savoryfall/core/background"
+	"savoryfall/core/claim"
 	"savoryfall/core/health"
 	"savoryfall/core/inforce"
 	"savoryfall/core/ledger"
@@ -33,6 +34,12 @@
 	Look(endpoint string)
 }
 
+// Claims makes claims on behalf of other routers.
+type Claims interface {
+	ClaimHere(ctx context.Context, c claim.Request) (g claim.Grant, err error)
+	SettleHere(ctx context.Context, g claim.Grant, result claim.Result)
+}
+
 // Parts are the services that the agent works with.
 type Parts struct {
 	Members       *membership.Table
@@ -40,6 +47,7 @@
 	Health        *health.Table
 	Configuration Configuration
 	Prober        Prober
+	Claims        Claims
 	Meter         *meter.Meter
 	Logger        log.Logger
 	TLS           *tls.Config
--- a/io/peer/connection.go
+++ b/io/peer/connection.go
@@ -51,10 +51,14 @@
 }
 
 func (a *Agent) call(ctx context.Context, p membership.Peer, method string, args, reply any) (err error) {
+	return a.callWithin(ctx, callTimeout, p, method, args, reply)
+}
+
+func (a *Agent) callWithin(ctx context.Context, d time.Duration, p membership.Peer, method string, args, reply any) (err error) {
 	if a.isCut(p.Name) {
 		return errCut
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
 	c := a.connection(p)
 	client, err := a.dial(ctx, c)
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -1,6 +1,9 @@
 package peer
 
-import "savoryfall/core/membership"
+import (
+	"savoryfall/core/claim"
+	"savoryfall/core/membership"
+)
 
 // Message is what two routers tell each other in one exchange, the same both ways.
 type Message struct {
@@ -62,3 +65,15 @@
 	From string
 	Next int64
 }
+
+// ClaimAnswer is the right to send a call, or why there is none.
+type ClaimAnswer struct {
+	Grant   claim.Grant
+	Refused *claim.RefusedError
+}
+
+// Settlement is the outcome of a granted call.
+type Settlement struct {
+	Grant  claim.Grant
+	Result claim.Result
+}
--- a/io/router/find.go
+++ b/io/router/find.go
@@ -32,9 +32,12 @@
 func (r *Router) follower() *configuration.Follower {
 	return r.kernel.Find(nameConfiguration).(*configuration.Follower)
 }
-func (r *Router) claims() *claims.Keeper { return r.kernel.Find(nameClaims).(*claims.Keeper) }
-func (r *Router) agent() *peer.Agent     { return r.kernel.Find(namePeers).(*peer.Agent) }
-func (r *Router) gate() *admission.Gate  { return r.kernel.Find(nameAdmission).(*admission.Gate) }
+
+func (r *Router) claims() *claims.Partitions {
+	return r.kernel.Find(nameClaims).(*claims.Partitions)
+}
+func (r *Router) agent() *peer.Agent    { return r.kernel.Find(namePeers).(*peer.Agent) }
+func (r *Router) gate() *admission.Gate { return r.kernel.Find(nameAdmission).(*admission.Gate) }
 func (r *Router) endpoints() *endpoint.Client {
 	return r.kernel.Find(nameEndpoints).(*endpoint.Client)
 }
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -124,7 +124,8 @@
 	f := configuration.New(l, r.logger)
 	f.Listen(r.probe().Configure)
 	r.kernel.Register(nameConfiguration, f)
-	r.kernel.Register(nameClaims, claims.New(l, s.Claims().Window(), s.Claims().Term(), r.logger))
+	r.kernel.Register(nameClaims, claims.New(l, s.VM().Name(), s.Claims().Partitions(),
+		s.Claims().Window(), s.Claims().Term(), r.logger))
 	return nil
 }
 
@@ -149,13 +150,14 @@
 	}
 	a, err := peer.New(s.Peers().Address(), peer.Parts{
 		Members: r.members(), Ledger: r.ledger(), Health: r.health(), Configuration: r.follower(), Prober: r.probe(),
-		Meter: r.meter(), Logger: r.logger, TLS: cfg, Period: s.Peers().Period(), Budget: s.Peers().Budget(),
+		Claims: r.claims(), Meter: r.meter(), Logger: r.logger, TLS: cfg, Period: s.Peers().Period(), Budget: s.Peers().Budget(),
 	})
 	if err != nil {
 		return err
 	}
 	r.members().ListensOn(a.Address())
 	r.follower().Use(a)
+	r.claims().Use(r.members(), a)
 	r.probe().Use(r.members(), gossip{a})
 	r.kernel.Register(namePeers, a)
 	client, err := r.platformClient(meter.KindVMList)
