claims: a waiter reads only what it lacks, and an open claim is looked at again

Cause: with ten callers of one key through three routers, a waiter for a claim took its turn at reading after another had read that claim already, and then waited for a record that nobody would write, one waiter after the other, until its term was over: told notRun although its router could have answered. A second cause: a router whose keeper had read the claim but not yet its outcome told unknown. Ruled out: a longer term, which only hides the queue. Change: a waiter looks again when its turn comes, reading never waits for a record, and an open claim is read up to the end before it is told. In the same change: the directory of spilled chats and the passing over of endpoints that have just come, not measured yet.

--- a/core/candidate/candidate.go
+++ b/core/candidate/candidate.go
@@ -9,6 +9,7 @@
 	requests float64
 	tokens   float64
 	usable   bool
+	young    bool
 }
 
 // New makes an unloaded, usable candidate.
@@ -41,3 +42,9 @@
 
 // SetWeight replaces the weight.
 func (c *Candidate) SetWeight(weight float64) { c.weight = weight }
+
+// Young tells whether the endpoint has just come, so that no chat from before can be warm there.
+func (c *Candidate) Young() bool { return c.young }
+
+// SetYoung marks an endpoint that has just come.
+func (c *Candidate) SetYoung(young bool) { c.young = young }
--- a/core/health/table.go
+++ b/core/health/table.go
@@ -7,8 +7,9 @@
 
 // Table keeps the health of every endpoint in force; the zero value knows none.
 type Table struct {
-	mu sync.Mutex
-	by map[string]*health
+	mu      sync.Mutex
+	by      map[string]*health
+	settled bool
 }
 
 // health is what is known of one endpoint.
@@ -16,6 +17,7 @@
 	incarnation string
 	heardAt     time.Time
 	upSince     time.Time
+	bornAt      time.Time
 	failures    int
 	down        bool
 	flaps       int
@@ -54,7 +56,9 @@
 func (t *Table) Configure(names []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	// An endpoint of the first configuration that this router sees may have been up for long; a later one has just come.
 	old := t.by
+	t.settled = len(old) > 0
 	t.by = map[string]*health{}
 	for _, name := range names {
 		t.by[name] = old[name]
@@ -77,6 +81,9 @@
 	if restarted || h.down {
 		h.returned(now)
 	}
+	if restarted || h.incarnation == "" && incarnation != "" && t.settled {
+		h.bornAt = now
+	}
 	if incarnation != "" {
 		h.incarnation = incarnation
 	}
@@ -176,6 +183,14 @@
 	return Up
 }
 
+// Young tells whether the endpoint has come within the time before now, with an empty cache.
+func (t *Table) Young(name string, within time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.by[name]
+	return h != nil && !h.bornAt.IsZero() && now.Sub(h.bornAt) < within
+}
+
 // Incarnation is the one that answered last, or empty.
 func (t *Table) Incarnation(name string) string {
 	t.mu.Lock()
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -197,15 +197,19 @@
 	MeanTokens float64
 	Usable     int
 	Members    int
+	// Hash is that of the endpoint's name, and First tells whether the key ranks first there.
+	Hash  uint64
+	First bool
 }
 
 // Query is one request to place.
 type Query struct {
-	Pool    string
-	Key     uint64
-	Warm    string
-	Tokens  float64
-	Exclude []string
+	Pool      string
+	Key       uint64
+	Warm      string
+	Returning bool
+	Tokens    float64
+	Exclude   []string
 }
 
 // Choose places a request by the policy, and never on an excluded endpoint.
@@ -214,7 +218,7 @@
 	defer l.mu.Unlock()
 	members := l.pools[q.Pool]
 	defer l.exclude(q.Exclude)()
-	r := placement.Request{Key: q.Key, Warm: placement.None, Tokens: q.Tokens}
+	r := placement.Request{Key: q.Key, Warm: placement.None, Returning: q.Returning, Tokens: q.Tokens}
 	if i, ok := l.index[q.Warm]; ok {
 		r.Warm = int(i)
 	}
@@ -224,6 +228,8 @@
 	if i != placement.None {
 		c.Endpoint = l.entries[i].name
 		c.Requests, c.Tokens = l.all[i].Requests(), l.all[i].Tokens()
+		c.Hash = l.all[i].Hash()
+		c.First = i == placement.First(q.Key, l.all, members)
 	}
 	return c
 }
@@ -281,6 +287,27 @@
 	return states
 }
 
+// ByHash finds the endpoint whose name has a hash that fits.
+func (l *Ledger) ByHash(fits func(hash uint64) bool) (name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.all {
+		if fits(l.all[i].Hash()) {
+			return l.entries[i].name
+		}
+	}
+	return ""
+}
+
+// SetYoung marks an endpoint that has just come, or has matured.
+func (l *Ledger) SetYoung(name string, young bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if i, ok := l.index[name]; ok {
+		l.all[i].SetYoung(young)
+	}
+}
+
 // Capacity is how many requests a pool may hold when each endpoint of weight one may hold perEndpoint.
 func (l *Ledger) Capacity(pool string, perEndpoint int) int {
 	l.mu.Lock()
--- a/core/placement/bounded.go
+++ b/core/placement/bounded.go
@@ -9,12 +9,16 @@
 // Bounded is weighted rendezvous hashing with a bounded load: among the candidates under the bound, the one that
 // ranks highest for the key. Every router ranks alike without a message, so two routers that find the first
 // choice full spill a chat to the same second choice, where it is warm the next time.
+//
+// A new chat has nothing to lose, so it spills at a lower bound than a returning one. An endpoint that has just come
+// is passed over for returning chats: by rank some of them would be its own now, but they are warm where they were.
 type Bounded struct {
-	bound float64
+	bound    float64
+	newBound float64
 }
 
-// NewBounded bounds the load of an endpoint at bound times the mean.
-func NewBounded(bound float64) *Bounded { return &Bounded{bound: bound} }
+// NewBounded bounds the load of an endpoint at bound times the mean for returning chats, at newBound for new ones.
+func NewBounded(bound, newBound float64) *Bounded { return &Bounded{bound: bound, newBound: newBound} }
 
 // Choose takes the warm candidate while it is under the bound, else the highest ranked one under it.
 func (b *Bounded) Choose(r Request, all []candidate.Candidate, members []int32) (index int, reason Reason) {
@@ -22,11 +26,12 @@
 	if r.Warm != None && all[r.Warm].Usable() && l.allow(&all[r.Warm]) {
 		return r.Warm, ReasonWarm
 	}
+	passYoung := r.Returning
 	best, bestAny := None, None
 	bestScore, bestAnyScore := math.Inf(-1), math.Inf(-1)
 	for _, i := range members {
 		c := &all[i]
-		if !c.Usable() {
+		if !c.Usable() || passYoung && c.Young() {
 			continue
 		}
 		s := l.score(r.Key, c)
@@ -41,11 +46,12 @@
 }
 
 func (b *Bounded) settle(best, bestAny int, all []candidate.Candidate, members []int32, l limits) (int, Reason) {
-	if bestAny == None {
-		return None, ReasonNone
-	}
 	if best == None {
-		return l.lightest(all, members), ReasonLeast
+		best = l.lightest(all, members)
+		if best == None {
+			return None, ReasonNone
+		}
+		return best, ReasonLeast
 	}
 	if best != bestAny {
 		return best, ReasonSpilled
@@ -62,7 +68,6 @@
 
 func (b *Bounded) limits(r Request, all []candidate.Candidate, members []int32) (l limits) {
 	requests, tokens, weight := 1.0, r.Tokens, 0.0
-	first := math.NaN()
 	for _, i := range members {
 		c := &all[i]
 		if !c.Usable() {
@@ -71,15 +76,16 @@
 		requests += c.Requests()
 		tokens += c.Tokens()
 		weight += c.Weight()
-		if math.IsNaN(first) {
-			first = c.Weight()
-		}
-		l.uneven = l.uneven || c.Weight() != first
 	}
+	l.uneven = uneven(all, members)
 	// Rounded up, and for tokens compared before the request is added: with few requests an engine, one alone is
 	// over any multiple of the mean, and nothing could be placed.
-	l.requests = math.Ceil(b.bound * requests / weight)
-	l.tokens = b.bound * tokens / weight
+	bound := b.newBound
+	if r.Returning {
+		bound = b.bound
+	}
+	l.requests = math.Ceil(bound * requests / weight)
+	l.tokens = bound * tokens / weight
 	return l
 }
 
@@ -122,3 +128,29 @@
 func unit(x uint64) float64 {
 	return (float64(x>>11) + 0.5) / (1 << 53)
 }
+
+// First is the candidate that ranks highest for the key among those that have not just come, whatever their load:
+// where any router looks first for a chat that it knows nothing about.
+func First(key uint64, all []candidate.Candidate, members []int32) (index int) {
+	l := limits{uneven: uneven(all, members)}
+	index, best := None, math.Inf(-1)
+	for _, i := range members {
+		c := &all[i]
+		if !c.Usable() || c.Young() {
+			continue
+		}
+		if s := l.score(key, c); s > best {
+			index, best = int(i), s
+		}
+	}
+	return index
+}
+
+func uneven(all []candidate.Candidate, members []int32) bool {
+	for _, i := range members {
+		if all[i].Weight() != all[members[0]].Weight() {
+			return true
+		}
+	}
+	return false
+}
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -14,8 +14,10 @@
 type Request struct {
 	// Key is the hash that places the chat.
 	Key uint64
-	// Warm is the index of the candidate that a ticket names, or None.
+	// Warm is the index of the candidate that a ticket, or an entry among the spills, names; or None.
 	Warm int
+	// Returning tells whether the chat was answered before, so that it is warm somewhere.
+	Returning bool
 	// Tokens is how many tokens the request is expected to cost.
 	Tokens float64
 }
@@ -39,11 +41,11 @@
 )
 
 // New makes the policy of that name; ok is false when there is none.
-func New(name string, bound float64, seed uint64) (p Policy, ok bool) {
+func New(name string, bound, newBound float64, seed uint64) (p Policy, ok bool) {
 	random := rand.New(rand.NewPCG(seed, seed))
 	switch name {
 	case "bounded":
-		return &Bounded{bound: bound}, true
+		return NewBounded(bound, newBound), true
 	case "random":
 		return &uniform{random: random}, true
 	case "leastLoaded":
--- a/core/settings/routing.go
+++ b/core/settings/routing.go
@@ -13,6 +13,8 @@
 	bound       float64
 	ticketKey   string
 	probePeriod time.Duration
+	newBound    float64
+	maturity    time.Duration
 }
 
 func readRouting(t *tomldoc.Table) (r Routing) {
@@ -20,6 +22,8 @@
 	r.bound = t.Real("bound", 1.25, 1.01, 100)
 	r.ticketKey = t.Text("ticketKeyFile", "")
 	r.probePeriod = t.Duration("probePeriod", time.Second, 20*time.Millisecond, time.Minute)
+	r.newBound = t.Real("newBound", 1.1, 1, 100)
+	r.maturity = t.Duration("maturity", time.Minute, 0, 24*time.Hour)
 	return r
 }
 
@@ -34,3 +38,9 @@
 
 // ProbePeriod is how often an endpoint that is not heard otherwise is asked for its report.
 func (r Routing) ProbePeriod() time.Duration { return r.probePeriod }
+
+// NewBound is the bound for chats that are new, and lose nothing by going elsewhere.
+func (r Routing) NewBound() float64 { return r.newBound }
+
+// Maturity is how long returning chats pass an endpoint over that has just come.
+func (r Routing) Maturity() time.Duration { return r.maturity }
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -20,6 +20,7 @@
 	"savoryfall/core/header"
 	"savoryfall/core/ledger"
 	"savoryfall/core/outcome"
+	"savoryfall/core/spills"
 	"savoryfall/io/endpoint"
 )
 
@@ -62,7 +63,7 @@
 // it changes nothing.
 func (a *answer) run() {
 	a.x.front.Retries.First(a.pool)
-	warm := a.x.warmEndpoint()
+	warm := a.warmEndpoint()
 	for n := 1; ; n++ {
 		p := a.attempt(warm)
 		if p == nil {
@@ -76,6 +77,35 @@
 	}
 }
 
+// warmEndpoint is where the caller's ticket says that the chat is warm, or, without one, where this router or a peer
+// has spilled it.
+func (a *answer) warmEndpoint() string {
+	f := a.x.front
+	if name := a.x.warmByTicket(); name != "" {
+		return name
+	}
+	if !a.chat.Returning() {
+		return ""
+	}
+	spilled, ok := f.Spills.Find(a.key)
+	if !ok {
+		return ""
+	}
+	return f.Ledger.ByHash(func(hash uint64) bool { return spills.Names(spilled, hash) })
+}
+
+// noteSpill tells the other routers where the chat is now, unless that is where they would look anyway.
+func (a *answer) noteSpill(c ledger.Choice, warm string) {
+	f := a.x.front
+	if c.First {
+		f.Spills.Forget(a.key)
+		return
+	}
+	if c.Endpoint != warm || !a.chat.Returning() {
+		f.Spills.Add(a.key, c.Hash, time.Now())
+	}
+}
+
 func (a *answer) mayRetry(n int, p *problem) bool {
 	f := a.x.front
 	return n < f.Limits.Attempts() && a.x.ctx.Err() == nil && p.status >= http.StatusInternalServerError &&
@@ -98,12 +128,15 @@
 func (a *answer) attempt(warm string) (p *problem) {
 	f := a.x.front
 	expected := f.Tokens.Remaining(a.class, a.made)
-	at, ok := a.x.place(ledger.Query{Pool: a.pool, Key: a.key, Warm: warm, Tokens: expected, Exclude: a.exclude})
+	at, choice, ok := a.x.place(ledger.Query{
+		Pool: a.pool, Key: a.key, Warm: warm, Returning: a.chat.Returning(), Tokens: expected, Exclude: a.exclude,
+	})
 	if !ok {
 		at.Outcome = outcome.NotRun
 		return unavailable("no endpoint of "+a.pool+" takes new work", a.toldSoFar())
 	}
 	a.exclude = append(a.exclude, at.Endpoint)
+	a.noteSpill(choice, warm)
 	f.figures.attempts.Inc()
 	flight := f.Ledger.Send(at.Endpoint, expected)
 	defer flight.End()
--- a/io/caller/completions.go
+++ b/io/caller/completions.go
@@ -57,9 +57,9 @@
 	return c, nil
 }
 
-// warmEndpoint is where the caller's ticket says that the chat is warm; a ticket of another incarnation is void,
+// warmByTicket is where the caller's ticket says that the chat is warm; a ticket of another incarnation is void,
 // because the restart has emptied the cache.
-func (x *exchange) warmEndpoint() string {
+func (x *exchange) warmByTicket() string {
 	sealed := x.r.Header.Get(header.Ticket)
 	if cookie, err := x.r.Cookie(ticketCookie); err == nil && sealed == "" {
 		sealed = cookie.Value
@@ -83,16 +83,16 @@
 }
 
 // place chooses an endpoint and notes why.
-func (x *exchange) place(q ledger.Query) (a *decision.Attempt, ok bool) {
+func (x *exchange) place(q ledger.Query) (a *decision.Attempt, choice ledger.Choice, ok bool) {
 	_, span := x.front.Tracer.Start(x.ctx, "place")
 	defer span.End()
-	choice := x.front.Ledger.Choose(x.front.Policy, q)
+	choice = x.front.Ledger.Choose(x.front.Policy, q)
 	span.SetAttributes(attribute.String("endpoint", choice.Endpoint), attribute.String("reason", string(choice.Reason)))
 	x.decision.Attempts = append(x.decision.Attempts, decision.Attempt{
 		ID: uuid.NewString(), Endpoint: choice.Endpoint, Reason: string(choice.Reason), Requests: choice.Requests,
 		Tokens: choice.Tokens, MeanTokens: choice.MeanTokens, Usable: choice.Usable, Members: choice.Members,
 	})
-	return &x.decision.Attempts[len(x.decision.Attempts)-1], choice.Endpoint != ""
+	return &x.decision.Attempts[len(x.decision.Attempts)-1], choice, choice.Endpoint != ""
 }
 
 // close notes how an attempt ended.
--- a/io/caller/front.go
+++ b/io/caller/front.go
@@ -19,6 +19,7 @@
 	"savoryfall/core/placement"
 	"savoryfall/core/retry"
 	"savoryfall/core/settings"
+	"savoryfall/core/spills"
 	"savoryfall/core/ticket"
 	"savoryfall/core/tokens"
 	"savoryfall/io/endpoint"
@@ -56,6 +57,7 @@
 	Health        *health.Table
 	Policy        placement.Policy
 	Tickets       *ticket.Sealer
+	Spills        *spills.Table
 	Tokens        *tokens.Estimator
 	Retries       *retry.Budget
 	Decisions     *decision.Ring
--- a/io/caller/plain.go
+++ b/io/caller/plain.go
@@ -124,7 +124,7 @@
 
 func (c *plainCall) attempt(take func(*http.Response) *problem) (p *problem) {
 	x, f := c.x, c.x.front
-	at, ok := x.place(ledger.Query{Pool: c.pool, Key: xxhash.Sum64String(x.id), Tokens: 1, Exclude: c.exclude})
+	at, _, ok := x.place(ledger.Query{Pool: c.pool, Key: xxhash.Sum64String(x.id), Tokens: 1, Exclude: c.exclude})
 	if !ok {
 		at.Outcome = outcome.NotRun
 		return unavailable("no endpoint of "+c.pool+" takes new work", outcome.NotRun)
--- a/io/claims/keeper.go
+++ b/io/claims/keeper.go
@@ -79,7 +79,7 @@
 	wait.MaxInterval = maxRetry
 	for ctx.Err() == nil {
 		pause := refresh
-		err := k.catchUp(ctx, 0)
+		err := k.catchUp(ctx, unknownOffset)
 		k.setTried()
 		if err != nil && ctx.Err() == nil {
 			pause = wait.NextBackOff()
@@ -95,15 +95,19 @@
 	}
 }
 
-// catchUp reads until the end of the stream; the first read waits for a record when there is none yet.
-func (k *keeper) catchUp(ctx context.Context, wait time.Duration) (err error) {
+// catchUp reads until the end of the stream, unless the offset was read while this waited for its turn. It never
+// waits for a record to come: those that queue behind it would all wait in turn.
+func (k *keeper) catchUp(ctx context.Context, offset int64) (err error) {
 	k.reading.Lock()
 	defer k.reading.Unlock()
 	for {
 		k.mu.Lock()
 		next := k.book.Next()
 		k.mu.Unlock()
-		p, err := k.read(ctx, next, wait)
+		if offset != unknownOffset && next > offset {
+			return nil
+		}
+		p, err := k.read(ctx, next)
 		if err != nil {
 			k.setHealthy(false)
 			return err
@@ -111,14 +115,13 @@
 		if k.apply(p) {
 			return nil
 		}
-		wait = 0
 	}
 }
 
-func (k *keeper) read(ctx context.Context, next int64, wait time.Duration) (p platformlog.Page, err error) {
+func (k *keeper) read(ctx context.Context, next int64) (p platformlog.Page, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	p, err = k.log.Read(ctx, k.stream, next, pageRecords, wait)
+	p, err = k.log.Read(ctx, k.stream, next, pageRecords, 0)
 	var trimmed platformlog.TrimmedError
 	if !errors.As(err, &trimmed) {
 		return p, err
@@ -218,6 +221,10 @@
 // claim gets the right to send a call, or says why there is none. The term runs from before the append, so that the
 // holder's own clock gives the right up first.
 func (k *keeper) claim(ctx context.Context, c claim.Request) (g claim.Grant, err error) {
+	// An open claim may have been settled since through another router, which kept the partition by its own view.
+	if k.standing(c) == claim.Open {
+		_ = k.catchUp(ctx, unknownOffset)
+	}
 	g, known, err := k.known(c)
 	if known || err != nil {
 		return g, err
@@ -239,6 +246,13 @@
 
 const unknownOffset = -1
 
+func (k *keeper) standing(c claim.Request) (s claim.Standing) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s, _ = k.book.Stand(c.Account, c.Key, c.Attempt, c.Digest)
+	return s
+}
+
 // known answers from what was read already, and refuses at once what cannot be promised now.
 func (k *keeper) known(c claim.Request) (g claim.Grant, known bool, err error) {
 	k.mu.Lock()
@@ -284,9 +298,9 @@
 		if s != claim.Free || read {
 			return verdict(s, result, g)
 		}
-		err = k.catchUp(ctx, time.Until(g.Expires)/readBackShare)
-		if err != nil && k.pause(ctx) != nil {
-			return g, k.abandon(c)
+		err = k.catchUp(ctx, offset)
+		if err != nil || offset == unknownOffset {
+			k.pause(ctx)
 		}
 		if ctx.Err() != nil {
 			return g, k.abandon(c)
@@ -294,17 +308,13 @@
 	}
 }
 
-const (
-	readBackShare = 4
-	readBackPause = 50 * time.Millisecond
-)
+const readBackPause = 50 * time.Millisecond
 
-func (k *keeper) pause(ctx context.Context) error {
+func (k *keeper) pause(ctx context.Context) {
 	select {
 	case <-time.After(readBackPause):
 	case <-ctx.Done():
 	}
-	return ctx.Err()
 }
 
 // abandon gives a claim up that could not be read back. The call was not sent and never will be, so notRun is true;
--- a/io/peer/agent.go
+++ b/io/peer/agent.go
@@ -17,6 +17,7 @@
 	"savoryfall/core/inforce"
 	"savoryfall/core/ledger"
 	"savoryfall/core/membership"
+	"savoryfall/core/spills"
 	"savoryfall/io/meter"
 )
 
@@ -48,6 +49,7 @@
 	Configuration Configuration
 	Prober        Prober
 	Claims        Claims
+	Spills        *spills.Table
 	Meter         *meter.Meter
 	Logger        log.Logger
 	TLS           *tls.Config
@@ -67,6 +69,7 @@
 	lean     bool
 	round    int
 	last     uint64
+	cursors  map[string]uint64
 	cut      func(name string) bool
 	cancel   context.CancelFunc
 	running  background.Group
@@ -84,6 +87,7 @@
 	spreadings = 4
 	maxRumours = 16
 	maxNews    = 8
+	maxSpills  = 64
 	recordsMax = 200
 )
 
@@ -93,6 +97,7 @@
 	a = &Agent{
 		Parts: p, conns: map[string]*connection{}, accepted: map[net.Conn]bool{},
 		findings: map[string]spreading{}, marks: map[Mark]int{},
+		cursors: map[string]uint64{},
 	}
 	a.listener, err = net.Listen("tcp", address)
 	return a, err
@@ -234,7 +239,7 @@
 
 func (a *Agent) exchange(ctx context.Context, p membership.Peer) {
 	var reply Message
-	err := a.call(ctx, p, "Exchange", a.message(), &reply)
+	err := a.call(ctx, p, "Exchange", a.message(p.Name), &reply)
 	if err == nil {
 		a.take(&reply)
 		a.catchUp(ctx, p, reply.Next)
@@ -266,7 +271,7 @@
 }
 
 // message says what there is to say; the caller of an exchange and the one that is called send the same.
-func (a *Agent) message() *Message {
+func (a *Agent) message(to string) *Message {
 	c := a.Configuration.Current()
 	m := &Message{Self: a.Members.Self(), Next: c.Next(), Rumours: a.Members.Gossip(maxRumours)}
 	m.Self.Address, m.Self.FailureDomain = "", ""
@@ -274,6 +279,7 @@
 	defer a.mu.Unlock()
 	if !a.lean || a.round%2 == 0 {
 		m.Shape, m.Load = a.Ledger.Digest()
+		m.Spills, a.cursors[to] = a.Spills.Since(a.cursors[to], maxSpills)
 	}
 	a.addNews(m)
 	return m
@@ -311,6 +317,7 @@
 	if m.Load != nil {
 		a.Ledger.Peer(m.Self.Name, m.Shape, m.Load, now)
 	}
+	a.Spills.Take(m.Spills, now)
 	for _, mark := range m.Marks {
 		a.takeMark(mark)
 	}
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -14,6 +14,7 @@
 	Rumours  []membership.Rumour
 	Marks    []Mark
 	Findings []Finding
+	Spills   []byte
 }
 
 // Mark says that an incarnation of an endpoint is leaving.
--- a/io/peer/router.go
+++ b/io/peer/router.go
@@ -21,7 +21,7 @@
 		return errCut
 	}
 	r.agent.take(m)
-	*reply = *r.agent.message()
+	*reply = *r.agent.message(m.Self.Name)
 	if m.Next > reply.Next {
 		go r.agent.catchUpFrom(m.Self.Name, m.Next)
 	}
@@ -50,7 +50,7 @@
 			continue
 		}
 		var m Message
-		err := r.agent.call(context.Background(), peer, "Exchange", r.agent.message(), &m)
+		err := r.agent.call(context.Background(), peer, "Exchange", r.agent.message(peer.Name), &m)
 		reply.Heard = err == nil
 		if reply.Heard {
 			r.agent.take(&m)
--- a/io/probe/keeper.go
+++ b/io/probe/keeper.go
@@ -35,19 +35,21 @@
 
 // Keeper hears of endpoints and decides whether they may take new work.
 type Keeper struct {
-	health  *health.Table
-	ledger  *ledger.Ledger
-	duties  Duties
-	gossip  Gossip
-	logger  log.Logger
-	period  time.Duration
-	client  *http.Client
-	mu      sync.Mutex
-	current *inforce.Configuration
-	states  map[string]health.State
-	looking map[string]bool
-	cancel  context.CancelFunc
-	running background.Group
+	health *health.Table
+	ledger *ledger.Ledger
+	duties Duties
+	gossip Gossip
+	logger log.Logger
+	period time.Duration
+	// maturity is how long returning chats pass an endpoint over that has just come.
+	maturity time.Duration
+	client   *http.Client
+	mu       sync.Mutex
+	current  *inforce.Configuration
+	states   map[string]health.State
+	looking  map[string]bool
+	cancel   context.CancelFunc
+	running  background.Group
 }
 
 const (
@@ -62,9 +64,9 @@
 )
 
 // New makes a keeper that probes through the metered transport.
-func New(h *health.Table, l *ledger.Ledger, m *meter.Meter, period time.Duration, logger log.Logger) *Keeper {
+func New(h *health.Table, l *ledger.Ledger, m *meter.Meter, period, maturity time.Duration, logger log.Logger) *Keeper {
 	return &Keeper{
-		health: h, ledger: l, period: period, logger: logger, current: &inforce.Configuration{},
+		health: h, ledger: l, period: period, maturity: maturity, logger: logger, current: &inforce.Configuration{},
 		states: map[string]health.State{}, looking: map[string]bool{},
 		client: &http.Client{
 			Transport: m.Transport(meter.KindProbe),
@@ -141,6 +143,7 @@
 	k.states[name] = state
 	k.mu.Unlock()
 	k.ledger.SetState(name, state)
+	k.ledger.SetYoung(name, k.health.Young(name, k.maturity, time.Now()))
 	if known && before == state || !known && state == health.Up {
 		return
 	}
--- a/io/router/find.go
+++ b/io/router/find.go
@@ -7,6 +7,7 @@
 	"savoryfall/core/health"
 	"savoryfall/core/ledger"
 	"savoryfall/core/membership"
+	"savoryfall/core/spills"
 	"savoryfall/io/caller"
 	"savoryfall/io/claims"
 	"savoryfall/io/configuration"
@@ -28,6 +29,7 @@
 }
 func (r *Router) health() *health.Table  { return r.kernel.Find(nameHealth).(*health.Table) }
 func (r *Router) ledger() *ledger.Ledger { return r.kernel.Find(nameLedger).(*ledger.Ledger) }
+func (r *Router) spills() *spills.Table  { return r.kernel.Find(nameSpills).(*spills.Table) }
 func (r *Router) probe() *probe.Keeper   { return r.kernel.Find(nameProbe).(*probe.Keeper) }
 func (r *Router) follower() *configuration.Follower {
 	return r.kernel.Find(nameConfiguration).(*configuration.Follower)
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -20,6 +20,7 @@
 	"savoryfall/core/placement"
 	"savoryfall/core/retry"
 	"savoryfall/core/settings"
+	"savoryfall/core/spills"
 	"savoryfall/core/ticket"
 	"savoryfall/core/tokens"
 	"savoryfall/io/caller"
@@ -57,6 +58,7 @@
 	nameHealth        = "health"
 	nameLedger        = "ledger"
 	nameProbe         = "probe"
+	nameSpills        = "spills"
 	namePeers         = "peers"
 	nameAdmission     = "admission"
 	nameEndpoints     = "endpoints"
@@ -109,7 +111,9 @@
 	r.kernel.Register(nameMembers, membership.New(self, suspicionPeriods*r.settings.Peers().Period()/2))
 	r.kernel.Register(nameHealth, &health.Table{})
 	r.kernel.Register(nameLedger, &ledger.Ledger{})
-	r.kernel.Register(nameProbe, probe.New(r.health(), r.ledger(), r.meter(), r.settings.Routing().ProbePeriod(), r.logger))
+	r.kernel.Register(nameProbe, probe.New(r.health(), r.ledger(), r.meter(), r.settings.Routing().ProbePeriod(),
+		r.settings.Routing().Maturity(), r.logger))
+	r.kernel.Register(nameSpills, &spills.Table{})
 	return nil
 }
 
@@ -150,7 +154,7 @@
 	}
 	a, err := peer.New(s.Peers().Address(), peer.Parts{
 		Members: r.members(), Ledger: r.ledger(), Health: r.health(), Configuration: r.follower(), Prober: r.probe(),
-		Claims: r.claims(), Meter: r.meter(), Logger: r.logger, TLS: cfg, Period: s.Peers().Period(), Budget: s.Peers().Budget(),
+		Claims: r.claims(), Spills: r.spills(), Meter: r.meter(), Logger: r.logger, TLS: cfg, Period: s.Peers().Period(), Budget: s.Peers().Budget(),
 	})
 	if err != nil {
 		return err
@@ -203,7 +207,7 @@
 
 func (r *Router) buildFront() (err error) {
 	s := r.settings
-	policy, _ := placement.New(s.Routing().Policy(), s.Routing().Bound(), uint64(time.Now().UnixNano()))
+	policy, _ := placement.New(s.Routing().Policy(), s.Routing().Bound(), s.Routing().NewBound(), uint64(time.Now().UnixNano()))
 	key, err := readSecret(s.Routing().TicketKey())
 	if err != nil {
 		return err
@@ -213,7 +217,7 @@
 	r.kernel.Register(nameEndpoints, endpoint.New(r.probe()))
 	f := caller.New(caller.Parts{
 		Configuration: r.follower(), Endpoints: r.endpoints(), Admission: gate, Claims: r.claims(),
-		Ledger: r.ledger(), Health: r.health(), Policy: policy, Tickets: ticket.NewSealer(key),
+		Ledger: r.ledger(), Health: r.health(), Policy: policy, Tickets: ticket.NewSealer(key), Spills: r.spills(),
 		Tokens: &tokens.Estimator{}, Retries: retry.NewBudget(s.Limits().RetryRatio()), Decisions: &decision.Ring{},
 		Tracer: r.tracing().Tracer(), Metrics: r.metrics(), Logger: r.logger, Callers: s.Callers(),
 		Limits: s.Limits(), VM: s.VM().Name(),
