placement: new chats balance, returning ones stay, exceptions are told

Found one after the other: (1) control over its budget shed every second load digest, so that routers placed by views up to 2 s old; the largest part was each keeper of claims looking at its partitions every 5 s. (3) Taking the larger of two late views piled up the errors of both. (4) A chat that spilled was looked for where it ranks first when it came back without a ticket. Change: keepers read only when a claim asks; the budget is averaged over ten periods; the fresher view of load counts; expected tokens have slack; new chats spill at the mean, returning ones at the bound, both to the lighter of two; chats that are elsewhere than by rank are told to the peers in 6 bytes each; returning chats pass an endpoint over that has just come.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -16,8 +16,11 @@
 	// digestLife is how long a peer's digest counts; a peer that is silent for longer is dead or cut off, and what
 	// it last said would keep load on the books that has long ended.
 	digestLife = 4 * time.Second
-	// reportLife is how long an endpoint's own report counts.
-	reportLife = 2 * time.Second
+	// fresh is up to what age an endpoint's own report is newer than what the peers have said, which is half a period
+	// old on average.
+	fresh = 600 * time.Millisecond
+	// remembered is how long own changes are kept, to add them to a late report.
+	remembered = 2 * time.Second
 )
 
 // Ledger keeps the expected load of every endpoint; the zero value knows none.
@@ -156,13 +159,13 @@
 }
 
 // refresh works the load of one endpoint out anew. A report is late: what was sent since is missing in it, and
-// without adding that every router would see the same idle engine and send to it. What the peers said covers what
-// the report missed of theirs; the larger of the two views is taken, since each can only have missed requests.
+// without adding that every router would see the same idle engine and send to it. What the peers said is late too;
+// the fresher view counts. Taking the larger of the two instead would pile up the errors of both.
 func (l *Ledger) refresh(i int32) {
 	e := l.entries[i]
 	requests := e.requests + e.peerRequest
-	if time.Since(e.reportedAt) < reportLife {
-		requests = max(requests, e.reported+e.since(e.reportedAt))
+	if time.Since(e.reportedAt) < fresh {
+		requests = max(e.reported+e.since(e.reportedAt), e.requests)
 	}
 	tokens := e.tokens + e.peerTokens
 	if known := e.requests + e.peerRequest; known > 0 {
@@ -182,7 +185,7 @@
 
 func (e *entry) record(by float64, now time.Time) {
 	n := 0
-	for n < len(e.recent) && now.Sub(e.recent[n].at) > reportLife {
+	for n < len(e.recent) && now.Sub(e.recent[n].at) > remembered {
 		n++
 	}
 	e.recent = append(e.recent[n:], change{at: now, by: by})
--- a/core/placement/bounded.go
+++ b/core/placement/bounded.go
@@ -20,43 +20,65 @@
 // NewBounded bounds the load of an endpoint at bound times the mean for returning chats, at newBound for new ones.
 func NewBounded(bound, newBound float64) *Bounded { return &Bounded{bound: bound, newBound: newBound} }
 
-// Choose takes the warm candidate while it is under the bound, else the highest ranked one under it.
+// Choose takes the warm candidate while it is under the bound; without one, a returning chat's highest ranked one. A
+// chat that is cold wherever it goes takes the lighter of the two highest ranked ones under the bound: two, because
+// all routers see the same lightest one between two digests, and would all send there.
 func (b *Bounded) Choose(r Request, all []candidate.Candidate, members []int32) (index int, reason Reason) {
 	l := b.limits(r, all, members)
 	if r.Warm != None && all[r.Warm].Usable() && l.allow(&all[r.Warm]) {
 		return r.Warm, ReasonWarm
 	}
-	passYoung := r.Returning
-	best, bestAny := None, None
-	bestScore, bestAnyScore := math.Inf(-1), math.Inf(-1)
+	top := l.rank(r.Key, all, members)
+	if r.Returning && r.Warm == None && top.mature != None && l.allow(&all[top.mature]) {
+		return top.mature, ReasonRank
+	}
+	if top.first == None {
+		return l.settleOver(all, members)
+	}
+	if top.second != None && l.full(&all[top.second]) < l.full(&all[top.first]) {
+		return top.second, ReasonSpilled
+	}
+	return top.first, ReasonRank
+}
+
+// ranked are the two highest ranked candidates under the bound, and the highest of those that have not just come,
+// whatever its load.
+type ranked struct {
+	first, second, mature int
+}
+
+func (l limits) rank(key uint64, all []candidate.Candidate, members []int32) (top ranked) {
+	top = ranked{first: None, second: None, mature: None}
+	first, second, mature := math.Inf(-1), math.Inf(-1), math.Inf(-1)
 	for _, i := range members {
 		c := &all[i]
-		if !c.Usable() || passYoung && c.Young() {
+		if !c.Usable() {
 			continue
 		}
-		s := l.score(r.Key, c)
-		if s > bestAnyScore {
-			bestAny, bestAnyScore = int(i), s
+		s := l.score(key, c)
+		if s > mature && !c.Young() {
+			top.mature, mature = int(i), s
 		}
-		if s > bestScore && l.allow(c) {
-			best, bestScore = int(i), s
+		if s <= second || !l.allow(c) {
+			continue
+		}
+		if s <= first {
+			top.second, second = int(i), s
+			continue
 		}
+		top.second, second = top.first, first
+		top.first, first = int(i), s
 	}
-	return b.settle(best, bestAny, all, members, l)
+	return top
 }
 
-func (b *Bounded) settle(best, bestAny int, all []candidate.Candidate, members []int32, l limits) (int, Reason) {
-	if best == None {
-		best = l.lightest(all, members)
-		if best == None {
-			return None, ReasonNone
-		}
-		return best, ReasonLeast
+// settleOver takes the lightest when all are over the bound.
+func (l limits) settleOver(all []candidate.Candidate, members []int32) (index int, reason Reason) {
+	index = l.lightest(all, members)
+	if index == None {
+		return None, ReasonNone
 	}
-	if best != bestAny {
-		return best, ReasonSpilled
-	}
-	return best, ReasonRank
+	return index, ReasonLeast
 }
 
 // limits are the loads that a candidate of weight one may have: requests with the new one, tokens without it.
@@ -85,21 +107,30 @@
 		bound = b.bound
 	}
 	l.requests = math.Ceil(bound * requests / weight)
-	l.tokens = bound * tokens / weight
+	l.tokens = (bound + tokenSlack) * tokens / weight
 	return l
 }
 
+// tokenSlack widens the bound on tokens. Nobody knows how long an answer will be, so the expected tokens of an engine
+// are off by a fifth and more; held to the bound of the requests, they sent chats away from where they are warm
+// without making the true load more even.
+const tokenSlack = 0.4
+
 func (l limits) allow(c *candidate.Candidate) bool {
 	return c.Requests()+1 <= l.requests*c.Weight() && c.Tokens() <= l.tokens*c.Weight()
 }
 
+// full is how much of what it may have a candidate has.
+func (l limits) full(c *candidate.Candidate) float64 {
+	return max(c.Requests()/l.requests, c.Tokens()/max(l.tokens, 1)) / c.Weight()
+}
+
 func (l limits) lightest(all []candidate.Candidate, members []int32) int {
 	best, least := None, math.Inf(1)
 	for _, i := range members {
 		c := &all[i]
-		full := max(c.Requests()/l.requests, c.Tokens()/l.tokens) / c.Weight()
-		if c.Usable() && full < least {
-			best, least = int(i), full
+		if c.Usable() && l.full(c) < least {
+			best, least = int(i), l.full(c)
 		}
 	}
 	return best
--- a/core/settings/platform.go
+++ b/core/settings/platform.go
@@ -22,7 +22,7 @@
 	p.vmList = readURL(t, "vmList")
 	p.weightStore = t.Text("weightStore", "")
 	p.authority = t.Text("authority", "")
-	p.vmPeriod = t.Duration("vmListPeriod", 2*time.Second, 20*time.Millisecond, time.Hour)
+	p.vmPeriod = t.Duration("vmListPeriod", 4*time.Second, 20*time.Millisecond, time.Hour)
 	p.retention = t.Duration("retention", 24*time.Hour, time.Second, 10000*time.Hour)
 	return p
 }
--- a/core/settings/routing.go
+++ b/core/settings/routing.go
@@ -19,10 +19,10 @@
 
 func readRouting(t *tomldoc.Table) (r Routing) {
 	r.policy = t.Choice("policy", "bounded", placement.Names()...)
-	r.bound = t.Real("bound", 1.25, 1.01, 100)
+	r.bound = t.Real("bound", 1.2, 1.01, 100)
 	r.ticketKey = t.Text("ticketKeyFile", "")
-	r.probePeriod = t.Duration("probePeriod", time.Second, 20*time.Millisecond, time.Minute)
-	r.newBound = t.Real("newBound", 1.1, 1, 100)
+	r.probePeriod = t.Duration("probePeriod", 1500*time.Millisecond, 20*time.Millisecond, time.Minute)
+	r.newBound = t.Real("newBound", 1, 1, 100)
 	r.maturity = t.Duration("maturity", time.Minute, 0, 24*time.Hour)
 	return r
 }
--- a/core/spills/table.go
+++ b/core/spills/table.go
@@ -19,7 +19,7 @@
 }
 
 type entry struct {
-	endpoint uint32
+	endpoint uint16
 	at       time.Time
 }
 
@@ -30,7 +30,7 @@
 
 type spill struct {
 	chat     uint32
-	endpoint uint32
+	endpoint uint16
 }
 
 const (
@@ -40,16 +40,20 @@
 	most = 1 << 17
 	// ownMost is how many own entries are kept for peers that have not heard them.
 	ownMost    = 4096
-	entryBytes = 8
+	entryBytes = 6
 )
 
-func short(hash uint64) uint32 { return uint32(hash >> 32) }
+func shortChat(hash uint64) uint32 { return uint32(hash >> 32) }
+
+// shortEndpoint may be shared by a few of thousands of endpoints; a chat sent to the wrong one of them is cold there,
+// as it would be without the entry.
+func shortEndpoint(hash uint64) uint16 { return uint16(hash >> 48) }
 
 // Add notes where a chat is warm, by the hashes of its key and of the endpoint's name, for this router and its peers.
 func (t *Table) Add(chat, endpoint uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := spill{chat: short(chat), endpoint: short(endpoint)}
+	s := spill{chat: shortChat(chat), endpoint: shortEndpoint(endpoint)}
 	t.put(s, now)
 	t.own = append(t.own, s)
 	if n := len(t.own) - ownMost; n > 0 {
@@ -62,7 +66,7 @@
 func (t *Table) Forget(chat uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.by, short(chat))
+	delete(t.by, shortChat(chat))
 }
 
 func (t *Table) put(s spill, now time.Time) {
@@ -81,15 +85,15 @@
 }
 
 // Find tells whether a chat is known to be warm elsewhere, and whether it is at that endpoint.
-func (t *Table) Find(chat uint64) (endpoint uint32, ok bool) {
+func (t *Table) Find(chat uint64) (endpoint uint16, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e, ok := t.by[short(chat)]
+	e, ok := t.by[shortChat(chat)]
 	return e.endpoint, ok
 }
 
 // Names tells whether an entry is about the endpoint with that hash.
-func Names(endpoint uint32, hash uint64) bool { return endpoint == short(hash) }
+func Names(endpoint uint16, hash uint64) bool { return endpoint == shortEndpoint(hash) }
 
 // Since are the own entries that a peer has not had, at most max, and the cursor to ask with next time.
 func (t *Table) Since(cursor uint64, max int) (data []byte, next uint64) {
@@ -102,7 +106,7 @@
 	end := min(from+max, len(t.own))
 	for _, s := range t.own[from:end] {
 		data = binary.BigEndian.AppendUint32(data, s.chat)
-		data = binary.BigEndian.AppendUint32(data, s.endpoint)
+		data = binary.BigEndian.AppendUint16(data, s.endpoint)
 	}
 	return data, t.first + uint64(end)
 }
@@ -112,7 +116,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for len(data) >= entryBytes {
-		t.put(spill{chat: binary.BigEndian.Uint32(data), endpoint: binary.BigEndian.Uint32(data[4:])}, now)
+		t.put(spill{chat: binary.BigEndian.Uint32(data), endpoint: binary.BigEndian.Uint16(data[4:])}, now)
 		data = data[entryBytes:]
 	}
 }
--- a/io/claims/keeper.go
+++ b/io/claims/keeper.go
@@ -22,8 +22,6 @@
 	pageRecords   = 1000
 	readTimeout   = 10 * time.Second
 	appendTimeout = 2 * time.Second
-	refresh       = 5 * time.Second
-	maxRetry      = time.Second
 	settleRetries = time.Minute
 	comeBack      = 2 * time.Second
 )
@@ -63,7 +61,7 @@
 	k.batch = newBatcher(l, stream, k.appended)
 	ctx, cancel := context.WithCancel(context.Background())
 	k.cancel = cancel
-	k.running.Go(func() { k.follow(ctx) })
+	k.running.Go(func() { k.begin(ctx) })
 	k.running.Go(func() { k.batch.run(ctx) })
 	return k
 }
@@ -73,26 +71,14 @@
 	k.running.Stop()
 }
 
-// follow reads to the end at the start, and now and then afterwards, so that an outage is known before a caller asks.
-func (k *keeper) follow(ctx context.Context) {
-	wait := backoff.NewExponentialBackOff()
-	wait.MaxInterval = maxRetry
-	for ctx.Err() == nil {
-		pause := refresh
-		err := k.catchUp(ctx, unknownOffset)
-		k.setTried()
-		if err != nil && ctx.Err() == nil {
-			pause = wait.NextBackOff()
-			_ = k.logger.Log("event", "claimsBehind", "err", err)
-		}
-		if err == nil {
-			wait.Reset()
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
+// begin reads the stream before the first caller needs it. After that it is read only when a claim asks for it: a
+// read a second for each partition, to know of outages sooner, was the largest part of all control traffic.
+func (k *keeper) begin(ctx context.Context) {
+	err := k.catchUp(ctx, unknownOffset)
+	if err != nil && ctx.Err() == nil {
+		_ = k.logger.Log("event", "claimsUnread", "err", err)
 	}
+	k.setTried()
 }
 
 // catchUp reads until the end of the stream, unless the offset was read while this waited for its turn. It never
@@ -221,8 +207,7 @@
 // claim gets the right to send a call, or says why there is none. The term runs from before the append, so that the
 // holder's own clock gives the right up first.
 func (k *keeper) claim(ctx context.Context, c claim.Request) (g claim.Grant, err error) {
-	// An open claim may have been settled since through another router, which kept the partition by its own view.
-	if k.standing(c) == claim.Open {
+	if k.mustLook(c) {
 		_ = k.catchUp(ctx, unknownOffset)
 	}
 	g, known, err := k.known(c)
@@ -246,11 +231,13 @@
 
 const unknownOffset = -1
 
-func (k *keeper) standing(c claim.Request) (s claim.Standing) {
+// mustLook tells whether the stream is to be read before the claim is judged: after a failure it may be there again,
+// and an open claim may have been settled through another router, which kept the partition by its own view.
+func (k *keeper) mustLook(c claim.Request) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	s, _ = k.book.Stand(c.Account, c.Key, c.Attempt, c.Digest)
-	return s
+	s, _ := k.book.Stand(c.Account, c.Key, c.Attempt, c.Digest)
+	return !k.healthy || s == claim.Open
 }
 
 // known answers from what was read already, and refuses at once what cannot be promised now.
--- a/io/load/run.go
+++ b/io/load/run.go
@@ -75,7 +75,7 @@
 		},
 		Extra: map[string]string{
 			"callers": "lameDuck = \"0s\"\n",
-			"routing": fmt.Sprintf("policy = %q\n", r.policy) + r.extra["routing"],
+			"routing": fmt.Sprintf("policy = %q\nbound = %v\n", r.policy, r.plan.Bound) + r.extra["routing"],
 			"limits":  r.extra["limits"],
 			"peers":   r.extra["peers"],
 		},
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -58,7 +58,7 @@
 
 // Transport is an HTTP transport that counts what passes.
 func (m *Meter) Transport(k Kind) *http.Transport {
-	return &http.Transport{DialContext: m.Dial(k), MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
+	return &http.Transport{DialContext: m.Dial(k), MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true}
 }
 
 // Conn counts what passes through c.
--- a/io/peer/agent.go
+++ b/io/peer/agent.go
@@ -69,6 +69,7 @@
 	lean     bool
 	round    int
 	last     uint64
+	spent    float64
 	cursors  map[string]uint64
 	cut      func(name string) bool
 	cancel   context.CancelFunc
@@ -89,6 +90,8 @@
 	maxNews    = 8
 	maxSpills  = 64
 	recordsMax = 200
+	// spentSmoothing lets a burst of ten periods pass.
+	spentSmoothing = 0.1
 )
 
 // New takes the address for peers at once.
@@ -175,8 +178,11 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	spent := float64(sum-a.last) / a.Period.Seconds()
-	a.lean = a.round > 0 && spent > float64(a.Budget)
+	if a.round > 0 {
+		spent := float64(sum-a.last) / a.Period.Seconds()
+		a.spent += (spent - a.spent) * spentSmoothing
+	}
+	a.lean = a.spent > float64(a.Budget)
 	a.last = sum
 	a.round++
 }
@@ -239,7 +245,7 @@
 
 func (a *Agent) exchange(ctx context.Context, p membership.Peer) {
 	var reply Message
-	err := a.call(ctx, p, "Exchange", a.message(p.Name), &reply)
+	err := a.call(ctx, p, "Meet", a.message(p.Name), &reply)
 	if err == nil {
 		a.take(&reply)
 		a.catchUp(ctx, p, reply.Next)
--- a/io/peer/connection.go
+++ b/io/peer/connection.go
@@ -15,7 +15,7 @@
 
 const (
 	callTimeout = 500 * time.Millisecond
-	serviceName = "Router"
+	serviceName = "Peer"
 )
 
 // connection is the one to a peer, made when it is first needed and again after it broke.
--- a/io/peer/router.go
+++ b/io/peer/router.go
@@ -10,13 +10,14 @@
 	"savoryfall/core/membership"
 )
 
-// Router is what peers may call; its methods have the form that net/rpc asks for.
+// Router is what peers may call; its methods have the form that net/rpc asks for. Their names are short, because
+// each call carries its name twice.
 type Router struct {
 	agent *Agent
 }
 
-// Exchange takes what the caller says and answers with the same.
-func (r *Router) Exchange(m *Message, reply *Message) error {
+// Meet takes what the caller says and answers with the same.
+func (r *Router) Meet(m *Message, reply *Message) error {
 	if r.agent.isCut(m.Self.Name) {
 		return errCut
 	}
@@ -50,7 +51,7 @@
 			continue
 		}
 		var m Message
-		err := r.agent.call(context.Background(), peer, "Exchange", r.agent.message(peer.Name), &m)
+		err := r.agent.call(context.Background(), peer, "Meet", r.agent.message(peer.Name), &m)
 		reply.Heard = err == nil
 		if reply.Heard {
 			r.agent.take(&m)
