--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -102,16 +102,17 @@
 	return nil
 }
 
-// readBody reads the whole body, bounded in bytes and in time.
+// readBody reads the whole body, bounded in bytes and in time. The bound in time stays when the body was too slow: the
+// server reads on after the answer, and would wait for the rest for ever, with the answer unsent.
 func (x *exchange) readBody() (body []byte, p *problem) {
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(time.Now().Add(x.front.Callers.BodyTimeout()))
 	limit := x.front.Callers.MaxBody()
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
 		return nil, x.bodyProblem(err)
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- /dev/null
+++ b/io/fleet/tls_test.go
@@ -0,0 +1,79 @@
+package fleet_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryfall/io/fleet"
+)
+
+// certificate writes a certificate for loopback that is its own authority, and its key.
+func certificate(t *testing.T, name string) (certFile, keyFile string) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	assert.NilError(t, err)
+	raw, err := x509.MarshalECPrivateKey(key)
+	assert.NilError(t, err)
+	certFile, keyFile = filepath.Join(t.TempDir(), "cert.pem"), filepath.Join(t.TempDir(), "key.pem")
+	assert.NilError(t, os.WriteFile(certFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	assert.NilError(t, os.WriteFile(keyFile, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: raw}), 0o600))
+	return certFile, keyFile
+}
+
+// Callers are served over TLS, and peers speak over TLS with certificates on both sides; a peer without one is not let
+// in, and one with another authority is not believed.
+func TestTLS(t *testing.T) {
+	cert, key := certificate(t, "fleet")
+	files := fmt.Sprintf("certificate = %q\nkey = %q\n", cert, key)
+	f := start(t, fleet.Options{Routers: 2, Engines: 1, Extra: map[string]string{
+		"peers": quick + files + fmt.Sprintf("authority = %q\n", cert), "callers": "lameDuck = \"0s\"\n" + files,
+		"routing": "probePeriod = \"200ms\"\n",
+	}})
+	eventually(t, "the peers hear each other", func() bool {
+		return memberState(t, f.Routers()[0], "entry-2") == "alive" && status(t, f.Routers()[0]).Members[0].Incarnation > 0
+	})
+	pem, err := os.ReadFile(cert)
+	assert.NilError(t, err)
+	pool := x509.NewCertPool()
+	assert.Assert(t, pool.AppendCertsFromPEM(pem))
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
+	defer client.CloseIdleConnections()
+	resp, err := client.Get("https://" + f.Routers()[0].Callers() + "/readyz")
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	stranger, strangerKey := certificate(t, "stranger")
+	pair, err := tls.LoadX509KeyPair(stranger, strangerKey)
+	assert.NilError(t, err)
+	for _, certs := range [][]tls.Certificate{nil, {pair}} {
+		c, err := tls.Dial("tcp", f.Routers()[0].Peers(), &tls.Config{RootCAs: pool, Certificates: certs})
+		if err == nil {
+			_, err = c.Read(make([]byte, 1))
+			_ = c.Close()
+		}
+		assert.ErrorContains(t, err, "tls")
+	}
+}
