placement: what is cheapest to move moves

Cause: on the whole 80 s of the plans the bounded policy lost reuse at a steady 8 to 12 %, churn or not: returning chats spilled from engines at the bound, and long ones as readily as short ones. Ruled out: a higher bound alone, which gives the reuse back for the skew; staleness, since one router alone shows the same. Change: the bound at which a returning chat spills rises from newBound to bound with the size of its prompt among those of its pool.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -249,6 +249,7 @@
 	Key       uint64
 	Warm      string
 	Returning bool
+	Worth     float64
 	Tokens    float64
 	Exclude   []string
 }
@@ -263,7 +264,7 @@
 	}
 	members := p.members
 	defer l.exclude(q.Exclude)()
-	r := placement.Request{Key: q.Key, Warm: placement.None, Returning: q.Returning, Tokens: q.Tokens}
+	r := placement.Request{Key: q.Key, Warm: placement.None, Returning: q.Returning, Worth: q.Worth, Tokens: q.Tokens}
 	r.Totals = p.totals
 	if i, ok := l.index[q.Warm]; ok {
 		r.Warm = int(i)
--- a/core/loadplan/plan.go
+++ b/core/loadplan/plan.go
@@ -102,7 +102,7 @@
 	p = &Plan{
 		Seed:     uint64(t.Number("seed", 1, 1, 1<<40)),
 		Duration: t.Duration("duration", 30*time.Second, time.Second, longest),
-		Bound:    t.Real("bound", 1.2, 1.01, 100),
+		Bound:    t.Real("bound", 1.3, 1.01, 100),
 		Warmup:   t.Duration("warmup", 5*time.Second, 0, longest),
 	}
 	p.readFleet(t.Table("fleet"))
--- a/core/placement/bounded.go
+++ b/core/placement/bounded.go
@@ -10,14 +10,16 @@
 // ranks highest for the key. Every router ranks alike without a message, so two routers that find the first
 // choice full spill a chat to the same second choice, where it is warm the next time.
 //
-// A new chat has nothing to lose, so it spills at a lower bound than a returning one. An endpoint that has just come
+// A new chat has nothing to lose, so it spills at a lower bound than a returning one, and a returning one at a bound
+// that rises with the prefix it would lose: what has to move is then what costs least to move. An endpoint that has just come
 // is passed over for returning chats: by rank some of them would be its own now, but they are warm where they were.
 type Bounded struct {
 	bound    float64
 	newBound float64
 }
 
-// NewBounded bounds the load of an endpoint at bound times the mean for returning chats, at newBound for new ones.
+// NewBounded bounds the load of an endpoint at bound times the mean for chats that are worth most where they are,
+// at newBound for those that are worth nothing.
 func NewBounded(bound, newBound float64) *Bounded { return &Bounded{bound: bound, newBound: newBound} }
 
 // Choose takes the warm candidate while it is under the bound; without one, a returning chat's highest ranked one. A
@@ -92,10 +94,7 @@
 }
 
 func (b *Bounded) limits(r Request) (l limits) {
-	bound := b.newBound
-	if r.Returning {
-		bound = b.bound
-	}
+	bound := b.newBound + (b.bound-b.newBound)*r.Worth
 	// Rounded up, and for tokens compared before the request is added: with few requests an engine, one alone is
 	// over any multiple of the mean, and nothing could be placed.
 	l.requests = math.Ceil(bound * (r.Totals.Requests + 1) / r.Totals.Weight)
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -18,6 +18,8 @@
 	Warm int
 	// Returning tells whether the chat was answered before, so that it is warm somewhere.
 	Returning bool
+	// Worth is how much the chat would lose elsewhere: from 0 for nothing to 1 for as much as any.
+	Worth float64
 	// Tokens is how many tokens the request is expected to cost.
 	Tokens float64
 	// Totals are those of the pool.
--- a/core/settings/routing.go
+++ b/core/settings/routing.go
@@ -19,7 +19,7 @@
 
 func readRouting(t *tomldoc.Table) (r Routing) {
 	r.policy = t.Choice("policy", "bounded", placement.Names()...)
-	r.bound = t.Real("bound", 1.2, 1.01, 100)
+	r.bound = t.Real("bound", 1.3, 1.01, 100)
 	r.ticketKey = t.Text("ticketKeyFile", "")
 	r.probePeriod = t.Duration("probePeriod", 1500*time.Millisecond, 20*time.Millisecond, time.Minute)
 	r.newBound = t.Real("newBound", 1, 1, 100)
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -50,11 +50,15 @@
 	id      string
 	started bool
 	made    int
+	worth   float64
 }
 
 func newAnswer(x *exchange, c *chat.Chat, pool string) *answer {
 	a := &answer{x: x, chat: c, pool: pool, class: x.account.Name() + "/" + c.Model()}
 	a.key = c.Key(x.account.Name(), x.r.Header.Get(header.Chat))
+	if c.Returning() {
+		a.worth = x.front.Worth.Of(pool, len(c.Body()))
+	}
 	x.decision.Key = fmt.Sprintf("%016x", a.key)
 	return a
 }
@@ -129,7 +133,8 @@
 	f := a.x.front
 	expected := f.Tokens.Remaining(a.class, a.made)
 	at, choice, ok := a.x.place(ledger.Query{
-		Pool: a.pool, Key: a.key, Warm: warm, Returning: a.chat.Returning(), Tokens: expected, Exclude: a.exclude,
+		Pool: a.pool, Key: a.key, Warm: warm, Returning: a.chat.Returning(), Worth: a.worth, Tokens: expected,
+		Exclude: a.exclude,
 	})
 	if !ok {
 		at.Outcome = outcome.NotRun
--- a/io/caller/front.go
+++ b/io/caller/front.go
@@ -59,6 +59,7 @@
 	Tickets       *ticket.Sealer
 	Spills        *spills.Table
 	Tokens        *tokens.Estimator
+	Worth         *tokens.Worth
 	Retries       *retry.Budget
 	Decisions     *decision.Ring
 	Tracer        trace.Tracer
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -218,7 +218,7 @@
 	f := caller.New(caller.Parts{
 		Configuration: r.follower(), Endpoints: r.endpoints(), Admission: gate, Claims: r.claims(),
 		Ledger: r.ledger(), Health: r.health(), Policy: policy, Tickets: ticket.NewSealer(key), Spills: r.spills(),
-		Tokens: &tokens.Estimator{}, Retries: retry.NewBudget(s.Limits().RetryRatio()), Decisions: &decision.Ring{},
+		Tokens: &tokens.Estimator{}, Worth: &tokens.Worth{}, Retries: retry.NewBudget(s.Limits().RetryRatio()), Decisions: &decision.Ring{},
 		Tracer: r.tracing().Tracer(), Metrics: r.metrics(), Logger: r.logger, Callers: s.Callers(),
 		Limits: s.Limits(), VM: s.VM().Name(),
 	})
