caller: a plain answer that breaks off without a length is cut too

Cause: with the cut taken out of the router no test failed: the stand-in only broke answers that state their length, and for those the server itself notices. Change: the stand-in can break off in the middle of chunks, and the test covers both. Before, without the cut: the caller reads a clean end after half an answer; with it: an unexpected end.

--- a/io/fleet/answers_test.go
+++ b/io/fleet/answers_test.go
@@ -210,14 +210,17 @@
 	}
 }
 
-// The caller sees its connection break, not a short answer that looks whole.
-func TestShortAnswerIsCut(t *testing.T) {
+// The caller sees its connection break, not a short answer that looks whole: with a length that is not kept, and with
+// none, where only the end of the chunks tells.
+func TestBrokenAnswerIsCut(t *testing.T) {
 	f := fleetOf(t, 0, 1, "")
-	f.Service("service-01").Set(plainservice.Faults{ShortAnswer: 1})
-	resp, err := post(t.Context(), f, "/permits/list", "x")
-	assert.NilError(t, err)
-	defer resp.Body.Close()
-	var got bytes.Buffer
-	_, err = got.ReadFrom(resp.Body)
-	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%v after %q", err, got.String())
+	for _, faults := range []plainservice.Faults{{ShortAnswer: 1}, {DropMiddle: 1}} {
+		f.Service("service-01").Set(faults)
+		resp, err := post(t.Context(), f, "/permits/list", "x")
+		assert.NilError(t, err)
+		var got bytes.Buffer
+		_, err = got.ReadFrom(resp.Body)
+		assert.Check(t, resp.Body.Close())
+		assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%v after %q", err, got.String())
+	}
 }
--- a/io/standin/plainservice/service.go
+++ b/io/standin/plainservice/service.go
@@ -24,6 +24,7 @@
 	DropAfter   int  `json:"dropAfter"`
 	ShortAnswer int  `json:"shortAnswer"`
 	CrossNext   int  `json:"crossNext"`
+	DropMiddle  int  `json:"dropMiddle"`
 }
 
 // Service runs a call by counting its key, and answers with what it got.
@@ -66,7 +67,7 @@
 }
 
 type hit struct {
-	refuse, dropBefore, dropAfter, short, cross bool
+	refuse, dropBefore, dropAfter, dropMiddle, short, cross bool
 	late                                        time.Duration
 }
 
@@ -80,6 +81,7 @@
 	h.dropAfter = take(&f.DropAfter)
 	h.short = take(&f.ShortAnswer)
 	h.cross = take(&f.CrossNext)
+	h.dropMiddle = take(&f.DropMiddle)
 	return h
 }
 
@@ -130,6 +132,10 @@
 		w.Header().Set("Content-Length", fmt.Sprint(len(text)+1))
 	}
 	_, _ = io.WriteString(w, text)
+	if h.dropMiddle {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 }
 
 func (s *Service) enter(n int) {
