--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -41,7 +41,7 @@
 func histories() *rapid.Generator[history] {
 	return rapid.Custom(func(t *rapid.T) history {
 		n := rapid.IntRange(60, 240).Draw(t, "ticks")
-		h := history{lag: [2]int{rapid.IntRange(0, 6).Draw(t, "lagA"), rapid.IntRange(0, 6).Draw(t, "lagB")}}
+		h := history{lag: [2]int{rapid.IntRange(0, 12).Draw(t, "lagA"), rapid.IntRange(0, 12).Draw(t, "lagB")}}
 		for len(h.paused) < n {
 			run := rapid.IntRange(1, 60).Draw(t, "run")
 			p := [2]bool{rapid.Bool().Draw(t, "pausedA"), rapid.IntRange(0, 3).Draw(t, "pausedB") == 0}
@@ -49,7 +49,7 @@
 				h.paused = append(h.paused, p)
 			}
 		}
-		h.delay = rapid.SliceOfN(rapid.IntRange(0, 12), n, n).Draw(t, "delay")
+		h.delay = rapid.SliceOfN(rapid.SampledFrom([]int{0, 0, 1, 3, 12, 40}), n, n).Draw(t, "delay")
 		for range n {
 			h.acts = append(h.acts, [2]int{rapid.IntRange(0, 30).Draw(t, "gapA"), rapid.IntRange(0, 30).Draw(t, "gapB")})
 		}
@@ -176,3 +176,23 @@
 	assert.Equal(t, l.Holder, "a")
 	assert.Equal(t, l.Fence, int64(0))
 }
+
+// A renewal is read late, while a newer one is under way. The term runs from the append of the one that was read: a
+// challenger may have read it long ago, and counts from then.
+func TestTermRunsFromTheRenewalThatLanded(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(1_000_000, 0).Add(time.Duration(s) * time.Second) }
+	c := lease.NewClock("a", duty, lease.Terms{Term: term, Longest: longest})
+	c.Observe(lease.Lease{}, false, at(0))
+	acquire, _ := c.Wanted(at(0))
+	first := c.Appending(acquire, at(0))
+	c.Observe(lease.Lease{Holder: "a", Seq: first.Seq}, true, at(0))
+	renew, ok := c.Wanted(at(4))
+	assert.Assert(t, ok)
+	older := c.Appending(renew, at(4))
+	c.Appending(renew, at(8))
+	c.Observe(lease.Lease{Holder: "a", Last: 1, Seq: older.Seq}, true, at(9))
+	_, may := c.MayAct(at(13))
+	assert.Assert(t, may)
+	_, may = c.MayAct(at(15))
+	assert.Assert(t, !may)
+}
--- a/io/fleet/configuration_test.go
+++ b/io/fleet/configuration_test.go
@@ -44,10 +44,13 @@
 // The log is slow for one router only; it has the note in force all the same, by way of its peers.
 func TestPeersOvertakeASlowLog(t *testing.T) {
 	f := start(t, fleet.Options{Routers: 3, Engines: 1})
-	f.Log.Set(logservice.Faults{SlowMs: 60_000, SlowReader: "entry-2"})
+	f.Log.Set(logservice.Faults{SlowMs: 60_000, SlowReaders: []string{"entry-2"}})
+	// The read that waits at the log already is answered at once; only the one after it is slow.
 	f.Publish(t.Context(), modelNote("second", "first", "sur-small"))
+	eventually(t, "second is in force everywhere", func() bool { return inForce(t, f, "second") })
 	f.Publish(t.Context(), modelNote("third", "second", "sur-tiny"))
 	eventually(t, "third is in force everywhere", func() bool { return inForce(t, f, "third") })
+	assert.Equal(t, status(t, f.Routers()[1]).Release.Source, "peer")
 	digests := map[string]bool{}
 	for _, r := range f.Routers() {
 		digests[status(t, r).Release.Digest] = true
--- a/io/standin/engine/completions.go
+++ b/io/standin/engine/completions.go
@@ -331,7 +331,11 @@
 	}
 }
 
-func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
+func (e *Engine) serveReport(w http.ResponseWriter, req *http.Request) {
+	if e.hangs() {
+		<-req.Context().Done()
+		return
+	}
 	r := e.report()
 	e.mu.Lock()
 	for m := range e.loaded {
--- a/io/standin/engine/faults.go
+++ b/io/standin/engine/faults.go
@@ -8,6 +8,7 @@
 // Faults are the switches; the zero value has none on. Counted ones hit that many requests and are then off.
 type Faults struct {
 	Frozen         bool    `json:"frozen"`
+	Hang           bool    `json:"hang"`
 	Leaving        bool    `json:"leaving"`
 	Refuse         bool    `json:"refuse"`
 	EventGap       float64 `json:"eventGap"`
@@ -64,3 +65,10 @@
 	*n--
 	return true
 }
+
+// hangs tells whether the engine takes connections and then says nothing, as a stopped process does.
+func (e *Engine) hangs() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Hang
+}
--- a/io/standin/logservice/service.go
+++ b/io/standin/logservice/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
+	"savoryfall/core/header"
 	"savoryfall/io/platformlog"
 )
 
@@ -23,10 +25,10 @@
 
 // Faults are the switches; the zero value has none on. They are read and set at /faults while it runs.
 type Faults struct {
-	Down        bool   `json:"down"`
-	SlowMs      int    `json:"slowMs"`
-	SlowReader  string `json:"slowReader"`
-	LoseAnswers int    `json:"loseAnswers"`
+	Down        bool     `json:"down"`
+	SlowMs      int      `json:"slowMs"`
+	SlowReaders []string `json:"slowReaders"`
+	LoseAnswers int      `json:"loseAnswers"`
 }
 
 // Service keeps streams in memory.
@@ -102,7 +104,7 @@
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return false
 	}
-	if f.SlowReader != "" && f.SlowReader != r.Header.Get("Savoryfall-Vm") {
+	if len(f.SlowReaders) > 0 && !slices.Contains(f.SlowReaders, r.Header.Get(header.VM)) {
 		return true
 	}
 	select {
--- a/io/standin/plainservice/service.go
+++ b/io/standin/plainservice/service.go
@@ -68,7 +68,7 @@
 
 type hit struct {
 	refuse, dropBefore, dropAfter, dropMiddle, short, cross bool
-	late                                        time.Duration
+	late                                                    time.Duration
 }
 
 func (s *Service) takeFaults() (h hit) {
