caller: engines that refuse cost a stream nothing

Ruled out: more attempts for all, since those that reach an engine put load on it. Change: a refused connection counts neither as an attempt that reached an engine nor against the budget; ten tries bound it. A test kills five of six engines under 18 streams. Before: streams end in an error event; after: three runs whole. The accounts of the load tool carry shares in proportion to their size, as an operator would set them; with equal shares the largest normal account was throttled along with the surge.

--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -35,6 +35,9 @@
 	expectEvery = 16
 )
 
+// maxTries bounds all tries for one request, refused ones as well.
+const maxTries = 10
+
 // errSilent cuts an attempt whose endpoint says nothing for too long.
 var errSilent = errors.New("the endpoint was silent for too long")
 
@@ -51,6 +54,8 @@
 	started bool
 	made    int
 	worth   float64
+	// unreached tells that the last attempt got no connection, and so put no load on anybody.
+	unreached bool
 }
 
 func newAnswer(x *exchange, c *chat.Chat, pool string) *answer {
@@ -110,10 +115,21 @@
 	}
 }
 
+// mayRetry bounds the attempts that reached an engine. Those that were refused have cost nothing, and when half of the
+// engines die at once a stream meets several in a row that refuse; they draw on no budget, and are bounded by maxTries.
 func (a *answer) mayRetry(n int, p *problem) bool {
 	f := a.x.front
-	return n < f.Limits.Attempts() && a.x.ctx.Err() == nil && p.status >= http.StatusInternalServerError &&
-		len(a.exclude) >= n && f.Retries.Allow(a.pool)
+	reached := 0
+	for _, at := range a.x.decision.Attempts {
+		if at.Outcome != outcome.NotRun {
+			reached++
+		}
+	}
+	if n >= maxTries || reached >= f.Limits.Attempts() {
+		return false
+	}
+	return a.x.ctx.Err() == nil && p.status >= http.StatusInternalServerError &&
+		len(a.exclude) >= n && (a.unreached || f.Retries.Allow(a.pool))
 }
 
 // giveUp tells the caller the failure: as an answer, or as an event when the stream has begun. The stream then has
@@ -148,6 +164,9 @@
 	began := time.Now()
 	p = a.send(at, flight)
 	closeAttempt(at, began, p)
+	if p != nil && p.outcome == outcome.NotRun {
+		p.outcome = a.toldSoFar()
+	}
 	return p
 }
 
@@ -198,11 +217,9 @@
 	if errors.As(err, &gone) {
 		a.x.cancel()
 	}
-	p = a.x.problemOf(err)
-	if p.outcome == outcome.NotRun {
-		p.outcome = a.toldSoFar()
-	}
-	return p
+	var f *endpoint.Failure
+	a.unreached = errors.As(err, &f) && f.Outcome == outcome.NotRun && f.Status == 0
+	return a.x.problemOf(err)
 }
 
 func (a *answer) call(at *decision.Attempt) (c endpoint.Call, err error) {
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -34,7 +34,9 @@
 	Models         []string
 	FailureDomains []string
 	Accounts       []string
-	Engine         engine.Options
+	// Weights are the shares of the accounts, in their order; none means that all are equal.
+	Weights []float64
+	Engine  engine.Options
 	// Extra is TOML added to the settings of each router, by the name of its section.
 	Extra     map[string]string
 	Log       *logservice.Service
@@ -173,8 +175,11 @@
 	for _, m := range f.opts.Models {
 		text += fmt.Sprintf("\n[[added.models]]\nname = %q\n", m)
 	}
-	for _, a := range f.opts.Accounts {
+	for i, a := range f.opts.Accounts {
 		text += fmt.Sprintf("\n[[added.accounts]]\nname = %q\nkeyDigest = %q\n", a, account.Digest(Key(a)))
+		if i < len(f.opts.Weights) {
+			text += fmt.Sprintf("weight = %.4f\n", f.opts.Weights[i])
+		}
 	}
 	if f.opts.Services > 0 {
 		text += fmt.Sprintf("\n[[added.services]]\nname = \"permits\"\npath = %q\nnotRepeatable = [%q]\n",
--- a/io/fleet/members_test.go
+++ b/io/fleet/members_test.go
@@ -168,3 +168,29 @@
 		assert.Equal(t, memberState(t, r, "entry-1"), "leaving")
 	}
 }
+
+// Five of six engines are killed at once while streams run on all of them. Each stream meets several dead engines in
+// a row; all callers get the whole of their answers from the one that is left.
+func TestMostEnginesKilledAtOnce(t *testing.T) {
+	f := start(t, fleet.Options{Routers: 1, Engines: 6})
+	var all sync.WaitGroup
+	for i := range 18 {
+		all.Go(func() {
+			text := fmt.Sprintf("most %d #300", i)
+			got, err := completed(t.Context(), f, text)
+			assert.Check(t, err)
+			assert.Check(t, got == want(text))
+		})
+	}
+	eventually(t, "all streams run", func() bool {
+		running := 0
+		for _, e := range f.Engines() {
+			running += e.Truth().Requests
+		}
+		return running == 18
+	})
+	for i := range 5 {
+		f.KillEngine(fmt.Sprintf("engine-%02d", i+1))
+	}
+	all.Wait()
+}
