--- a/io/claims/partitions.go
+++ b/io/claims/partitions.go
@@ -65,7 +65,8 @@
 func (p *Partitions) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
-	p.running.Go(func() { p.loop(ctx) })
+	p.tidy()
+	p.running.Go(func() { background.Every(ctx, tidyPeriod, func(time.Time) { p.tidy() }) })
 	return nil
 }
 
@@ -81,19 +82,6 @@
 	return nil
 }
 
-func (p *Partitions) loop(ctx context.Context) {
-	tick := time.NewTicker(tidyPeriod)
-	defer tick.Stop()
-	for {
-		p.tidy()
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
-}
-
 // tidy starts the keepers of this router's own partitions before a caller needs them, and stops idle ones of others.
 func (p *Partitions) tidy() {
 	for n := range p.count {
--- a/io/leases/keeper.go
+++ b/io/leases/keeper.go
@@ -77,7 +77,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	k.cancel = cancel
 	k.running.Go(func() { k.tail(ctx) })
-	k.running.Go(func() { k.loop(ctx) })
+	k.running.Go(func() {
+		background.Every(ctx, k.terms.Term/steps, func(now time.Time) { k.step(ctx, now) })
+	})
 	return nil
 }
 
@@ -172,19 +174,6 @@
 	}
 }
 
-func (k *Keeper) loop(ctx context.Context) {
-	tick := time.NewTicker(k.terms.Term / steps)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			k.step(ctx, now)
-		}
-	}
-}
-
 func (k *Keeper) step(ctx context.Context, now time.Time) {
 	for _, r := range k.wanted(now) {
 		ctx, cancel := context.WithTimeout(ctx, appendTimeout)
--- a/io/orders/giver.go
+++ b/io/orders/giver.go
@@ -72,7 +72,7 @@
 func (g *Giver) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	g.running.Go(func() { g.loop(ctx) })
+	g.running.Go(func() { background.Every(ctx, g.period, func(time.Time) { g.round(ctx) }) })
 	return nil
 }
 
@@ -83,19 +83,6 @@
 	return nil
 }
 
-func (g *Giver) loop(ctx context.Context) {
-	tick := time.NewTicker(g.period)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			g.round(ctx)
-		}
-	}
-}
-
 func (g *Giver) round(ctx context.Context) {
 	c := g.config.Current()
 	wanted := wantedOf(c)
--- a/io/probe/keeper.go
+++ b/io/probe/keeper.go
@@ -110,17 +110,12 @@
 }
 
 func (k *Keeper) loop(ctx context.Context) {
-	tick := time.NewTicker(k.period / sweeps)
-	defer tick.Stop()
-	for n := 0; ; n++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			k.sweep()
-			k.probeDue(ctx, n)
-		}
-	}
+	n := 0
+	background.Every(ctx, k.period/sweeps, func(time.Time) {
+		k.sweep()
+		k.probeDue(ctx, n)
+		n++
+	})
 }
 
 func (k *Keeper) configuration() *inforce.Configuration {
--- a/io/router/snapshots.go
+++ b/io/router/snapshots.go
@@ -31,7 +31,8 @@
 func (s *snapshots) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	s.running.Go(func() { s.loop(ctx) })
+	period := min(s.retention/checksPerPeriod, maxCheck)
+	s.running.Go(func() { background.Every(ctx, period, func(now time.Time) { s.check(ctx, now) }) })
 	return nil
 }
 
@@ -41,19 +42,6 @@
 	return nil
 }
 
-func (s *snapshots) loop(ctx context.Context) {
-	tick := time.NewTicker(min(s.retention/checksPerPeriod, maxCheck))
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			s.check(ctx, now)
-		}
-	}
-}
-
 func (s *snapshots) check(ctx context.Context, now time.Time) {
 	if !s.follower.SnapshotDue(now, s.retention) || !s.members.Mine(snapshotDuty, 1) {
 		return
--- a/io/router/watch.go
+++ b/io/router/watch.go
@@ -30,7 +30,7 @@
 	w.read(ctx)
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancel = cancel
-	w.running.Go(func() { w.loop(ctx) })
+	w.running.Go(func() { background.Every(ctx, w.period, func(time.Time) { w.read(ctx) }) })
 	return nil
 }
 
@@ -40,19 +40,6 @@
 	return nil
 }
 
-func (w *watch) loop(ctx context.Context) {
-	tick := time.NewTicker(w.period)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			w.read(ctx)
-		}
-	}
-}
-
 // read goes on with the list that is known when the platform does not answer.
 func (w *watch) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
--- a/io/standin/engine/completions.go
+++ b/io/standin/engine/completions.go
@@ -14,6 +14,7 @@
 
 	"savoryfall/core/header"
 	"savoryfall/core/outcome"
+	"savoryfall/io/standin/wire"
 )
 
 type message struct {
@@ -220,7 +221,7 @@
 	c.Object = "chat.completion"
 	c.Choices = []choice{{Message: &delta{Role: "assistant", Content: text}, FinishReason: &stop}}
 	c.Usage = s.usage()
-	writeJSON(w, c)
+	wire.Write(w, c)
 }
 
 // stream collects the answer, and sends it event by event when the request asks for that.
@@ -310,8 +311,7 @@
 	var change struct {
 		Priority int `json:"priority"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&change); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !wire.Read(w, r, &change) {
 		return
 	}
 	e.each(mux.Vars(r)["attempt"], func(s *sequence) { s.priority = change.Priority })
@@ -342,9 +342,9 @@
 		r.Loaded = append(r.Loaded, m)
 	}
 	e.mu.Unlock()
-	writeJSON(w, r)
+	wire.Write(w, r)
 }
 
 func (e *Engine) serveTruth(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, e.Truth())
+	wire.Write(w, e.Truth())
 }
--- a/io/standin/engine/engine.go
+++ b/io/standin/engine/engine.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
+	"savoryfall/core/background"
 	"savoryfall/core/report"
 )
 
@@ -112,16 +113,7 @@
 
 // Run advances the batch until the context ends.
 func (e *Engine) Run(ctx context.Context) {
-	tick := time.NewTicker(e.opts.Step)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-			e.step(time.Now())
-		}
-	}
+	background.Every(ctx, e.opts.Step, e.step)
 }
 
 // Truth is what an all-knowing observer sees; routers have no access to it.
--- a/io/standin/engine/events.go
+++ b/io/standin/engine/events.go
@@ -1,11 +1,12 @@
 package engine
 
 import (
-	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
+
+	"savoryfall/io/standin/wire"
 )
 
 const (
@@ -54,10 +55,5 @@
 		}
 	}
 	e.mu.Unlock()
-	writeJSON(w, map[string]any{"incarnation": e.incarnation, "events": events})
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	wire.Write(w, map[string]any{"incarnation": e.incarnation, "events": events})
 }
--- a/io/standin/engine/faults.go
+++ b/io/standin/engine/faults.go
@@ -1,8 +1,9 @@
 package engine
 
 import (
-	"encoding/json"
 	"net/http"
+
+	"savoryfall/io/standin/wire"
 )
 
 // Faults are the switches; the zero value has none on. Counted ones hit that many requests and are then off.
@@ -30,8 +31,7 @@
 
 func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !wire.Read(w, r, &f) {
 		return
 	}
 	e.Set(f)
--- a/io/standin/engine/orders.go
+++ b/io/standin/engine/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"io"
 	"net/http"
 	"slices"
@@ -12,6 +11,7 @@
 
 	"savoryfall/core/header"
 	"savoryfall/core/outcome"
+	"savoryfall/io/standin/wire"
 )
 
 // Order says what the engine shall hold; it states the wanted whole, so that a late twin changes nothing lasting.
@@ -24,8 +24,7 @@
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
 	var o Order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !wire.Read(w, r, &o) {
 		return
 	}
 	if e.stale(o) {
--- a/io/standin/logservice/service.go
+++ b/io/standin/logservice/service.go
@@ -1,7 +1,6 @@
 package logservice
 
 import (
-	"encoding/json"
 	"io"
 	"math"
 	"net/http"
@@ -15,6 +14,7 @@
 
 	"savoryfall/core/header"
 	"savoryfall/io/platformlog"
+	"savoryfall/io/standin/wire"
 )
 
 const (
@@ -88,8 +88,7 @@
 
 func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !wire.Read(w, r, &f) {
 		return
 	}
 	s.Set(f)
@@ -132,7 +131,7 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	answer(w, map[string]int64{"offset": offset})
+	wire.Write(w, map[string]int64{"offset": offset})
 }
 
 func (s *Service) add(name string, data []byte) (offset int64, lose bool) {
@@ -188,7 +187,7 @@
 	for {
 		page, changed := s.page(mux.Vars(r)["stream"], from, limit)
 		if len(page.Records) > 0 || waitMs == 0 || from < page.First {
-			answer(w, page)
+			wire.Write(w, page)
 			return
 		}
 		select {
@@ -232,11 +231,6 @@
 	st.drop(int(min(max(before-st.first, 0), int64(len(st.records)))))
 }
 
-func answer(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
-
 // Append adds a record from within the process, past all switches.
 func (s *Service) Append(name string, data []byte) (offset int64) {
 	offset, _ = s.add(name, data)
--- a/io/standin/plainservice/service.go
+++ b/io/standin/plainservice/service.go
@@ -1,7 +1,6 @@
 package plainservice
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
@@ -13,6 +12,7 @@
 
 	"savoryfall/core/header"
 	"savoryfall/core/outcome"
+	"savoryfall/io/standin/wire"
 )
 
 // Faults are the switches; counted ones hit that many calls and are then off.
@@ -151,25 +151,19 @@
 }
 
 func (s *Service) serveRan(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.Ran())
+	wire.Write(w, s.Ran())
 }
 
 func (s *Service) serveReport(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, map[string]any{"incarnation": s.incarnation, "running": s.active, "leaving": s.faults.Leaving})
+	wire.Write(w, map[string]any{"incarnation": s.incarnation, "running": s.active, "leaving": s.faults.Leaving})
 }
 
 func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !wire.Read(w, r, &f) {
 		return
 	}
 	s.Set(f)
 }
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/io/standin/vmservice/service.go
+++ b/io/standin/vmservice/service.go
@@ -1,7 +1,6 @@
 package vmservice
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
@@ -11,6 +10,7 @@
 
 	"github.com/gorilla/mux"
 
+	"savoryfall/io/standin/wire"
 	"savoryfall/io/vmlist"
 )
 
@@ -111,14 +111,12 @@
 	for _, name := range slices.Sorted(maps.Keys(st.vms)) {
 		vms = append(vms, st.vms[name])
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(vms)
+	wire.Write(w, vms)
 }
 
 func (s *Service) put(w http.ResponseWriter, r *http.Request) {
 	var vm vmlist.VM
-	if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !wire.Read(w, r, &vm) {
 		return
 	}
 	vm.Name = mux.Vars(r)["name"]
@@ -131,8 +129,7 @@
 
 func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !wire.Read(w, r, &f) {
 		return
 	}
 	s.Set(f)
--- /dev/null
+++ b/io/standin/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire reads and writes the JSON of the stand-ins.
+package wire
