placement: second by rank is a spill

A shortcut that spared a pass over the candidates took every choice of the highest ranked engine under the bound for the first by rank; where the first was full, the chat was at its second, nobody was told, and an older entry was forgotten. Found by reading for what a newcomer would ask: what does rank mean here. Ruled out: more tickets, which hid the fault for half of the chats. Change: a choice that is not the first of the mature engines is a spill; a chat that is back at its first overrides older entries instead of being forgotten by one router alone. A test failed before.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -91,7 +91,7 @@
 		l.addToPools(int32(i), e)
 		_, _ = names.WriteString(e.Name() + "\x00")
 	}
-	l.shape = uint32(names.Sum64())
+	l.shape = uint32(uint16(names.Sum64()))
 	l.dropDigests()
 	l.settleUsable()
 }
@@ -276,7 +276,7 @@
 		c.Endpoint = l.entries[i].name
 		c.Requests, c.Tokens = l.all[i].Requests(), l.all[i].Tokens()
 		c.Hash = l.all[i].Hash()
-		c.First = reason == placement.ReasonRank || reason != placement.ReasonLeast && i == placement.First(q.Key, r.Totals, l.all, members)
+		c.First = reason == placement.ReasonRank || i == placement.First(q.Key, r.Totals, l.all, members)
 	}
 	return c
 }
--- a/core/placement/bounded.go
+++ b/core/placement/bounded.go
@@ -11,8 +11,9 @@
 // choice full spill a chat to the same second choice, where it is warm the next time.
 //
 // A new chat has nothing to lose, so it spills at a lower bound than a returning one, and a returning one at a bound
-// that rises with the prefix it would lose: what has to move is then what costs least to move. An endpoint that has just come
-// is passed over for returning chats: by rank some of them would be its own now, but they are warm where they were.
+// that rises with the prefix it would lose: what has to move is then what costs least to move. An endpoint that has
+// just come is passed over for returning chats: by rank some of them would be its own now, but they are warm where they
+// were.
 type Bounded struct {
 	bound    float64
 	newBound float64
@@ -37,10 +38,14 @@
 	if top.first == None {
 		return l.settleOver(all, members)
 	}
+	chosen := top.first
 	if top.second != None && l.full(&all[top.second]) < l.full(&all[top.first]) {
-		return top.second, ReasonSpilled
+		chosen = top.second
 	}
-	return top.first, ReasonRank
+	if chosen != top.mature {
+		return chosen, ReasonSpilled
+	}
+	return chosen, ReasonRank
 }
 
 // ranked are the two highest ranked candidates under the bound, and the highest of those that have not just come,
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -145,3 +145,24 @@
 	r.Worth = 0.2
 	assert.Assert(t, choose(p, r, all, members) != 2)
 }
+
+// A chat that cannot go where its key ranks first is told to the peers as spilled, although it takes the highest ranked
+// engine under the bound: other routers would look for it at the first one.
+func TestSecondRankIsASpill(t *testing.T) {
+	all, members := pool(6)
+	for i := range all {
+		all[i].SetLoad(20, 200)
+	}
+	p := placement.NewBounded(1.3, 1.2)
+	for key := range uint64(50) {
+		r := placement.Request{Key: key << 20, Warm: placement.None, Returning: true, Worth: 1, Tokens: 10}
+		r.Totals = placement.Sum(all, members)
+		first, reason := p.Choose(r, all, members)
+		assert.Equal(t, reason, placement.ReasonRank)
+		all[first].SetLoad(60, 600)
+		r.Totals = placement.Sum(all, members)
+		_, reason = p.Choose(r, all, members)
+		assert.Equal(t, reason, placement.ReasonSpilled)
+		all[first].SetLoad(20, 200)
+	}
+}
--- a/core/spills/table.go
+++ b/core/spills/table.go
@@ -62,13 +62,6 @@
 	}
 }
 
-// Forget drops a chat that is back where it ranks first; peers learn that only as the entry ages.
-func (t *Table) Forget(chat uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.by, shortChat(chat))
-}
-
 func (t *Table) put(s spill, now time.Time) {
 	if t.by == nil {
 		t.by = map[uint32]entry{}
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -103,11 +103,12 @@
 	return f.Ledger.ByHash(func(hash uint64) bool { return spills.Names(spilled, hash) })
 }
 
-// noteSpill tells the other routers where the chat is now, unless that is where they would look anyway.
+// noteSpill tells the other routers where the chat is now, unless that is where they would look anyway: first by its
+// rank, with nobody having said otherwise.
 func (a *answer) noteSpill(c ledger.Choice, warm string) {
 	f := a.x.front
-	if c.First {
-		f.Spills.Forget(a.key)
+	_, told := f.Spills.Find(a.key)
+	if c.First && !told {
 		return
 	}
 	if c.Endpoint != warm || !a.chat.Returning() {
--- a/io/caller/front.go
+++ b/io/caller/front.go
@@ -67,7 +67,6 @@
 	Logger        log.Logger
 	Callers       settings.Callers
 	Limits        settings.Limits
-	VM            string
 }
 
 // Front is the part of a router that callers reach.
--- a/io/peer/agent.go
+++ b/io/peer/agent.go
@@ -207,7 +207,7 @@
 	peers := a.peers()
 	if len(peers) >= meshSize {
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		return append(peers[:fanout], a.dead(now)...)
+		return append(peers[:fanout], a.dead()...)
 	}
 	self := a.Members.Self().Name
 	for _, p := range peers {
@@ -215,13 +215,13 @@
 			targets = append(targets, p)
 		}
 	}
-	return append(targets, a.dead(now)...)
+	return append(targets, a.dead()...)
 }
 
 const deadRetry = 8
 
 // dead picks now and then a dead member to try, so that two sides of a healed cut find each other again.
-func (a *Agent) dead(time.Time) (targets []membership.Peer) {
+func (a *Agent) dead() (targets []membership.Peer) {
 	a.mu.Lock()
 	round := a.round
 	a.mu.Unlock()
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -99,6 +99,9 @@
 	return nil
 }
 
+// epoch is what incarnations count seconds from; being recent keeps them short in every heartbeat.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // suspicionPeriods is for how many half periods a silent member is suspected before it counts as dead: long enough
 // for it to be heard once more, and short enough that a dead one is known within three periods.
 const suspicionPeriods = 3
@@ -106,7 +109,7 @@
 func (r *Router) buildState() (err error) {
 	v := r.settings.VM()
 	self := membership.Rumour{
-		Name: v.Name(), FailureDomain: v.FailureDomain(), Incarnation: uint64(time.Now().UnixMilli()),
+		Name: v.Name(), FailureDomain: v.FailureDomain(), Incarnation: uint64(time.Since(epoch) / time.Second),
 	}
 	r.kernel.Register(nameMembers, membership.New(self, suspicionPeriods*r.settings.Peers().Period()/2))
 	r.kernel.Register(nameHealth, &health.Table{})
@@ -220,7 +223,7 @@
 		Ledger: r.ledger(), Health: r.health(), Policy: policy, Tickets: ticket.NewSealer(key), Spills: r.spills(),
 		Tokens: &tokens.Estimator{}, Worth: &tokens.Worth{}, Retries: retry.NewBudget(s.Limits().RetryRatio()), Decisions: &decision.Ring{},
 		Tracer: r.tracing().Tracer(), Metrics: r.metrics(), Logger: r.logger, Callers: s.Callers(),
-		Limits: s.Limits(), VM: s.VM().Name(),
+		Limits: s.Limits(),
 	})
 	r.kernel.Register(nameFront, f)
 	cfg, err := serverTLS(s.Callers().Certificate(), s.Callers().Key())
