--- a/io/fleet/members_test.go
+++ b/io/fleet/members_test.go
@@ -105,19 +105,26 @@
 	eventually(t, "the successor is up everywhere", func() bool { return everywhere(t, f, health.Up) })
 }
 
-// An engine is killed while streams run on it; their callers get the rest from another one, and the dead one is out of
-// use on every router.
-func TestKilledEngine(t *testing.T) {
-	f := start(t, fleet.Options{Routers: 3, Engines: 3})
-	var all sync.WaitGroup
-	for i := range 12 {
+// streams starts so many streams of so many tokens, each of which must arrive whole; wait for them at the end.
+func streams(t *testing.T, f *fleet.Fleet, n, tokens int) (all *sync.WaitGroup) {
+	t.Helper()
+	all = &sync.WaitGroup{}
+	for i := range n {
 		all.Go(func() {
-			text := fmt.Sprintf("killed %d #200", i)
+			text := fmt.Sprintf("stream %d #%d", i, tokens)
 			got, err := completed(t.Context(), f, text)
 			assert.Check(t, err)
 			assert.Check(t, got == want(text))
 		})
 	}
+	return all
+}
+
+// An engine is killed while streams run on it; their callers get the rest from another one, and the dead one is out of
+// use on every router.
+func TestKilledEngine(t *testing.T) {
+	f := start(t, fleet.Options{Routers: 3, Engines: 3})
+	all := streams(t, f, 12, 200)
 	eventually(t, "work runs on engine-01", func() bool { return f.Engine("engine-01").Truth().Requests > 0 })
 	f.KillEngine("engine-01")
 	all.Wait()
@@ -145,12 +152,7 @@
 		"peers": quick, "callers": "lameDuck = \"300ms\"\n", "routing": "probePeriod = \"200ms\"\n",
 	}})
 	leaving := f.Routers()[0]
-	var all sync.WaitGroup
-	all.Go(func() {
-		got, err := completed(t.Context(), f, "long #400")
-		assert.Check(t, err)
-		assert.Check(t, got == want("long #400"))
-	})
+	all := streams(t, f, 1, 400)
 	eventually(t, "the stream runs", func() bool { return f.Engine("engine-01").Truth().Requests == 1 })
 	stopped := make(chan error)
 	go func() { stopped <- f.StopRouter(t.Context(), leaving) }()
@@ -173,15 +175,7 @@
 // a row; all callers get the whole of their answers from the one that is left.
 func TestMostEnginesKilledAtOnce(t *testing.T) {
 	f := start(t, fleet.Options{Routers: 1, Engines: 6})
-	var all sync.WaitGroup
-	for i := range 18 {
-		all.Go(func() {
-			text := fmt.Sprintf("most %d #300", i)
-			got, err := completed(t.Context(), f, text)
-			assert.Check(t, err)
-			assert.Check(t, got == want(text))
-		})
-	}
+	all := streams(t, f, 18, 300)
 	eventually(t, "all streams run", func() bool {
 		running := 0
 		for _, e := range f.Engines() {
