ledger, health: three faults found on reading the whole

Ruled out: comparing whole endpoints in (1), since only the order of the names gives indexes their meaning. Change: digests are dropped when the names change; a warm endpoint must be in the pool; an endpoint is young when it was itself added later. Three tests, each of which failed before.

--- a/core/health/table.go
+++ b/core/health/table.go
@@ -7,9 +7,8 @@
 
 // Table keeps the health of every endpoint in force; the zero value knows none.
 type Table struct {
-	mu      sync.Mutex
-	by      map[string]*health
-	settled bool
+	mu sync.Mutex
+	by map[string]*health
 }
 
 // health is what is known of one endpoint.
@@ -18,6 +17,7 @@
 	heardAt     time.Time
 	upSince     time.Time
 	bornAt      time.Time
+	added       bool
 	failures    int
 	down        bool
 	flaps       int
@@ -58,12 +58,11 @@
 	defer t.mu.Unlock()
 	// An endpoint of the first configuration that this router sees may have been up for long; a later one has just come.
 	old := t.by
-	t.settled = len(old) > 0
 	t.by = map[string]*health{}
 	for _, name := range names {
 		t.by[name] = old[name]
 		if t.by[name] == nil {
-			t.by[name] = &health{leaving: map[string]bool{}}
+			t.by[name] = &health{leaving: map[string]bool{}, added: len(old) > 0}
 		}
 	}
 }
@@ -81,7 +80,7 @@
 	if restarted || h.down {
 		h.returned(now)
 	}
-	if restarted || h.incarnation == "" && incarnation != "" && t.settled {
+	if restarted || h.incarnation == "" && incarnation != "" && h.added {
 		h.bornAt = now
 	}
 	if incarnation != "" {
--- a/core/health/table_test.go
+++ b/core/health/table_test.go
@@ -90,3 +90,17 @@
 	h.Listed("e", false)
 	assert.Equal(t, h.State("e", start), health.Up)
 }
+
+// A router has just started and has not heard its endpoints yet when a note arrives that adds one. Only that one is
+// young when they are heard; the others may have been up for long, and chats are warm there.
+func TestOnlyAddedEndpointsAreYoung(t *testing.T) {
+	h := &health.Table{}
+	h.Configure(nil)
+	h.Configure([]string{"old"})
+	h.Configure([]string{"old", "added"})
+	h.Heard("old", "one", false, start)
+	h.Heard("added", "one", false, start)
+	assert.Assert(t, !h.Young("old", time.Minute, start))
+	assert.Assert(t, h.Young("added", time.Minute, start))
+	assert.Assert(t, !h.Young("added", time.Minute, start.Add(time.Hour)))
+}
--- a/core/ledger/digest.go
+++ b/core/ledger/digest.go
@@ -38,9 +38,9 @@
 		last = i
 	}
 	if len(sparse) < len(dense) {
-		return l.shape, sparse
+		return l.shape(), sparse
 	}
-	return l.shape, dense
+	return l.shape(), dense
 }
 
 func appendLoad(data []byte, requests, tokens uint64) []byte {
@@ -57,7 +57,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	d, ok := parseDigest(data, len(l.entries))
-	if !ok || shape != l.shape {
+	if !ok || shape != l.shape() {
 		return false
 	}
 	d.at = at
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -31,9 +32,13 @@
 	entries []*entry
 	pools   map[string]*pool
 	peers   map[string]*peerDigest
-	shape   uint32
+	// names is the hash of the endpoints' names, in whose order digests are written.
+	names uint64
 }
 
+// shape stands for the endpoints in messages, where two bytes are enough to tell one configuration from the next.
+func (l *Ledger) shape() uint32 { return uint32(uint16(l.names)) }
+
 // pool is the endpoints that serve the same; its totals follow each change of a load, because adding them up anew for
 // each decision was a third of its cost.
 type pool struct {
@@ -91,8 +96,10 @@
 		l.addToPools(int32(i), e)
 		_, _ = names.WriteString(e.Name() + "\x00")
 	}
-	l.shape = uint32(uint16(names.Sum64()))
-	l.dropDigests()
+	if sum := names.Sum64(); sum != l.names {
+		l.names = sum
+		l.dropDigests()
+	}
 	l.settleUsable()
 }
 
@@ -266,7 +273,7 @@
 	defer l.exclude(q.Exclude)()
 	r := placement.Request{Key: q.Key, Warm: placement.None, Returning: q.Returning, Worth: q.Worth, Tokens: q.Tokens}
 	r.Totals = p.totals
-	if i, ok := l.index[q.Warm]; ok {
+	if i, ok := l.index[q.Warm]; ok && slices.Contains(l.entries[i].pools, p) {
 		r.Warm = int(i)
 	}
 	i, reason := policy.Choose(r, l.all, members)
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -133,3 +133,29 @@
 		})
 	}
 }
+
+// A note that changes no endpoint comes in between two digests: what the peers said of their load still counts. With
+// 13,000 notes a day each would otherwise blind the placement for up to a period.
+func TestNoteWithoutEndpointsKeepsThePeersLoad(t *testing.T) {
+	a, b := newLedger(5), newLedger(5)
+	a.Send("e0001", 160)
+	shape, data := a.Digest()
+	assert.Assert(t, b.Peer("a", shape, data, time.Now()))
+	b.Configure(endpoints(5))
+	assert.Equal(t, requests(b, "e0001"), 1.0)
+	b.Configure(endpoints(4))
+	assert.Equal(t, requests(b, "e0001"), 0.0, "the indexes mean other endpoints now")
+}
+
+// A caller brings the ticket of a chat with another model. Its engine does not serve this one, and is not chosen.
+func TestTicketOfAnotherPoolIsIgnored(t *testing.T) {
+	l := &ledger.Ledger{}
+	list := endpoints(3)
+	other := endpoint.Read(tomldoc.FromValues("test", map[string]any{
+		"name": "z", "address": "127.0.0.1:2", "failureDomain": "d", "models": []any{"other"},
+	}).Root())
+	l.Configure(append(list, other))
+	c := l.Choose(placement.NewBounded(1.3, 1), ledger.Query{Pool: ledger.PoolOfModel("m"), Key: 7, Warm: "z", Returning: true, Worth: 1})
+	assert.Assert(t, c.Endpoint != "z")
+	assert.Assert(t, c.Endpoint != "")
+}
