caller: one rule for trying again, for completions and plain calls

Cause: that a refused connection costs a request nothing had been added to completions only, beside a twin of the rule for plain calls, where dead processes still used up the attempts and the budget. Ruled out: a second special case for plain calls. Change: one rule on the exchange; the attempt itself says that it reached nobody, which explain shows too. An endpoint that answers with a refusal counts as reached now for completions as well, so their bound is the set one again. An idle keeper of claims is stopped outside the lock that all claims take.

--- a/core/decision/ring.go
+++ b/core/decision/ring.go
@@ -44,6 +44,8 @@
 	Ms         int64           `json:"ms"`
 	Outcome    outcome.Outcome `json:"outcome"`
 	Problem    string          `json:"problem,omitempty"`
+	// Unreached tells that no connection was made, so that the attempt put no load on anybody.
+	Unreached bool `json:"unreached,omitempty"`
 }
 
 // Add keeps a decision and forgets the oldest when there are too many.
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -35,9 +35,6 @@
 	expectEvery = 16
 )
 
-// maxTries bounds all tries for one request, refused ones as well.
-const maxTries = 10
-
 // errSilent cuts an attempt whose endpoint says nothing for too long.
 var errSilent = errors.New("the endpoint was silent for too long")
 
@@ -54,8 +51,6 @@
 	started bool
 	made    int
 	worth   float64
-	// unreached tells that the last attempt got no connection, and so put no load on anybody.
-	unreached bool
 }
 
 func newAnswer(x *exchange, c *chat.Chat, pool string) *answer {
@@ -73,12 +68,12 @@
 func (a *answer) run() {
 	a.x.front.Retries.First(a.pool)
 	warm := a.warmEndpoint()
-	for n := 1; ; n++ {
+	for {
 		p := a.attempt(warm)
 		if p == nil {
 			return
 		}
-		if !a.mayRetry(n, p) {
+		if p.status < http.StatusInternalServerError || !a.x.mayRetry(a.pool, len(a.exclude), p) {
 			a.giveUp(p)
 			return
 		}
@@ -116,23 +111,6 @@
 	}
 }
 
-// mayRetry bounds the attempts that reached an engine. Those that were refused have cost nothing, and when half of the
-// engines die at once a stream meets several in a row that refuse; they draw on no budget, and are bounded by maxTries.
-func (a *answer) mayRetry(n int, p *problem) bool {
-	f := a.x.front
-	reached := 0
-	for _, at := range a.x.decision.Attempts {
-		if at.Outcome != outcome.NotRun {
-			reached++
-		}
-	}
-	if n >= maxTries || reached >= f.Limits.Attempts() {
-		return false
-	}
-	return a.x.ctx.Err() == nil && p.status >= http.StatusInternalServerError &&
-		len(a.exclude) >= n && (a.unreached || f.Retries.Allow(a.pool))
-}
-
 // giveUp tells the caller the failure: as an answer, or as an event when the stream has begun. The stream then has
 // no end mark, so that what arrived cannot be taken for the whole.
 func (a *answer) giveUp(p *problem) {
@@ -218,8 +196,6 @@
 	if errors.As(err, &gone) {
 		a.x.cancel()
 	}
-	var f *endpoint.Failure
-	a.unreached = errors.As(err, &f) && f.Outcome == outcome.NotRun && f.Status == 0
 	return a.x.problemOf(err)
 }
 
--- a/io/caller/completions.go
+++ b/io/caller/completions.go
@@ -100,7 +100,7 @@
 	a.Ms = time.Since(began).Milliseconds()
 	a.Outcome = outcome.Ran
 	if p != nil {
-		a.Outcome, a.Problem = p.outcome, p.message
+		a.Outcome, a.Problem, a.Unreached = p.outcome, p.message, p.unreached
 	}
 }
 
@@ -114,10 +114,32 @@
 	if x.ctx.Err() != nil {
 		return x.interrupted(told)
 	}
-	if f != nil && f.Outcome == outcome.NotRun {
-		return unavailable(err.Error(), told)
+	if f == nil || f.Outcome != outcome.NotRun {
+		return failed(err.Error(), told)
 	}
-	return failed(err.Error(), told)
+	p := unavailable(err.Error(), told)
+	p.unreached = f.Status == 0
+	return p
+}
+
+// maxTries bounds all tries for one request, those that reached nobody as well.
+const maxTries = 10
+
+// mayRetry bounds the attempts that reached an endpoint, and has them paid from the budget. Those that got no
+// connection have cost nobody anything, and when half of the endpoints die at once a request meets several in a row;
+// they are bounded by maxTries alone.
+func (x *exchange) mayRetry(pool string, excluded int, p *problem) bool {
+	tries, reached := len(x.decision.Attempts), 0
+	for _, at := range x.decision.Attempts {
+		if !at.Unreached {
+			reached++
+		}
+	}
+	limits := x.front.Limits
+	if tries >= maxTries || reached >= limits.Attempts() || excluded < tries || x.ctx.Err() != nil {
+		return false
+	}
+	return p.unreached || x.front.Retries.Allow(pool)
 }
 
 func (x *exchange) countPrompt(resp *http.Response) {
--- a/io/caller/plain.go
+++ b/io/caller/plain.go
@@ -106,20 +106,18 @@
 func (c *plainCall) tryAll(take func(*http.Response) *problem) (p *problem) {
 	f := c.x.front
 	f.Retries.First(c.pool)
-	for n := 1; ; n++ {
+	for {
 		p = c.attempt(take)
-		if p == nil || !c.mayRetry(n, p) {
+		if p == nil || !c.mayRetry(p) {
 			return p
 		}
 		f.figures.retries.Inc()
 	}
 }
 
-func (c *plainCall) mayRetry(n int, p *problem) bool {
-	f := c.x.front
+func (c *plainCall) mayRetry(p *problem) bool {
 	safe := p.outcome == outcome.NotRun || c.repeatable && p.outcome == outcome.Unknown
-	return safe && c.rest == nil && n < f.Limits.Attempts() && c.x.ctx.Err() == nil && len(c.exclude) >= n &&
-		f.Retries.Allow(c.pool)
+	return safe && c.rest == nil && c.x.mayRetry(c.pool, len(c.exclude), p)
 }
 
 func (c *plainCall) attempt(take func(*http.Response) *problem) (p *problem) {
--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -23,6 +23,8 @@
 	message    string
 	outcome    outcome.Outcome
 	retryAfter time.Duration
+	// unreached tells that the attempt got no connection.
+	unreached bool
 }
 
 // The kinds of problems, as the OpenAI clients know them.
--- a/io/claims/partitions.go
+++ b/io/claims/partitions.go
@@ -95,13 +95,15 @@
 
 func (p *Partitions) drop(n int) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	k := p.keepers[n]
-	if k == nil || time.Since(k.idleSince()) < idleLife {
-		return
+	idle := k != nil && time.Since(k.idleSince()) >= idleLife
+	if idle {
+		delete(p.keepers, n)
+	}
+	p.mu.Unlock()
+	if idle {
+		k.stop()
 	}
-	delete(p.keepers, n)
-	k.stop()
 }
 
 func duty(n int) string { return fmt.Sprint("claims/", n) }
--- a/io/fleet/answers_test.go
+++ b/io/fleet/answers_test.go
@@ -224,3 +224,20 @@
 		assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%v after %q", err, got.String())
 	}
 }
+
+// Five of six processes of a plain service are gone before anybody has noticed. A call meets several of them in a row,
+// none of which had it, and is answered by the one that is left although it may be tried at one only; a call that may
+// not be repeated as well, and runs once.
+func TestDeadServicesCostACallNothing(t *testing.T) {
+	f := fleetOf(t, 0, 6, "attempts = 1\n")
+	for i := range 5 {
+		f.KillService(fmt.Sprintf("service-%02d", i+1))
+	}
+	for _, path := range []string{"/permits/list", fleet.NotRepeatable} {
+		resp, err := post(t.Context(), f, path, "x")
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+	assert.Equal(t, f.Service("service-06").Ran()[""], 2)
+}
--- a/io/fleet/parts.go
+++ b/io/fleet/parts.go
@@ -88,6 +88,13 @@
 // Service is the plain service process of that name.
 func (f *Fleet) Service(name string) *plainservice.Service { return f.services[name] }
 
+// KillService ends a process of the plain service in the middle of whatever it does.
+func (f *Fleet) KillService(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.servers[name].Kill()
+}
+
 // Services are all processes of the plain service.
 func (f *Fleet) Services() map[string]*plainservice.Service { return f.services }
 
