--- /dev/null
+++ b/core/dispatch/attempt.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"time"
+
+	"savoryfall/core/directory"
+)
+
+// Attempt is one request at one endpoint, from the choice to its end.
+type Attempt struct {
+	d       *Dispatcher
+	e       *endpoint
+	q       Query
+	began   time.Time
+	missing int
+	unread  int
+	ended   bool
+}
+
+// Load is what an endpoint says of its load in an answer.
+type Load struct {
+	Running, Waiting int
+	Known            bool
+}
+
+// Verdict is how an attempt ended.
+type Verdict int
+
+// The verdicts. Abandoned says nothing of the endpoint: the client left, or the router stopped.
+const (
+	Served Verdict = iota
+	Refused
+	Failed
+	Broken
+	Silent
+	Unreachable
+	Abandoned
+)
+
+// weights are how much a verdict counts as a failure. A refused connection or silence is sure to be met again by the
+// next request; a refusal or a single broken answer may be chance.
+var weights = map[Verdict]float64{Refused: 0.7, Failed: 1, Broken: 1, Silent: 2, Unreachable: 3}
+
+func (d *Dispatcher) begin(q Query, e *endpoint, missing int, now time.Time) *Attempt {
+	e.running++
+	a := &Attempt{d: d, e: e, q: q, began: now, missing: missing, unread: missing}
+	e.unread += missing
+	if len(q.Prompt) > 0 {
+		_, cache, _ := d.capacity(q.Service)
+		d.warm.Read(e.entry.ID, q.Prompt, cache)
+	}
+	return a
+}
+
+// Endpoint is where the attempt goes.
+func (a *Attempt) Endpoint() directory.Entry { return a.e.entry }
+
+// Missing is how many tokens of the prompt the endpoint is believed to have to read.
+func (a *Attempt) Missing() int { return a.missing }
+
+// Answered notes the first bytes of the answer, and the load that they told of.
+func (a *Attempt) Answered(l Load, now time.Time) {
+	a.d.mu.Lock()
+	defer a.d.mu.Unlock()
+	e := a.e
+	e.heardAt = now
+	if l.Known {
+		e.others = max(l.Running+l.Waiting-e.running, 0)
+		e.othersAt = now
+	}
+	a.read()
+	took := now.Sub(a.began)
+	if len(a.q.Prompt) == 0 {
+		return
+	}
+	expected := firstStep + float64(a.missing)/a.d.prefill.perMs()
+	e.slowness.add(float64(took) / float64(time.Millisecond) / expected)
+	a.d.prefill.saw(a.missing, took)
+}
+
+// read takes the prompt off the tokens that the endpoint has still to read.
+func (a *Attempt) read() {
+	a.e.unread -= a.unread
+	a.unread = 0
+}
+
+// Progress notes further bytes of a stream.
+func (a *Attempt) Progress(now time.Time) {
+	a.d.mu.Lock()
+	defer a.d.mu.Unlock()
+	a.e.heardAt = now
+}
+
+// SilentFor is how long the endpoint has sent this router nothing on any of its requests.
+func (a *Attempt) SilentFor(now time.Time) time.Duration {
+	a.d.mu.Lock()
+	defer a.d.mu.Unlock()
+	since := a.e.heardAt
+	if since.Before(a.began) {
+		since = a.began
+	}
+	return now.Sub(since)
+}
+
+// End ends the attempt; only the first call counts.
+func (a *Attempt) End(v Verdict, now time.Time) {
+	a.d.mu.Lock()
+	defer a.d.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.e.running--
+	a.read()
+	if v == Abandoned {
+		return
+	}
+	a.e.failures.add(weights[v], max(weights[v], 1), now)
+	if v == Served && len(a.q.Prompt) == 0 {
+		a.e.latency.add(float64(now.Sub(a.began)) / float64(time.Millisecond))
+	}
+}
--- /dev/null
+++ b/core/dispatch/contest.go
@@ -0,0 +1,168 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"savoryfall/core/prompt"
+)
+
+// contest compares the endpoints of a pool for one request.
+type contest struct {
+	d      *Dispatcher
+	q      Query
+	pool   []*endpoint
+	now    time.Time
+	engine bool
+	slots  int
+	mean   float64
+	// home is the endpoint that ranks first for the prompt on every router alike.
+	home *endpoint
+}
+
+func (d *Dispatcher) contest(q Query, pool []*endpoint, now time.Time) *contest {
+	c := &contest{d: d, q: q, pool: pool, now: now}
+	c.slots, _, c.engine = d.capacity(q.Service)
+	for _, e := range pool {
+		c.mean += e.load(now) / float64(len(pool))
+	}
+	if len(q.Prompt) > 0 {
+		c.home = c.rankFirst()
+	}
+	return c
+}
+
+// rankFirst ranks by rendezvous hashing: no message is needed for the routers to agree, and a lost endpoint moves only
+// its own prompts.
+func (c *contest) rankFirst() (home *endpoint) {
+	key, most := c.q.Prompt.Key(), uint64(0)
+	for _, e := range c.pool {
+		h := mix(key ^ xxhash.Sum64String(e.entry.ID))
+		if !e.gone && (home == nil || h > most) {
+			home, most = e, h
+		}
+	}
+	return home
+}
+
+// mix is the finalizer of SplitMix64, which spreads a difference in any bit over all bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+const (
+	// evenBound and evenSlack are how far above the mean an endpoint may be loaded: under the users' factor of two and
+	// three requests, since the loads are estimates that lag.
+	evenBound = 1.5
+	evenSlack = 2.0
+)
+
+// full tells whether an endpoint is left out while others are not.
+func (c *contest) full(e *endpoint) bool {
+	load := e.load(c.now) + 1
+	return load > evenBound*c.mean+evenSlack
+}
+
+// queueSlots is how many times its slots a plain endpoint may be given before requests are refused: what waits longer
+// than another turn is late.
+const queueSlots = 2
+
+// over tells whether an endpoint cannot take the request at all without letting it wait long.
+func (c *contest) over(e *endpoint) bool {
+	slots := e.entry.Slots
+	if slots == 0 {
+		slots = c.slots
+	}
+	if slots == 0 {
+		return false
+	}
+	if !c.engine {
+		slots *= queueSlots
+	}
+	return e.load(c.now) >= float64(slots)
+}
+
+// best is the endpoint of least cost among those under the bound, or among all when none is.
+func (c *contest) best() (best *endpoint, why Reason) {
+	why = ReasonTried
+	least, under := math.Inf(1), false
+	for _, e := range c.pool {
+		if e.gone || slices.Contains(c.q.Tried, e.entry.ID) {
+			continue
+		}
+		if c.over(e) {
+			why = ReasonFull
+			continue
+		}
+		ok := !c.full(e)
+		cost := c.cost(e)
+		if ok && !under || ok == under && cost < least {
+			best, least, under = e, cost, ok
+		}
+	}
+	if best == nil {
+		return nil, why
+	}
+	if best == c.home {
+		return best, ReasonWarm
+	}
+	return best, ReasonCost
+}
+
+const (
+	// failureCost is what a certain failure costs in milliseconds: about the time until a client that asks again has
+	// its answer.
+	failureCost = 600.0
+	// excessCost is what each request above the mean costs in milliseconds: it slows the steps of all that run beside
+	// it by some hundredths each.
+	excessCost = 5.0
+	// farCost is the way to another failure domain and back, in milliseconds.
+	farCost = 2.0
+	// tieCost spreads equal costs.
+	tieCost = 1.0
+	// usualLatency is the time of a plain answer in milliseconds until one is known.
+	usualLatency = 15.0
+	// homeBelief is how far a router believes that the first in rank holds the shared parts of a prompt that it has
+	// not sent there itself: other routers probably did.
+	homeBelief = 0.8
+)
+
+func (c *contest) cost(e *endpoint) (ms float64) {
+	ms = failureCost*e.failures.rate(c.now) + tieCost*spread()
+	if e.entry.FailureDomain != c.d.failureDomain {
+		ms += farCost
+	}
+	if !c.engine {
+		// Requests within the slots run beside each other; beyond them they wait for a turn.
+		turns := 1 + e.load(c.now)/float64(max(e.entry.Slots, 1))
+		return ms + turns*e.latency.or(usualLatency)
+	}
+	excess := max(e.load(c.now)-c.mean, 0)
+	reading := float64(c.missing(e)+e.unread) / c.d.prefill.perMs()
+	return ms + excessCost*excess + (firstStep+reading)*max(e.slowness.or(1), 1)
+}
+
+// missing is how many tokens of the prompt the endpoint would have to read.
+func (c *contest) missing(e *endpoint) int {
+	total := c.q.Prompt.Tokens()
+	warm := c.d.warm.Warm(e.entry.ID, c.q.Prompt)
+	if e == c.home {
+		warm = max(warm, int(homeBelief*float64(shared(c.q.Prompt))))
+	}
+	return total - warm
+}
+
+// shared is the length of all parts but the last, which is the request's own.
+func shared(chain prompt.Chain) int {
+	if len(chain) == 0 {
+		return 0
+	}
+	return chain[:len(chain)-1].Tokens()
+}
--- /dev/null
+++ b/core/dispatch/dispatcher.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"savoryfall/core/directory"
+	"savoryfall/core/prompt"
+	"savoryfall/core/routetable"
+	"savoryfall/core/warmth"
+)
+
+// Dispatcher knows the endpoints of every service, their load and their health; New makes one.
+type Dispatcher struct {
+	mu            sync.Mutex
+	failureDomain string
+	table         *routetable.Table
+	pools         map[string][]*endpoint
+	by            map[string]*endpoint
+	warm          warmth.Map
+	prefill       prefillRate
+}
+
+// New makes a dispatcher for a router of the failure domain.
+func New(failureDomain string) *Dispatcher {
+	return &Dispatcher{failureDomain: failureDomain, by: map[string]*endpoint{}, pools: map[string][]*endpoint{}}
+}
+
+// Configure takes the services of a configuration.
+func (d *Dispatcher) Configure(t *routetable.Table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table = t
+}
+
+// Update takes the endpoints that may have new work. Those that stay keep what is known of them, unless their process
+// is another one.
+func (d *Dispatcher) Update(entries []directory.Entry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	by, pools := map[string]*endpoint{}, map[string][]*endpoint{}
+	for _, entry := range entries {
+		e := d.by[entry.ID]
+		if e == nil || e.entry.Born != entry.Born || e.entry.Address != entry.Address {
+			d.warm.Forget(entry.ID)
+			e = newEndpoint(entry)
+		}
+		e.entry = entry
+		by[entry.ID] = e
+		pools[entry.Service] = append(pools[entry.Service], e)
+	}
+	for id := range d.by {
+		if by[id] == nil {
+			d.warm.Forget(id)
+		}
+	}
+	d.by, d.pools = by, pools
+}
+
+// Query is what decides where an attempt goes.
+type Query struct {
+	Service string
+	Prompt  prompt.Chain
+	// Tried are the endpoints that this request must not go to again.
+	Tried []string
+}
+
+// Reason is why no endpoint was chosen, or why this one.
+type Reason string
+
+// The reasons of a choice.
+const (
+	ReasonWarm  Reason = "warm"
+	ReasonCost  Reason = "cost"
+	ReasonNone  Reason = "noEndpoint"
+	ReasonTried Reason = "allTried"
+	ReasonFull  Reason = "allFull"
+)
+
+// Choose begins an attempt at the endpoint where the request costs least; the attempt is nil when there is none.
+func (d *Dispatcher) Choose(q Query, now time.Time) (a *Attempt, why Reason) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pool := d.pools[q.Service]
+	if len(pool) == 0 {
+		return nil, ReasonNone
+	}
+	c := d.contest(q, pool, now)
+	best, why := c.best()
+	if best == nil {
+		return nil, why
+	}
+	return d.begin(q, best, c.missing(best), now), why
+}
+
+// Warned tells whether the endpoint fails so often that an attempt at it should not be waited for.
+func (d *Dispatcher) Warned(id string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.by[id]
+	return e == nil || e.failures.rate(now) >= warnedRate
+}
+
+// warnedRate is the share of failures from which on an endpoint is no longer waited for.
+const warnedRate = 0.5
+
+// Gone drops an endpoint that another process has replaced at its address, until the list names it anew.
+func (d *Dispatcher) Gone(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.by[id]
+	if e != nil {
+		e.gone = true
+	}
+}
+
+func (d *Dispatcher) capacity(service string) (slots, cache int, engine bool) {
+	if d.table == nil {
+		return 0, 0, false
+	}
+	s := d.table.Service(service)
+	if s == nil {
+		return 0, 0, false
+	}
+	return s.Slots, s.CacheTokens, s.Engine
+}
+
+// spread breaks ties between equal costs, so that routers which see the same do not all send to the same endpoint.
+func spread() float64 { return rand.Float64() }
--- /dev/null
+++ b/core/dispatch/endpoint.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"savoryfall/core/directory"
+)
+
+// endpoint is what this router knows of one endpoint.
+type endpoint struct {
+	entry directory.Entry
+	// running are this router's own requests there; unread the prompt tokens of those that have not begun to answer.
+	running int
+	unread  int
+	// others is how many requests of other routers its last answer told of.
+	others   int
+	othersAt time.Time
+	failures decaying
+	// slowness is how much longer answers take than this router expected, as a factor; latency is the time in
+	// milliseconds that a plain answer takes.
+	slowness average
+	latency  average
+	// heardAt is when the last bytes came.
+	heardAt time.Time
+	gone    bool
+}
+
+func newEndpoint(entry directory.Entry) *endpoint { return &endpoint{entry: entry} }
+
+// othersAge is how long the load that an answer told of counts: about the time of a stream, after which the requests
+// of then have ended.
+const othersAge = 2 * time.Second
+
+func (e *endpoint) load(now time.Time) float64 {
+	if now.Sub(e.othersAt) > othersAge {
+		return float64(e.running)
+	}
+	return float64(e.running + e.others)
+}
+
+// decaying counts failures and attempts that fade with time, so that an endpoint that was avoided gets another chance.
+type decaying struct {
+	bad, all float64
+	at       time.Time
+}
+
+const (
+	// halfLife is the time in which what was seen loses half its weight: a few times the interval between two
+	// requests of one router to one endpoint, at about one a second.
+	halfLife = 2500 * time.Millisecond
+	// doubt is how many good attempts everyone is credited with, so that one failure among none is not certainty.
+	doubt = 2.0
+)
+
+func (c *decaying) fade(now time.Time) {
+	if !c.at.IsZero() {
+		f := math.Exp2(-float64(now.Sub(c.at)) / float64(halfLife))
+		c.bad *= f
+		c.all *= f
+	}
+	c.at = now
+}
+
+func (c *decaying) add(bad, all float64, now time.Time) {
+	c.fade(now)
+	c.bad += bad
+	c.all += all
+}
+
+func (c *decaying) rate(now time.Time) float64 {
+	c.fade(now)
+	return min(c.bad/(c.all+doubt), 1)
+}
+
+// average is an exponentially weighted mean; the zero value has seen nothing.
+type average struct {
+	value float64
+	seen  bool
+}
+
+// weightOfNew is how much the newest value counts: some five values decide.
+const weightOfNew = 0.25
+
+func (a *average) add(v float64) {
+	if !a.seen {
+		a.value, a.seen = v, true
+		return
+	}
+	a.value += weightOfNew * (v - a.value)
+}
+
+func (a *average) or(fallback float64) float64 {
+	if !a.seen {
+		return fallback
+	}
+	return a.value
+}
+
+// prefillRate learns how many prompt tokens an engine reads in a millisecond.
+type prefillRate struct{ learned average }
+
+const (
+	// usualPrefill is the rate in tokens a millisecond until one is learned; large engines read about 100.
+	usualPrefill = 100.0
+	// telling is from how many tokens on the time to the first event is mostly that of reading them.
+	telling = 4000
+	// firstStep is the time in milliseconds to the first event that does not depend on the prompt.
+	firstStep = 35.0
+)
+
+func (p *prefillRate) perMs() float64 { return p.learned.or(usualPrefill) }
+
+func (p *prefillRate) saw(tokens int, took time.Duration) {
+	ms := float64(took)/float64(time.Millisecond) - firstStep
+	if tokens < telling || ms <= 0 {
+		return
+	}
+	rate := float64(tokens) / ms
+	// A rate far off is a prompt that was cached after all, or one that waited.
+	if rate > usualPrefill*4 || rate < usualPrefill/4 {
+		return
+	}
+	p.learned.add(rate)
+}
--- /dev/null
+++ b/core/eventsplit/doc.go
@@ -0,0 +1,2 @@
+// Package eventsplit cuts a stream of server-sent events into whole events without changing their bytes.
+package eventsplit
--- /dev/null
+++ b/core/settings/entry.go
@@ -0,0 +1,97 @@
+package settings
+
+import (
+	"time"
+
+	"savoryfall/core/tomldoc"
+)
+
+// Entry are the settings of a router on an entry VM that takes everything else from the platform's store; ParseEntry
+// fills them, and nothing changes them afterwards.
+type Entry struct {
+	vm        VM
+	clients   string
+	readiness string
+	metrics   string
+	peers     string
+	store     string
+	keyTerm   time.Duration
+	grace     time.Duration
+	retries   Retries
+	traces    Traces
+}
+
+// Retries bound the retries of the whole fleet at one service.
+type Retries struct {
+	ratio  float64
+	slack  float64
+	window time.Duration
+}
+
+// Ratio is how many retries there may be for each request.
+func (r Retries) Ratio() float64 { return r.ratio }
+
+// Slack is how many retries there may be beyond the ratio in a window.
+func (r Retries) Slack() float64 { return r.slack }
+
+// Window is the time over which both are counted.
+func (r Retries) Window() time.Duration { return r.window }
+
+// ParseEntry reads and checks a settings file; the error is a tomldoc.Faults with every fault.
+func ParseEntry(file string, data []byte) (s *Entry, err error) {
+	doc, err := tomldoc.Parse(file, data)
+	if err != nil {
+		return nil, err
+	}
+	t := doc.Root()
+	s = &Entry{
+		vm:        readVM(t.Table("vm")),
+		clients:   readAddress(t.Table("clients"), "address"),
+		readiness: readAddress(t.Table("readiness"), "address"),
+		metrics:   readAddress(t.Table("metrics"), "address"),
+		peers:     readAddress(t.Table("peers"), "address"),
+		store:     readAddress(t.Table("store"), "address"),
+		keyTerm:   t.Table("keys").Duration("withdrawnWithin", 5*time.Second, 500*time.Millisecond, time.Hour),
+		grace:     t.Table("stop").Duration("grace", 8*time.Second, time.Second, time.Hour),
+		retries:   readRetries(t.Table("retries")),
+		traces:    readTraces(t.Table("traces")),
+	}
+	return s, doc.Err()
+}
+
+func readRetries(t *tomldoc.Table) (r Retries) {
+	r.ratio = t.Real("ratio", 0.2, 0, 10)
+	r.slack = t.Real("slack", 20, 0, 1e6)
+	r.window = t.Duration("window", 10*time.Second, time.Second, time.Hour)
+	return r
+}
+
+// VM is the machine itself.
+func (s *Entry) VM() VM { return s.vm }
+
+// Clients is the address where clients are served.
+func (s *Entry) Clients() string { return s.clients }
+
+// Readiness is the address where the balancer asks whether this router takes new clients.
+func (s *Entry) Readiness() string { return s.readiness }
+
+// Metrics is the address of the metrics.
+func (s *Entry) Metrics() string { return s.metrics }
+
+// Peers is the address where the other routers call.
+func (s *Entry) Peers() string { return s.peers }
+
+// Store is the address of the platform's store.
+func (s *Entry) Store() string { return s.store }
+
+// KeyTerm is how long after its withdrawal a key may still be used.
+func (s *Entry) KeyTerm() time.Duration { return s.keyTerm }
+
+// Grace is how long a process that was told to stop may take.
+func (s *Entry) Grace() time.Duration { return s.grace }
+
+// Retries bound the retries of the whole fleet.
+func (s *Entry) Retries() Retries { return s.retries }
+
+// Traces says where spans go.
+func (s *Entry) Traces() Traces { return s.traces }
--- /dev/null
+++ b/core/warmth/doc.go
@@ -0,0 +1,2 @@
+// Package warmth remembers which endpoint has read which parts of prompts.
+package warmth
--- /dev/null
+++ b/io/bootclock/doc.go
@@ -0,0 +1,2 @@
+// Package bootclock reads the kernel's clock that runs on while the VM is suspended.
+package bootclock
--- /dev/null
+++ b/io/command/entry.go
@@ -0,0 +1,58 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"savoryfall/core/settings"
+	"savoryfall/io/stdout"
+)
+
+func init() { register(entryCommand) }
+
+func entryCommand(s streams) *ffcli.Command {
+	flags := newFlags("entry", s)
+	file := flags.String("settings", "", "the settings file (TOML)")
+	return &ffcli.Command{
+		Name: "entry", ShortUsage: "savoryfall entry --settings FILE", ShortHelp: "run a router on the platform's store",
+		LongHelp: page("entry"), FlagSet: flags, Options: []ff.Option{ff.WithEnvVarPrefix("SAVORYFALL")},
+		Exec: func(ctx context.Context, _ []string) error { return runEntry(ctx, s, *file) },
+	}
+}
+
+func readEntrySettings(file string) (s *settings.Entry, err error) {
+	if file == "" {
+		return nil, usageError{problem: "--settings is missing"}
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return settings.ParseEntry(file, data)
+}
+
+func runEntry(ctx context.Context, s streams, file string) (err error) {
+	cfg, err := readEntrySettings(file)
+	if err != nil {
+		return err
+	}
+	logger := stdout.New(s.out)
+	vm, err := newEntryVM(cfg, logger)
+	if err != nil {
+		return err
+	}
+	err = vm.start(ctx)
+	if err != nil {
+		return err
+	}
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	vm.watchSettings(ctx, file, hangup)
+	return vm.stop()
+}
--- /dev/null
+++ b/io/command/entryvm.go
@@ -0,0 +1,224 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/gorilla/mux"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"savoryfall/core/annotate"
+	"savoryfall/core/directory"
+	"savoryfall/core/dispatch"
+	"savoryfall/core/freshness"
+	"savoryfall/core/kernel"
+	"savoryfall/core/retryshare"
+	"savoryfall/core/routetable"
+	"savoryfall/core/settings"
+	"savoryfall/io/bootclock"
+	"savoryfall/io/desired"
+	"savoryfall/io/entry"
+	"savoryfall/io/follow"
+	"savoryfall/io/http1"
+	"savoryfall/io/httpserver"
+	"savoryfall/io/registry"
+	"savoryfall/io/stdout"
+	"savoryfall/io/tracing"
+	"savoryfall/platform/backend"
+	wiredesired "savoryfall/platform/desired"
+	"savoryfall/platform/front"
+	wireregistry "savoryfall/platform/registry"
+	"savoryfall/platform/store"
+)
+
+// entryVM is the process of an entry VM: the services of a router that takes all it shares from the platform's store.
+type entryVM struct {
+	kernel     kernel.Kernel
+	settings   *settings.Entry
+	logger     log.Logger
+	lease      freshness.Lease
+	retries    retryshare.Share
+	dispatcher *dispatch.Dispatcher
+	desired    *desired.Keeper
+	front      *entry.Front
+	clients    *entry.Server
+	set        *metrics.Set
+}
+
+const (
+	// keyMargin is what is taken off the term of withdrawn keys, for the way from the check to the endpoint.
+	keyMargin = 150 * time.Millisecond
+	// configurationWait is how long a read waits for a newer configuration; each read renews the right to serve.
+	configurationWait = time.Second
+	// registryPause is the least time between two reads of the endpoints' entries, which change many times a
+	// second: a leaving endpoint may get no new work two seconds later.
+	registryPause = 600 * time.Millisecond
+	// usualRouters is how many routers are assumed to share the retries until the members are known.
+	usualRouters = 10
+	settingsLook = time.Second
+)
+
+func newEntryVM(cfg *settings.Entry, logger *stdout.Log) (vm *entryVM, err error) {
+	defer annotate.Error(&err, "build entry VM %s", cfg.VM().Name())
+	vm = &entryVM{
+		settings: cfg, logger: log.With(logger, "ts", log.DefaultTimestampUTC, "vm", cfg.VM().Name()),
+		dispatcher: dispatch.New(cfg.VM().FailureDomain()), set: metrics.NewSet(),
+	}
+	vm.kernel.Register("stdout", logger)
+	vm.apply(cfg)
+	vm.buildStore()
+	err = vm.buildFront()
+	if err != nil {
+		return nil, err
+	}
+	return vm, vm.buildReadiness()
+}
+
+// apply takes the settings that may change while the process runs.
+func (vm *entryVM) apply(cfg *settings.Entry) {
+	vm.lease.SetTerm(cfg.KeyTerm() - keyMargin)
+	r := cfg.Retries()
+	vm.retries.SetLimits(retryshare.Limits{Ratio: r.Ratio(), Slack: r.Slack(), Window: r.Window(), Routers: usualRouters})
+}
+
+func (vm *entryVM) buildStore() {
+	transport := &http.Transport{
+		DialContext: (&net.Dialer{Timeout: storeDial, KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+		}}).DialContext,
+		MaxIdleConnsPerHost: 2, DisableCompression: true,
+	}
+	c := store.New(vm.settings.Store(), &http.Client{Transport: transport})
+	vm.desired = desired.New(wiredesired.Decoder{}, &vm.lease, vm.configured, vm.logger)
+	vm.kernel.Register("configuration", follow.New(c.Topic(wiredesired.Topic), vm.desired, follow.Options{
+		Name: "configuration", Wait: configurationWait, Clock: bootclock.Now,
+	}, vm.logger))
+	endpoints := registry.New(wireregistry.Decoder{}, vm.listed, vm.logger)
+	vm.kernel.Register("registry", follow.New(c.Topic(wireregistry.Topic), endpoints, follow.Options{
+		Name: "registry", Pause: registryPause, Clock: bootclock.Now,
+	}, vm.logger))
+}
+
+// storeDial bounds the making of a connection to the store, which answers within some milliseconds.
+const storeDial = 500 * time.Millisecond
+
+func (vm *entryVM) configured(t *routetable.Table)  { vm.dispatcher.Configure(t) }
+func (vm *entryVM) listed(usable []directory.Entry) { vm.dispatcher.Update(usable) }
+
+func (vm *entryVM) buildFront() (err error) {
+	tracer, err := vm.tracer()
+	if err != nil {
+		return err
+	}
+	vm.front = entry.New(entry.Parts{
+		Clients: front.Front{}, Endpoints: backend.Backend{}, Configuration: vm.desired, Lease: &vm.lease,
+		Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: &http1.Pool{}, Tracer: tracer,
+		Figures: entry.NewFigures(vm.set), Logger: vm.logger, Clock: bootclock.Now,
+	})
+	vm.clients, err = entry.NewServer(vm.settings.Clients(), vm.front)
+	if err != nil {
+		return err
+	}
+	vm.kernel.Register("clients", vm.clients)
+	return nil
+}
+
+// tracer makes no spans, at no cost, unless the settings say where they go.
+func (vm *entryVM) tracer() (t trace.Tracer, err error) {
+	cfg := vm.settings.Traces()
+	if cfg.OTLP() == "" && cfg.File() == "" {
+		return noop.NewTracerProvider().Tracer(""), nil
+	}
+	spans, err := tracing.New(context.Background(), vm.settings.VM().Name(), cfg.OTLP(), cfg.File())
+	if err != nil {
+		return nil, err
+	}
+	vm.kernel.Register("tracing", spans)
+	return spans.Tracer(), nil
+}
+
+// readyPath is where the balancer asks whether this router takes new clients.
+const readyPath = front.ReadyPath
+
+func (vm *entryVM) buildReadiness() (err error) {
+	ready := mux.NewRouter()
+	ready.HandleFunc(readyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !vm.front.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	err = vm.serve("readiness", vm.settings.Readiness(), ready)
+	if err != nil {
+		return err
+	}
+	figures := mux.NewRouter()
+	figures.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { vm.set.WritePrometheus(w) })
+	return vm.serve("metrics", vm.settings.Metrics(), figures)
+}
+
+func (vm *entryVM) serve(name, address string, h http.Handler) (err error) {
+	s, err := httpserver.New(address, h, httpserver.Options{})
+	if err != nil {
+		return err
+	}
+	vm.kernel.Register(name, s)
+	return nil
+}
+
+func (vm *entryVM) start(ctx context.Context) (err error) {
+	err = vm.kernel.Start(ctx)
+	if err == nil {
+		_ = vm.logger.Log("event", "started", "clients", vm.clients.Address(), "store", vm.settings.Store())
+	}
+	return err
+}
+
+// watchSettings takes changed settings, on a signal or without one, until the process is told to stop.
+func (vm *entryVM) watchSettings(ctx context.Context, file string, hangup <-chan os.Signal) {
+	last, _ := os.ReadFile(file)
+	tick := time.NewTicker(settingsLook)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-tick.C:
+		}
+		data, err := os.ReadFile(file)
+		if err != nil || bytes.Equal(data, last) {
+			continue
+		}
+		last = data
+		vm.reload(file, data)
+	}
+}
+
+func (vm *entryVM) reload(file string, data []byte) {
+	cfg, err := settings.ParseEntry(file, data)
+	if err != nil {
+		_ = vm.logger.Log("event", "settingsRefused", "err", err)
+		return
+	}
+	vm.apply(cfg)
+	_ = vm.logger.Log("event", "settingsReloaded", "keyTerm", cfg.KeyTerm(), "grace", cfg.Grace())
+}
+
+func (vm *entryVM) stop() (err error) {
+	_ = vm.logger.Log("event", "stopping", "open", vm.front.Open())
+	vm.clients.Drain(vm.settings.Grace())
+	_ = vm.logger.Log("event", "stopped", "open", vm.front.Open())
+	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
+	defer cancel()
+	return vm.kernel.Stop(ctx)
+}
+
+// stopWithin bounds the end of the services after the last request.
+const stopWithin = 300 * time.Millisecond
--- /dev/null
+++ b/io/entry/attempt.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"savoryfall/core/ask"
+	"savoryfall/core/dispatch"
+	"savoryfall/io/http1"
+)
+
+// attempt is one try at one endpoint.
+type attempt struct {
+	*dispatch.Attempt
+	answer *http1.Answer
+	reply  ask.Reply
+}
+
+// spareTime is how much longer than it was told an endpoint may take, so that its own word at the deadline arrives.
+const spareTime = 40 * time.Millisecond
+
+// choose picks the next endpoint. The problem says why there is none.
+func (x *exchange) choose() (a *attempt, p *ask.Problem) {
+	d, why := x.front.Dispatcher.Choose(dispatch.Query{Service: x.service, Prompt: x.ask.Prompt, Tried: x.tried}, time.Now())
+	switch {
+	case d != nil:
+		return &attempt{Attempt: d}, nil
+	case why == dispatch.ReasonFull:
+		return nil, ask.NotRun(ask.Full, backFull)
+	}
+	return nil, ask.NotRun(ask.NoEndpoint, backLater)
+}
+
+// backFull is when to come back after all endpoints were full: some plain calls, or steps of streams, later.
+const backFull = 200 * time.Millisecond
+
+// send makes the attempt and waits for the header of its answer until the given time.
+func (x *exchange) send(a *attempt, until time.Time, lastEvent string) (err error) {
+	e := a.Endpoint()
+	h := x.front.Endpoints.Encode(forwarded(x.r.Header), x.sending(e.ID, lastEvent))
+	x.tried = append(x.tried, e.ID)
+	a.answer, err = x.front.Pool.Do(x.ctx, http1.Request{
+		Address: e.Address, Method: x.ask.Method, Target: x.ask.Target, Host: x.ask.Host, Header: h,
+		Body: x.body, HasBody: x.r.ContentLength != 0 || len(x.body) > 0, Deadline: until,
+		Ours: func(h http.Header) bool { return x.front.Endpoints.Answers(h, x.ask.ID) },
+	})
+	if err != nil {
+		return err
+	}
+	a.reply = x.front.Endpoints.Decode(a.answer.Status, a.answer.Header)
+	return nil
+}
+
+func (x *exchange) sending(endpoint, lastEvent string) (s ask.Sending) {
+	s = ask.Sending{ID: x.ask.ID, Endpoint: endpoint, Left: time.Until(x.deadline), LastEvent: lastEvent}
+	if x.account != nil {
+		s.Account = x.account.Name
+	}
+	if len(x.ask.Prompt) > 0 {
+		s.Urgency, s.HasUrgency = x.urgency(), true
+	}
+	return s
+}
+
+// urgency is the account's priority or else the route's, as engines take it.
+func (x *exchange) urgency() int {
+	p := x.route.Priority
+	if x.account != nil && x.account.HasPriority {
+		p = x.account.Priority
+	}
+	return min(max(p, 0), leastUrgent)
+}
+
+// leastUrgent is the highest number that engines take.
+const leastUrgent = 9
+
+// end ends the attempt and tells the dispatcher how it went.
+func (x *exchange) end(a *attempt, v dispatch.Verdict) {
+	if a.answer != nil {
+		a.answer.Close()
+	}
+	if x.ctx.Err() != nil {
+		v = dispatch.Abandoned
+	}
+	a.End(v, time.Now())
+}
+
+// failed is what an attempt without an answer says of the endpoint, and whether the request may have run.
+func (x *exchange) failed(a *attempt, err error) (v dispatch.Verdict, ran bool) {
+	var f *http1.Failure
+	switch {
+	case !errors.As(err, &f):
+		return dispatch.Broken, true
+	case !f.Sent:
+		return dispatch.Unreachable, false
+	case f.Timeout:
+		return dispatch.Silent, true
+	}
+	return dispatch.Broken, true
+}
+
+// maySend tells whether the request may go to another endpoint: within its route's attempts, its time, and this
+// router's part of the retries.
+func (x *exchange) maySend(now time.Time) bool {
+	if x.sends >= x.route.MaxAttempts || x.deadline.Sub(now) < worthTrying {
+		return false
+	}
+	if x.sends == 0 {
+		return true
+	}
+	return x.front.Retries.Allow(x.service, now)
+}
+
+// worthTrying is the least time left for another attempt: less than the time of a plain call.
+const worthTrying = 20 * time.Millisecond
+
+// mostChoices bounds how many endpoints are chosen for one request when connections to them cannot be made.
+const mostChoices = 4
--- /dev/null
+++ b/io/entry/figures.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"savoryfall/core/ask"
+	"savoryfall/core/routetable"
+)
+
+// Figures are the metrics of requests; their labels are kinds and reasons, which are few whatever the number of
+// accounts and routes.
+type Figures struct {
+	set *metrics.Set
+}
+
+// NewFigures registers the metrics in the set.
+func NewFigures(set *metrics.Set) *Figures { return &Figures{set: set} }
+
+func (f *Figures) served(kind string, status int, took time.Duration) {
+	f.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_requests_total{kind=%q,status="%d",reason="served"}`, kind, status)).Inc()
+	f.set.GetOrCreateHistogram(fmt.Sprintf(`savoryfall_request_seconds{kind=%q}`, kind)).Update(took.Seconds())
+}
+
+func (f *Figures) refused(kind string, p *ask.Problem) {
+	f.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_requests_total{kind=%q,outcome=%q,reason=%q}`, kind, p.Outcome, p.Reason)).Inc()
+}
+
+func (f *Figures) firstEvent(kind string, took time.Duration) {
+	f.set.GetOrCreateHistogram(fmt.Sprintf(`savoryfall_first_event_seconds{kind=%q}`, kind)).Update(took.Seconds())
+}
+
+func (x *exchange) firstEvent() { x.front.Figures.firstEvent(x.kind(), time.Since(x.began)) }
+
+// kind is the label of the route's kind.
+func (x *exchange) kind() string {
+	if x.route == nil {
+		return "none"
+	}
+	switch x.route.Kind {
+	case routetable.Idempotent:
+		return "idempotent"
+	case routetable.NonIdempotent:
+		return "nonIdempotent"
+	case routetable.ResumableStream:
+		return "resumableStream"
+	}
+	return "stream"
+}
--- /dev/null
+++ b/io/entry/header.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+)
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// forwarded is the client's header without what concerns its own connection.
+func forwarded(h http.Header) http.Header {
+	out := h.Clone()
+	dropNamed(out, h)
+	return out
+}
+
+func dropNamed(out, h http.Header) {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		out.Del(name)
+	}
+}
+
+// copyAnswerHeader passes on the endpoint's header.
+func copyAnswerHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	dropNamed(to, from)
+	if _, typed := from["Content-Type"]; !typed {
+		// nil keeps net/http from guessing one.
+		to["Content-Type"] = nil
+	}
+}
+
+// closing asks the client to leave this connection when the router stops.
+func (x *exchange) closing(h http.Header) {
+	if x.front.phase.Load() != serving {
+		h.Set("Connection", "close")
+	}
+}
--- /dev/null
+++ b/io/entry/plain.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"savoryfall/core/ask"
+	"savoryfall/core/dispatch"
+)
+
+// maxAnswer bounds a plain answer in bytes.
+const maxAnswer = 16 << 20
+
+// whole is a plain answer that was read to its end.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// plain answers a request whose answer is one body.
+func (x *exchange) plain() (p *ask.Problem) {
+	p = ask.NotRun(ask.NoEndpoint, backLater)
+	var failure *whole
+	for range mostChoices {
+		if !x.maySend(time.Now()) {
+			break
+		}
+		a, none := x.choose()
+		if none != nil {
+			if x.sends == 0 {
+				p = none
+			}
+			break
+		}
+		answer, problem := x.try(a)
+		if problem == nil && !x.another(answer) {
+			x.deliver(answer)
+			return nil
+		}
+		if problem == nil {
+			failure = answer
+			continue
+		}
+		p, failure = problem, nil
+		if x.ctx.Err() != nil || p.Outcome != notRun && !x.route.Kind.Repeatable() {
+			break
+		}
+	}
+	if failure != nil {
+		x.deliver(failure)
+		return nil
+	}
+	return p
+}
+
+// another tells whether an endpoint's own failure is worth another try elsewhere.
+func (x *exchange) another(answer *whole) bool {
+	return answer.status >= http.StatusInternalServerError && x.route.Kind.Repeatable()
+}
+
+// try makes one attempt and reads its whole answer.
+func (x *exchange) try(a *attempt) (answer *whole, p *ask.Problem) {
+	err := x.send(a, x.until(a), x.ask.LastEvent)
+	if err != nil {
+		v, ran := x.failed(a, err)
+		x.end(a, v)
+		if !ran {
+			return nil, ask.NotRun(ask.Unreachable, backSoon)
+		}
+		x.sends++
+		return nil, x.lost(v)
+	}
+	x.sends++
+	now := time.Now()
+	a.Answered(dispatch.Load{Running: a.reply.Running, Waiting: a.reply.Waiting, Known: a.reply.HasLoad}, now)
+	if a.reply.NotRun {
+		return nil, x.turnedAway(a)
+	}
+	body, err := a.answer.ReadAll(maxAnswer)
+	if err != nil {
+		x.end(a, dispatch.Broken)
+		return nil, x.lost(dispatch.Broken)
+	}
+	if !x.genuine(a) {
+		x.end(a, dispatch.Broken)
+		return nil, ask.Unknown(ask.Broken)
+	}
+	v := dispatch.Served
+	if a.answer.Status >= http.StatusInternalServerError {
+		v = dispatch.Failed
+	}
+	answer = &whole{status: a.answer.Status, header: a.answer.Header, body: body}
+	x.end(a, v)
+	return answer, nil
+}
+
+// turnedAway ends an attempt that the endpoint refused to run.
+func (x *exchange) turnedAway(a *attempt) *ask.Problem {
+	if a.reply.Elsewhere {
+		// The address belongs to another instance now; the list will say so too.
+		x.front.Dispatcher.Gone(a.Endpoint().ID)
+	}
+	_, _ = a.answer.ReadAll(maxAnswer)
+	x.end(a, dispatch.Refused)
+	return ask.NotRun(ask.Refused, backSoon)
+}
+
+// genuine tells whether the answer is the endpoint's own.
+func (x *exchange) genuine(a *attempt) bool {
+	if a.reply.Encoded {
+		return false
+	}
+	return a.reply.Signed || a.answer.Status >= http.StatusMultipleChoices
+}
+
+func (x *exchange) lost(v dispatch.Verdict) *ask.Problem {
+	if v == dispatch.Silent {
+		return ask.Unknown(ask.Late)
+	}
+	return ask.Unknown(ask.Broken)
+}
+
+// firstShare is the part of the time left that the first attempt at a repeatable request may take in silence, so that
+// a second one still has time.
+const firstShare = 3
+
+// until is when an attempt is given up.
+func (x *exchange) until(a *attempt) time.Time {
+	if x.route.Kind.Repeatable() && x.sends+1 < x.route.MaxAttempts {
+		return time.Now().Add(time.Until(x.deadline) / firstShare)
+	}
+	return x.deadline.Add(spareTime)
+}
+
+// deliver writes the endpoint's answer as it is.
+func (x *exchange) deliver(answer *whole) {
+	h := x.w.Header()
+	copyAnswerHeader(h, answer.header)
+	if bodyAllowed(answer.status) && x.ask.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(answer.body)))
+	}
+	x.closing(h)
+	x.w.WriteHeader(answer.status)
+	_, _ = x.w.Write(answer.body)
+	x.served(answer.status)
+}
+
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/io/entry/refuse.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"savoryfall/core/ask"
+	"savoryfall/core/outcome"
+)
+
+const notRun = outcome.NotRun
+
+// refuse answers with what went wrong. A client that has left is told nothing.
+func (x *exchange) refuse(p *ask.Problem) {
+	if x.ctx.Err() != nil {
+		p = &ask.Problem{Reason: ask.Gone, Outcome: p.Outcome}
+		x.note(0, p)
+		panic(http.ErrAbortHandler)
+	}
+	h := x.w.Header()
+	status := x.front.Clients.Refuse(p, h)
+	h.Set("Content-Length", "0")
+	x.closing(h)
+	x.w.WriteHeader(status)
+	x.note(status, p)
+}
+
+// cut ends an answer that has begun so that it cannot be taken for whole: the connection closes before its end.
+func (x *exchange) cut(p *ask.Problem) {
+	if x.ctx.Err() != nil {
+		p = &ask.Problem{Reason: ask.Gone, Outcome: p.Outcome}
+	}
+	x.note(0, p)
+	panic(http.ErrAbortHandler)
+}
+
+func (x *exchange) served(status int) {
+	x.front.Figures.served(x.kind(), status, time.Since(x.began))
+	if status >= http.StatusInternalServerError {
+		_ = x.front.Logger.Log("event", "requestFailed", "request", x.ask.ID, "route", x.routeName(), "status", status,
+			"by", "endpoint", "endpoints", x.endpoints(), "ms", time.Since(x.began).Milliseconds())
+	}
+}
+
+// note logs and counts a request that was not served.
+func (x *exchange) note(status int, p *ask.Problem) {
+	x.front.Figures.refused(x.kind(), p)
+	age, _ := x.front.Lease.Age(x.front.Clock())
+	_ = x.front.Logger.Log("event", "requestRefused", "request", x.ask.ID, "route", x.routeName(), "status", status,
+		"reason", p.Reason, "outcome", p.Outcome, "backMs", p.Back.Milliseconds(), "sends", x.sends,
+		"endpoints", x.endpoints(), "version", x.version(), "readAgeMs", age.Milliseconds(),
+		"ms", time.Since(x.began).Milliseconds())
+}
+
+func (x *exchange) version() int64 {
+	if x.table == nil {
+		return 0
+	}
+	return x.table.Version()
+}
+
+func (x *exchange) routeName() string {
+	if x.route == nil {
+		return ""
+	}
+	return x.route.Name
+}
+
+// endpoints are those that were tried, the last one last.
+func (x *exchange) endpoints() (list string) {
+	for i, id := range x.tried {
+		if i > 0 {
+			list += ","
+		}
+		list += id
+	}
+	return list
+}
--- /dev/null
+++ b/io/entry/stream.go
@@ -0,0 +1,257 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"savoryfall/core/ask"
+	"savoryfall/core/dispatch"
+	"savoryfall/core/eventsplit"
+)
+
+// relay is a stream on its way to the client, over one attempt or several.
+type relay struct {
+	x         *exchange
+	lastID    int64
+	hasLast   bool
+	lastEvent string
+	started   bool
+	flusher   http.Flusher
+	buf       []byte
+}
+
+// stream answers a request whose answer is a series of events.
+func (x *exchange) stream() (p *ask.Problem) {
+	s := &relay{x: x, lastEvent: x.ask.LastEvent}
+	s.flusher, _ = x.w.(http.Flusher)
+	last, err := strconv.ParseInt(x.ask.LastEvent, 10, 64)
+	s.lastID, s.hasLast = last, err == nil
+	p = ask.NotRun(ask.NoEndpoint, backLater)
+	for range mostChoices {
+		if !x.maySend(time.Now()) {
+			break
+		}
+		a, none := x.choose()
+		if none != nil {
+			if x.sends == 0 {
+				p = none
+			}
+			break
+		}
+		done, problem := s.try(a)
+		if done {
+			return nil
+		}
+		p = problem
+		if x.ctx.Err() != nil || p.Outcome != notRun && !x.route.Kind.Repeatable() {
+			break
+		}
+	}
+	if s.started {
+		x.cut(p)
+	}
+	return p
+}
+
+// try relays one attempt; done tells that the client has its answer.
+func (s *relay) try(a *attempt) (done bool, p *ask.Problem) {
+	x := s.x
+	err := x.send(a, s.patience(a), s.lastEvent)
+	if err != nil {
+		v, ran := x.failed(a, err)
+		x.end(a, v)
+		if !ran {
+			return false, ask.NotRun(ask.Unreachable, backSoon)
+		}
+		x.sends++
+		return false, x.lost(v)
+	}
+	x.sends++
+	if a.reply.NotRun {
+		a.Answered(dispatch.Load{Running: a.reply.Running, Waiting: a.reply.Waiting, Known: a.reply.HasLoad}, time.Now())
+		return false, x.turnedAway(a)
+	}
+	if a.answer.Status != http.StatusOK || !x.genuine(a) {
+		return s.other(a)
+	}
+	return s.relay(a)
+}
+
+// other deals with an answer that is not a stream.
+func (s *relay) other(a *attempt) (done bool, p *ask.Problem) {
+	x := s.x
+	body, err := a.answer.ReadAll(maxAnswer)
+	answer := &whole{status: a.answer.Status, header: a.answer.Header, body: body}
+	if err != nil || !x.genuine(a) {
+		x.end(a, dispatch.Broken)
+		return false, ask.Unknown(ask.Broken)
+	}
+	x.end(a, dispatch.Failed)
+	if s.started || x.another(answer) && x.sends < x.route.MaxAttempts {
+		return false, ask.Unknown(ask.Broken)
+	}
+	x.deliver(answer)
+	return true, nil
+}
+
+const (
+	// firstSilence is how long an endpoint that sends this router nothing at all is waited for at the start of a
+	// stream that may go on elsewhere, beside the time that it is expected to read the prompt; nextSilence between
+	// two events. Both leave time for a second endpoint before the client gives up.
+	firstSilence = 500 * time.Millisecond
+	nextSilence  = 700 * time.Millisecond
+	// look is how often silence is looked at.
+	look = 250 * time.Millisecond
+	// readingRate is how many prompt tokens a slow engine reads in a millisecond, for how long to wait.
+	readingRate = 40
+	// chunk is the size in bytes of the reads of a stream.
+	chunk = 4 << 10
+)
+
+// moves tells whether the stream could go on at another endpoint.
+func (s *relay) moves() bool {
+	return s.x.route.Kind.Repeatable() && s.x.sends < s.x.route.MaxAttempts
+}
+
+func (s *relay) patience(a *attempt) time.Time {
+	end := s.x.deadline.Add(spareTime)
+	if s.x.route.Kind.Repeatable() && s.x.sends+1 < s.x.route.MaxAttempts {
+		reading := time.Duration(a.Missing()/readingRate) * time.Millisecond
+		if limit := time.Now().Add(firstSilence + reading); limit.Before(end) {
+			return limit
+		}
+	}
+	return end
+}
+
+// relay passes on whole events until the stream ends or breaks.
+func (s *relay) relay(a *attempt) (done bool, p *ask.Problem) {
+	x := s.x
+	var split eventsplit.Splitter
+	if s.buf == nil {
+		s.buf = make([]byte, chunk)
+	}
+	answered := false
+	lookAt := time.Time{}
+	for {
+		now := time.Now()
+		if now.After(lookAt) {
+			lookAt = now.Add(look)
+			a.answer.SetDeadline(s.next(now))
+		}
+		n, err := a.answer.Read(s.buf)
+		now = time.Now()
+		if n > 0 && !answered {
+			answered = true
+			a.Answered(dispatch.Load{Running: a.reply.Running, Waiting: a.reply.Waiting, Known: a.reply.HasLoad}, now)
+		}
+		if n > 0 && !s.pass(a, &split, s.buf[:n]) {
+			x.end(a, dispatch.Broken)
+			return false, ask.Unknown(ask.Broken)
+		}
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			return s.ended(a, &split)
+		}
+		if isTimeout(err) && x.ctx.Err() == nil && now.Before(x.deadline) && !s.silent(a, answered, now) {
+			lookAt = time.Time{}
+			continue
+		}
+		return s.broke(a, err)
+	}
+}
+
+// next is when the next look at a silent stream is due.
+func (s *relay) next(now time.Time) time.Time {
+	end := s.x.deadline.Add(spareTime)
+	if !s.moves() {
+		return end
+	}
+	if at := now.Add(2 * look); at.Before(end) {
+		return at
+	}
+	return end
+}
+
+// silent tells whether the endpoint should be given up: it has sent this router nothing on any request for too long.
+// A pause of this stream alone may be a long prompt beside it.
+func (s *relay) silent(a *attempt, answered bool, now time.Time) bool {
+	limit := nextSilence
+	if !answered {
+		limit = firstSilence + time.Duration(a.Missing()/readingRate)*time.Millisecond
+	}
+	return s.moves() && a.SilentFor(now) >= limit
+}
+
+func (s *relay) broke(a *attempt, err error) (done bool, p *ask.Problem) {
+	v := dispatch.Broken
+	if isTimeout(err) {
+		v = dispatch.Silent
+	}
+	s.x.end(a, v)
+	return false, s.x.lost(v)
+}
+
+// ended is the end of the answer's body: the stream is whole when no event was left half.
+func (s *relay) ended(a *attempt, split *eventsplit.Splitter) (done bool, p *ask.Problem) {
+	x := s.x
+	if split.Partial() {
+		x.end(a, dispatch.Broken)
+		return false, ask.Unknown(ask.Broken)
+	}
+	s.begin(a)
+	x.end(a, dispatch.Served)
+	x.served(http.StatusOK)
+	return true, nil
+}
+
+// begin writes the header of the first attempt; later attempts go on under it.
+func (s *relay) begin(a *attempt) {
+	if s.started {
+		return
+	}
+	s.started = true
+	h := s.x.w.Header()
+	copyAnswerHeader(h, a.answer.Header)
+	if a.answer.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.answer.Length, 10))
+	}
+	s.x.closing(h)
+	s.x.w.WriteHeader(a.answer.Status)
+	s.x.firstEvent()
+}
+
+// pass writes the events that the bytes complete. An event that the client has is left out: an endpoint that goes on
+// for another may begin too early. One that leaves a gap breaks the stream.
+func (s *relay) pass(a *attempt, split *eventsplit.Splitter, p []byte) (ok bool) {
+	events, ok := split.Write(p)
+	if !ok {
+		return false
+	}
+	a.Progress(time.Now())
+	wrote := false
+	for _, e := range events {
+		if e.HasID && s.hasLast && e.ID <= s.lastID {
+			continue
+		}
+		s.begin(a)
+		_, err := s.x.w.Write(e.Bytes)
+		if err != nil {
+			return false
+		}
+		wrote = true
+		if e.HasID {
+			s.lastID, s.hasLast = e.ID, true
+			s.lastEvent = strconv.FormatInt(e.ID, 10)
+		}
+	}
+	if wrote && s.flusher != nil {
+		s.flusher.Flush()
+	}
+	return true
+}
--- /dev/null
+++ b/io/registry/keeper.go
@@ -0,0 +1,102 @@
+package registry
+
+import (
+	"time"
+
+	"github.com/go-kit/log"
+
+	"savoryfall/core/directory"
+	"savoryfall/core/keyed"
+)
+
+// Decoder reads the entry of an endpoint out of a record.
+type Decoder interface {
+	Decode(r keyed.Record) (e directory.Entry, err error)
+}
+
+// Keeper fills the directory and tells when it changes. It is used from one goroutine.
+type Keeper struct {
+	decoder   Decoder
+	directory directory.Directory
+	changed   func(usable []directory.Entry)
+	logger    log.Logger
+	read      bool
+	last      map[string]directory.Entry
+}
+
+// New makes a keeper that calls changed with the usable endpoints each time that they change.
+func New(d Decoder, changed func(usable []directory.Entry), logger log.Logger) *Keeper {
+	return &Keeper{decoder: d, changed: changed, logger: logger}
+}
+
+// Replace takes the whole list.
+func (k *Keeper) Replace(records []keyed.Record) {
+	var entries []directory.Entry
+	for _, r := range records {
+		e, err := k.decoder.Decode(r)
+		if err != nil {
+			k.unreadable(r, err)
+			continue
+		}
+		entries = append(entries, e)
+	}
+	k.tell(k.directory.Replace(entries, time.Now()))
+}
+
+// Apply takes what endpoints wrote since.
+func (k *Keeper) Apply(records []keyed.Record) {
+	changed := false
+	for _, r := range records {
+		changed = k.apply(r) || changed
+	}
+	k.tell(changed)
+}
+
+func (k *Keeper) apply(r keyed.Record) (changed bool) {
+	now := time.Now()
+	if r.Removed {
+		return k.directory.Remove(r.Key, now)
+	}
+	e, err := k.decoder.Decode(r)
+	if err != nil {
+		// The newest word under this name cannot be read, so nothing is known to be there.
+		k.unreadable(r, err)
+		return k.directory.Remove(r.Key, now)
+	}
+	return k.directory.Put(e)
+}
+
+func (k *Keeper) unreadable(r keyed.Record, err error) {
+	_ = k.logger.Log("event", "entryUnreadable", "endpoint", r.Key, "offset", r.Offset, "err", err)
+}
+
+// Read gives up entries that have not come back after an outage.
+func (k *Keeper) Read(time.Duration) {
+	k.read = true
+	k.tell(k.directory.Settle(time.Now()))
+}
+
+// Failed keeps vanished entries for a while, since endpoints could not renew them.
+func (k *Keeper) Failed(error) { k.directory.Disturbed(time.Now()) }
+
+// tell hands on the usable endpoints and logs those that came and went.
+func (k *Keeper) tell(changed bool) {
+	if !changed {
+		return
+	}
+	usable := k.directory.Usable()
+	now := map[string]directory.Entry{}
+	for _, e := range usable {
+		now[e.ID] = e
+		if _, known := k.last[e.ID]; !known {
+			_ = k.logger.Log("event", "endpointUsable", "endpoint", e.ID, "service", e.Service, "address", e.Address, "born", e.Born)
+		}
+	}
+	for id, e := range k.last {
+		if _, still := now[id]; !still {
+			_ = k.logger.Log("event", "endpointGone", "endpoint", id, "service", e.Service, "address", e.Address)
+		}
+	}
+	k.last = now
+	k.changed(usable)
+}
--- /dev/null
+++ b/io/stdout/doc.go
@@ -0,0 +1,2 @@
+// Package stdout writes logs without ever making their writer wait.
+package stdout
--- /dev/null
+++ b/io/stdout/log.go
@@ -0,0 +1,124 @@
+package stdout
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"golang.org/x/time/rate"
+
+	"savoryfall/core/background"
+)
+
+// Log is a logger with a bounded rate and queue. What does not fit is dropped and counted: a reader of the logs that
+// stalls must cost lines, never a request.
+type Log struct {
+	lines   chan []byte
+	budget  *rate.Limiter
+	w       io.Writer
+	mu      sync.Mutex
+	dropped int
+	buf     bytes.Buffer
+	encoder log.Logger
+	running background.Group
+	cancel  context.CancelFunc
+}
+
+const (
+	// linesPerSecond and burst bound the volume: at some 250 bytes a line this is 12 KB/s at most, and processor time
+	// well below a hundredth of a core.
+	linesPerSecond = 50
+	burst          = 150
+	// queued is how many lines wait for a writer that stalls.
+	queued = 512
+	// reportEvery is how often the number of dropped lines is told.
+	reportEvery = 5 * time.Second
+)
+
+// New makes a logger that writes to w once it is started.
+func New(w io.Writer) *Log {
+	l := &Log{lines: make(chan []byte, queued), budget: rate.NewLimiter(linesPerSecond, burst), w: w}
+	l.encoder = log.NewLogfmtLogger(&l.buf)
+	return l
+}
+
+// Log queues one line, or drops it when the rate or the queue is used up.
+func (l *Log) Log(keyvals ...any) error {
+	if !l.budget.Allow() {
+		l.drop()
+		return nil
+	}
+	line, err := l.encode(keyvals)
+	if err != nil {
+		l.drop()
+		return nil
+	}
+	select {
+	case l.lines <- line:
+	default:
+		l.drop()
+	}
+	return nil
+}
+
+func (l *Log) encode(keyvals []any) (line []byte, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.buf.Reset()
+	err = l.encoder.Log(keyvals...)
+	return bytes.Clone(l.buf.Bytes()), err
+}
+
+func (l *Log) drop() {
+	l.mu.Lock()
+	l.dropped++
+	l.mu.Unlock()
+}
+
+// Start writes in the background.
+func (l *Log) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	l.running.Go(func() { l.write(ctx) })
+	l.running.Go(func() { background.Every(ctx, reportEvery, l.report) })
+	return nil
+}
+
+// Stop writes what is queued.
+func (l *Log) Stop(context.Context) error {
+	l.cancel()
+	l.running.Stop()
+	for {
+		select {
+		case line := <-l.lines:
+			_, _ = l.w.Write(line)
+		default:
+			return nil
+		}
+	}
+}
+
+func (l *Log) write(ctx context.Context) {
+	for {
+		select {
+		case line := <-l.lines:
+			_, _ = l.w.Write(line)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Log) report(time.Time) {
+	l.mu.Lock()
+	n := l.dropped
+	l.dropped = 0
+	l.mu.Unlock()
+	if n > 0 {
+		_ = l.Log("event", "linesDropped", "count", strconv.Itoa(n))
+	}
+}
