dispatch: reading a prompt again weighs more than an uneven load

Ruled out: the bound alone (at 1.5 and 2 it was seldom what decided). Change: each missing token counts five times, since reading holds up every stream beside it; the bound is 1.7 times the mean and three requests.

--- a/core/dispatch/contest.go
+++ b/core/dispatch/contest.go
@@ -60,8 +60,8 @@
 const (
 	// evenBound and evenSlack are how far above the mean an endpoint may be loaded: under the users' factor of two and
 	// three requests, since the loads are estimates that lag.
-	evenBound = 1.5
-	evenSlack = 2.0
+	evenBound = 1.7
+	evenSlack = 3.0
 )
 
 // full tells whether an endpoint is left out while others are not.
@@ -123,6 +123,9 @@
 	// excessCost is what each request above the mean costs in milliseconds: it slows the steps of all that run beside
 	// it by some hundredths each.
 	excessCost = 5.0
+	// readingHarm is how many times a token that has to be read counts: reading delays the next token of every request
+	// that runs beside it, and pushes out what others would find cached.
+	readingHarm = 5.0
 	// farCost is the way to another failure domain and back, in milliseconds.
 	farCost = 2.0
 	// tieCost spreads equal costs.
@@ -145,7 +148,7 @@
 		return ms + turns*e.latency.or(usualLatency)
 	}
 	excess := max(e.load(c.now)-c.mean, 0)
-	reading := float64(c.missing(e)+e.unread) / c.d.prefill.perMs()
+	reading := (readingHarm*float64(c.missing(e)) + float64(e.unread)) / c.d.prefill.perMs()
 	return ms + excessCost*excess + (firstStep+reading)*max(e.slowness.or(1), 1)
 }
 
