entry: a stream that pauses is not read in a circle

The stream's read deadline was moved on to look for silence, but net/http's chunked reader keeps its first error for ever: after one pause of 500 ms beside a living stream the relay read the same time-out again and again until the deadline. Change: a watch of its own ends the reading when the engine has been silent on all requests; the read deadline is set once.

--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -97,19 +97,8 @@
 	return true, nil
 }
 
-const (
-	// firstSilence is how long an endpoint that sends this router nothing at all is waited for at the start of a
-	// stream that may go on elsewhere, beside the time that it is expected to read the prompt; nextSilence between
-	// two events. Both leave time for a second endpoint before the client gives up.
-	firstSilence = 500 * time.Millisecond
-	nextSilence  = 700 * time.Millisecond
-	// look is how often silence is looked at.
-	look = 250 * time.Millisecond
-	// readingRate is how many prompt tokens a slow engine reads in a millisecond, for how long to wait.
-	readingRate = 40
-	// chunk is the size in bytes of the reads of a stream.
-	chunk = 4 << 10
-)
+// chunk is the size in bytes of the reads of a stream.
+const chunk = 4 << 10
 
 // moves tells whether the stream could go on at another endpoint.
 func (s *relay) moves() bool {
@@ -119,73 +108,49 @@
 func (s *relay) patience(a *attempt) time.Time {
 	end := s.x.deadline.Add(spareTime)
 	if s.x.route.Kind.Repeatable() && s.x.sends+1 < s.x.route.MaxAttempts {
-		reading := time.Duration(a.Missing()/readingRate) * time.Millisecond
-		if limit := time.Now().Add(firstSilence + reading); limit.Before(end) {
+		if limit := time.Now().Add(silenceLimit(a, false)); limit.Before(end) {
 			return limit
 		}
 	}
 	return end
 }
 
+// errEvents says that the client could not be given the events as they came.
+var errEvents = errors.New("the events cannot be passed on")
+
 // relay passes on whole events until the stream ends or breaks.
 func (s *relay) relay(a *attempt) (done bool, p *ask.Problem) {
-	x := s.x
 	var split eventsplit.Splitter
+	err := s.copy(a, &split)
+	if errors.Is(err, io.EOF) {
+		return s.ended(a, &split)
+	}
+	return s.broke(a, err)
+}
+
+// copy reads until the end of the body, which is io.EOF, or until the stream breaks.
+func (s *relay) copy(a *attempt, split *eventsplit.Splitter) (err error) {
 	if s.buf == nil {
 		s.buf = make([]byte, chunk)
 	}
-	answered := false
-	lookAt := time.Time{}
+	a.answer.SetDeadline(s.x.deadline.Add(spareTime))
+	w := &watch{attempt: a}
+	if s.moves() {
+		w.start()
+		defer w.stop()
+	}
 	for {
-		now := time.Now()
-		if now.After(lookAt) {
-			lookAt = now.Add(look)
-			a.answer.SetDeadline(s.next(now))
-		}
 		n, err := a.answer.Read(s.buf)
-		now = time.Now()
-		if n > 0 && !answered {
-			answered = true
-			a.Answered(dispatch.Load{Running: a.reply.Running, Waiting: a.reply.Waiting, Known: a.reply.HasLoad}, now)
-		}
-		if n > 0 && !s.pass(a, &split, s.buf[:n]) {
-			x.end(a, dispatch.Broken)
-			return false, ask.Unknown(ask.Broken)
-		}
-		if err == nil {
-			continue
+		if n > 0 && !w.answered.Swap(true) {
+			a.Answered(dispatch.Load{Running: a.reply.Running, Waiting: a.reply.Waiting, Known: a.reply.HasLoad}, time.Now())
 		}
-		if errors.Is(err, io.EOF) {
-			return s.ended(a, &split)
+		if n > 0 && !s.pass(a, split, s.buf[:n]) {
+			return errEvents
 		}
-		if isTimeout(err) && x.ctx.Err() == nil && now.Before(x.deadline) && !s.silent(a, answered, now) {
-			lookAt = time.Time{}
-			continue
+		if err != nil {
+			return err
 		}
-		return s.broke(a, err)
-	}
-}
-
-// next is when the next look at a silent stream is due.
-func (s *relay) next(now time.Time) time.Time {
-	end := s.x.deadline.Add(spareTime)
-	if !s.moves() {
-		return end
-	}
-	if at := now.Add(2 * look); at.Before(end) {
-		return at
-	}
-	return end
-}
-
-// silent tells whether the endpoint should be given up: it has sent this router nothing on any request for too long.
-// A pause of this stream alone may be a long prompt beside it.
-func (s *relay) silent(a *attempt, answered bool, now time.Time) bool {
-	limit := nextSilence
-	if !answered {
-		limit = firstSilence + time.Duration(a.Missing()/readingRate)*time.Millisecond
 	}
-	return s.moves() && a.SilentFor(now) >= limit
 }
 
 func (s *relay) broke(a *attempt, err error) (done bool, p *ask.Problem) {
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -19,9 +19,10 @@
 // whether bytes of a request were sent, and it may hand an answer that came late on a kept connection to the next
 // request.
 type Pool struct {
-	mu    sync.Mutex
-	idle  map[string][]*conn
-	dials uint64
+	connect func(ctx context.Context, address string) (net.Conn, error)
+	mu      sync.Mutex
+	idle    map[string][]*conn
+	dials   uint64
 }
 
 const (
@@ -41,6 +42,11 @@
 // keepAlive finds out within some seconds that the other side has gone silent.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
+// NewPool makes a pool that connects by the function, as tests without a network do.
+func NewPool(connect func(ctx context.Context, address string) (net.Conn, error)) *Pool {
+	return &Pool{connect: connect}
+}
+
 // conn is one connection and what it has read ahead.
 type conn struct {
 	net.Conn
@@ -82,8 +88,11 @@
 
 func (p *Pool) dial(ctx context.Context, address string) (c *conn, err error) {
 	defer annotate.Error(&err, "connect to %s", address)
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitSending}
-	raw, err := d.DialContext(ctx, "tcp4", address)
+	connect := p.connect
+	if connect == nil {
+		connect = connectTCP
+	}
+	raw, err := connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -93,6 +102,11 @@
 	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readAhead), address: address}, nil
 }
 
+func connectTCP(ctx context.Context, address string) (c net.Conn, err error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitSending}
+	return d.DialContext(ctx, "tcp4", address)
+}
+
 func limitSending(_, _ string, raw syscall.RawConn) (err error) {
 	failed := raw.Control(func(fd uintptr) {
 		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(sendTimeout/time.Millisecond))
