hub: one router reads the store for all, and what routers know is shared

Ruled out: longer pauses between reads (the bounds of configuration and leaving are two and three seconds), a full mesh (6,480 exchanges a round). Change: routers list themselves at the store; the first in order, most cores first, is the hub, reads, and answers reports held up to 300 ms with what changed, the loads and failures of all, and which endpoint has read which shared prompt. No router depends on it: what it tells proves a read by the report's own sending time, and from 1.5 s on each router reads for itself. Retries are split by the number of routers known.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -113,6 +113,27 @@
 	return true
 }
 
+// Drop takes another router's word that this process of an endpoint may have no new work.
+func (d *Directory) Drop(e Entry, now time.Time) (changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.known[e.ID]
+	if r == nil || r.gone || r.entry.Born != e.Born {
+		return false
+	}
+	r.gone, r.goneAt = true, now
+	r.entry.Leaving = r.entry.Leaving || e.Leaving
+	return true
+}
+
+// Leaving tells whether the endpoint said so, which holds for the rest of its process's life.
+func (d *Directory) Leaving(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := d.known[id]
+	return r != nil && r.entry.Leaving
+}
+
 // Replace takes the whole list as it stands; what it lacks has vanished.
 func (d *Directory) Replace(entries []Entry, now time.Time) (changed bool) {
 	d.mu.Lock()
--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -49,8 +49,7 @@
 	a := &Attempt{d: d, e: e, q: q, began: now, missing: missing, unread: missing, donor: donor}
 	e.unread += missing
 	if len(q.Prompt) > 0 {
-		_, cache, _ := d.capacity(q.Service)
-		d.warm.Read(e.entry.ID, q.Prompt, cache)
+		d.place(q, e)
 	}
 	return a
 }
--- a/core/dispatch/contest.go
+++ b/core/dispatch/contest.go
@@ -4,10 +4,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"savoryfall/core/prompt"
 )
 
 // contest compares the endpoints of a pool for one request.
@@ -40,7 +36,7 @@
 func (c *contest) rankFirst() (home *endpoint) {
 	key, most := c.q.Prompt.Key(), uint64(0)
 	for _, e := range c.pool {
-		h := mix(key ^ xxhash.Sum64String(e.entry.ID))
+		h := mix(key ^ e.hash)
 		if !e.gone && (home == nil || h > most) {
 			home, most = e, h
 		}
@@ -138,7 +134,7 @@
 )
 
 func (c *contest) cost(e *endpoint) (ms float64) {
-	ms = failureCost*e.failures.rate(c.now) + tieCost*spread()
+	ms = failureCost*e.failing(c.now) + tieCost*spread()
 	if e.entry.FailureDomain != c.d.failureDomain {
 		ms += farCost
 	}
@@ -148,7 +144,7 @@
 		return ms + turns*e.latency.or(usualLatency)
 	}
 	excess := max(e.load(c.now)-c.mean, 0)
-	reading := (readingHarm*float64(c.missing(e)) + float64(e.unread)) / c.d.prefill.perMs()
+	reading := (readingHarm*float64(c.missing(e)) + float64(e.toRead(c.now))) / c.d.prefill.perMs()
 	return ms + excessCost*excess + (firstStep+reading)*max(e.slowness.or(1), 1)
 }
 
@@ -157,19 +153,11 @@
 	total := c.q.Prompt.Tokens()
 	warm := c.d.warm.Warm(e.entry.ID, c.q.Prompt)
 	if e == c.home {
-		warm = max(warm, int(homeBelief*float64(shared(c.q.Prompt))))
+		warm = max(warm, int(homeBelief*float64(commonParts(c.q.Prompt).Tokens())))
 	}
 	return total - warm
 }
 
-// shared is the length of all parts but the last, which is the request's own.
-func shared(chain prompt.Chain) int {
-	if len(chain) == 0 {
-		return 0
-	}
-	return chain[:len(chain)-1].Tokens()
-}
-
 const (
 	// worthFetching is from how many tokens on it pays to fetch parts from another endpoint: setting up a transfer takes
 	// about as long as reading this many.
@@ -186,12 +174,12 @@
 	}
 	most := c.d.warm.Warm(e.entry.ID, c.q.Prompt) + worthFetching
 	for _, other := range c.pool {
-		if other == e || other.gone || other.failures.rate(c.now) > soundRate {
+		if other == e || other.gone || other.failing(c.now) > soundRate {
 			continue
 		}
 		held := c.d.warm.Warm(other.entry.ID, c.q.Prompt)
 		if other == c.home {
-			held = max(held, int(homeBelief*float64(shared(c.q.Prompt))))
+			held = max(held, int(homeBelief*float64(commonParts(c.q.Prompt).Tokens())))
 		}
 		if held > most {
 			address, most = other.entry.Address, held
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"savoryfall/core/board"
 	"savoryfall/core/directory"
 	"savoryfall/core/prompt"
 	"savoryfall/core/routetable"
@@ -20,6 +21,8 @@
 	by            map[string]*endpoint
 	warm          warmth.Map
 	prefill       prefillRate
+	placed        []board.Read
+	byName        map[uint32]*endpoint
 }
 
 // New makes a dispatcher for a router of the failure domain.
@@ -56,6 +59,10 @@
 		}
 	}
 	d.by, d.pools = by, pools
+	d.byName = map[uint32]*endpoint{}
+	for _, e := range by {
+		d.byName[e.name()] = e
+	}
 }
 
 // Query is what decides where an attempt goes.
@@ -94,17 +101,6 @@
 	return d.begin(c, best), why
 }
 
-// Warned tells whether the endpoint fails so often that an attempt at it should not be waited for.
-func (d *Dispatcher) Warned(id string, now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	e := d.by[id]
-	return e == nil || e.failures.rate(now) >= warnedRate
-}
-
-// warnedRate is the share of failures from which on an endpoint is no longer waited for.
-const warnedRate = 0.5
-
 // Gone drops an endpoint that another process has replaced at its address, until the list names it anew.
 func (d *Dispatcher) Gone(id string) {
 	d.mu.Lock()
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -4,18 +4,26 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"savoryfall/core/board"
 	"savoryfall/core/directory"
 )
 
 // endpoint is what this router knows of one endpoint.
 type endpoint struct {
 	entry directory.Entry
+	// hash stands for the endpoint's id between routers and in rankings.
+	hash uint64
 	// running are this router's own requests there; unread the prompt tokens of those that have not begun to answer.
 	running int
 	unread  int
-	// others is how many requests of other routers its last answer told of.
+	// others is how many requests of other routers its last answer, or the hub, told of.
 	others   int
 	othersAt time.Time
+	// heard is what the hub told of the other routers.
+	heard    board.Load
+	heardOf  time.Time
 	failures decaying
 	// slowness is how much longer answers take than this router expected, as a factor; latency is the time in
 	// milliseconds that a plain answer takes.
@@ -26,7 +34,12 @@
 	gone    bool
 }
 
-func newEndpoint(entry directory.Entry) *endpoint { return &endpoint{entry: entry} }
+func newEndpoint(entry directory.Entry) *endpoint {
+	return &endpoint{entry: entry, hash: xxhash.Sum64String(entry.ID)}
+}
+
+// name is the endpoint's between routers.
+func (e *endpoint) name() uint32 { return uint32(e.hash) }
 
 // othersAge is how long the load that an answer told of counts: about the time of a stream, after which the requests
 // of then have ended.
@@ -39,6 +52,25 @@
 	return float64(e.running + e.others)
 }
 
+// toRead is how many prompt tokens the endpoint has still to read before it answers what it was sent.
+func (e *endpoint) toRead(now time.Time) int {
+	if now.Sub(e.heardOf) > othersAge {
+		return e.unread
+	}
+	return e.unread + e.heard.Unread
+}
+
+// failing is the share of attempts that failed lately, of this router's and the others'.
+func (e *endpoint) failing(now time.Time) float64 {
+	e.failures.fade(now)
+	bad, all := e.failures.bad, e.failures.all
+	if now.Sub(e.heardOf) <= othersAge {
+		bad += float64(e.heard.Bad)
+		all += float64(e.heard.All)
+	}
+	return min(bad/(all+doubt), 1)
+}
+
 // decaying counts failures and attempts that fade with time, so that an endpoint that was avoided gets another chance.
 type decaying struct {
 	bad, all float64
@@ -68,11 +100,6 @@
 	c.all += all
 }
 
-func (c *decaying) rate(now time.Time) float64 {
-	c.fade(now)
-	return min(c.bad/(c.all+doubt), 1)
-}
-
 // average is an exponentially weighted mean; the zero value has seen nothing.
 type average struct {
 	value float64
--- a/core/settings/entry.go
+++ b/core/settings/entry.go
@@ -10,6 +10,7 @@
 // fills them, and nothing changes them afterwards.
 type Entry struct {
 	vm        VM
+	cores     float64
 	clients   string
 	readiness string
 	metrics   string
@@ -46,6 +47,7 @@
 	t := doc.Root()
 	s = &Entry{
 		vm:        readVM(t.Table("vm")),
+		cores:     t.Table("vm").Real("cores", 1, 0, 1024),
 		clients:   readAddress(t.Table("clients"), "address"),
 		readiness: readAddress(t.Table("readiness"), "address"),
 		metrics:   readAddress(t.Table("metrics"), "address"),
@@ -69,6 +71,9 @@
 // VM is the machine itself.
 func (s *Entry) VM() VM { return s.vm }
 
+// Cores is how much processor time the VM has.
+func (s *Entry) Cores() float64 { return s.cores }
+
 // Clients is the address where clients are served.
 func (s *Entry) Clients() string { return s.clients }
 
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,6 +20,7 @@
 	"savoryfall/core/dispatch"
 	"savoryfall/core/freshness"
 	"savoryfall/core/kernel"
+	"savoryfall/core/members"
 	"savoryfall/core/retryshare"
 	"savoryfall/core/routetable"
 	"savoryfall/core/settings"
@@ -28,6 +30,8 @@
 	"savoryfall/io/follow"
 	"savoryfall/io/http1"
 	"savoryfall/io/httpserver"
+	"savoryfall/io/hub"
+	"savoryfall/io/meter"
 	"savoryfall/io/registry"
 	"savoryfall/io/stdout"
 	"savoryfall/io/tracing"
@@ -45,8 +49,11 @@
 	logger     log.Logger
 	lease      freshness.Lease
 	retries    retryshare.Share
+	limits     atomic.Pointer[retryshare.Limits]
 	dispatcher *dispatch.Dispatcher
 	desired    *desired.Keeper
+	hub        *hub.Agent
+	routers    atomic.Int64
 	front      *entry.Front
 	clients    *entry.Server
 	set        *metrics.Set
@@ -56,12 +63,16 @@
 	// keyMargin is what is taken off the term of withdrawn keys, for the way from the check to the endpoint.
 	keyMargin = 150 * time.Millisecond
 	// configurationWait is how long a read waits for a newer configuration; each read renews the right to serve.
-	configurationWait = time.Second
+	configurationWait = 500 * time.Millisecond
 	// registryPause is the least time between two reads of the endpoints' entries, which change many times a
 	// second: a leaving endpoint may get no new work two seconds later.
 	registryPause = 600 * time.Millisecond
-	// usualRouters is how many routers are assumed to share the retries until the members are known.
-	usualRouters = 10
+	// staleAfter is the age of what the hub tells from which on a router reads for itself: in time for a
+	// configuration to be in force two seconds after its acknowledgement. What a hub tells is 1.4 s old at most.
+	staleAfter = 1500 * time.Millisecond
+	// leastRouters is how many routers share the retries at least: those that have just come are not known yet.
+	leastRouters = 4
+	// settingsLook is how often the settings file is looked at for a change that no signal told of.
 	settingsLook = time.Second
 )
 
@@ -73,7 +84,10 @@
 	}
 	vm.kernel.Register("stdout", logger)
 	vm.apply(cfg)
-	vm.buildStore()
+	err = vm.buildStore()
+	if err != nil {
+		return nil, err
+	}
 	err = vm.buildFront()
 	if err != nil {
 		return nil, err
@@ -84,11 +98,25 @@
 // apply takes the settings that may change while the process runs.
 func (vm *entryVM) apply(cfg *settings.Entry) {
 	vm.lease.SetTerm(cfg.KeyTerm() - keyMargin)
-	r := cfg.Retries()
-	vm.retries.SetLimits(retryshare.Limits{Ratio: r.Ratio(), Slack: r.Slack(), Window: r.Window(), Routers: usualRouters})
+	vm.limits.Store(&retryshare.Limits{
+		Ratio: cfg.Retries().Ratio(), Slack: cfg.Retries().Slack(), Window: cfg.Retries().Window(),
+	})
+	vm.share()
 }
 
-func (vm *entryVM) buildStore() {
+// counted takes the number of routers that share the retries.
+func (vm *entryVM) counted(routers int) {
+	vm.routers.Store(int64(routers))
+	vm.share()
+}
+
+func (vm *entryVM) share() {
+	limits := *vm.limits.Load()
+	limits.Routers = max(int(vm.routers.Load()), leastRouters)
+	vm.retries.SetLimits(limits)
+}
+
+func (vm *entryVM) buildStore() (err error) {
 	transport := &http.Transport{
 		DialContext: (&net.Dialer{Timeout: storeDial, KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
@@ -97,13 +125,28 @@
 	}
 	c := store.New(vm.settings.Store(), &http.Client{Transport: transport})
 	vm.desired = desired.New(wiredesired.Decoder{}, &vm.lease, vm.configured, vm.logger)
-	vm.kernel.Register("configuration", follow.New(c.Topic(wiredesired.Topic), vm.desired, follow.Options{
-		Name: "configuration", Wait: configurationWait, Clock: bootclock.Now,
-	}, vm.logger))
+	configuration := follow.New(c.Topic(wiredesired.Topic), vm.desired, follow.Options{
+		Name: "configuration", Wait: configurationWait, Stale: staleAfter, Clock: bootclock.Now,
+	}, vm.logger)
+	vm.kernel.Register("configuration", configuration)
 	endpoints := registry.New(wireregistry.Decoder{}, vm.listed, vm.logger)
-	vm.kernel.Register("registry", follow.New(c.Topic(wireregistry.Topic), endpoints, follow.Options{
-		Name: "registry", Pause: registryPause, Clock: bootclock.Now,
-	}, vm.logger))
+	listed := follow.New(c.Topic(wireregistry.Topic), endpoints, follow.Options{
+		Name: "registry", Pause: registryPause, Stale: staleAfter, Clock: bootclock.Now,
+	}, vm.logger)
+	vm.kernel.Register("registry", listed)
+	vm.hub, err = hub.New(hub.Parts{
+		Self: members.Member{
+			Name: vm.settings.VM().Name(), Address: vm.settings.Peers(), Started: time.Now().UnixMilli(), Cores: vm.settings.Cores(),
+		},
+		Members: &members.List{}, Configuration: configuration, Registry: listed, Endpoints: endpoints,
+		Loads: vm.dispatcher, Listing: hub.NewListing(c.Topic(store.MembersTopic)), Meter: meter.New(vm.set),
+		Logger: vm.logger, Clock: bootclock.Now, Counted: vm.counted,
+	})
+	if err != nil {
+		return err
+	}
+	vm.kernel.Register("hub", vm.hub)
+	return nil
 }
 
 // storeDial bounds the making of a connection to the store, which answers within some milliseconds.
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -18,7 +19,7 @@
 	Since(ctx context.Context, from int64, wait time.Duration) (p keyed.Page, err error)
 }
 
-// Sink takes what was read; the follower calls it from one goroutine.
+// Sink takes what was read.
 type Sink interface {
 	// Replace takes the newest record of every key, Apply those that were written since.
 	Replace(records []keyed.Record)
@@ -37,11 +38,13 @@
 	Wait time.Duration
 	// Pause is the least time between two reads: a topic that changes many times a second is read in batches.
 	Pause time.Duration
+	// Stale is the age of what is known from which on a router reads for itself, although another one reads for it.
+	Stale time.Duration
 	// Clock is the time since boot, suspension included.
 	Clock func() time.Duration
 }
 
-// Follower reads one topic for ever.
+// Follower reads one topic for ever, itself or through the hub.
 type Follower struct {
 	topic   Topic
 	sink    Sink
@@ -49,9 +52,15 @@
 	logger  log.Logger
 	cancel  context.CancelFunc
 	running background.Group
+	wake    chan struct{}
 
+	mu     sync.Mutex
 	next   int64
 	whole  bool
+	behind bool
+	lead   bool
+	known  time.Duration
+
 	failed int
 	lostAt time.Time
 }
@@ -70,7 +79,7 @@
 
 // New makes a follower that hands what it reads to the sink.
 func New(t Topic, s Sink, o Options, logger log.Logger) *Follower {
-	return &Follower{topic: t, sink: s, options: o, logger: logger}
+	return &Follower{topic: t, sink: s, options: o, logger: logger, wake: make(chan struct{}, 1)}
 }
 
 // Start reads in the background until Stop.
@@ -90,8 +99,65 @@
 	return nil
 }
 
+// Lead sets whether this router reads for others, and so all the time; else it reads only what it is not told.
+func (f *Follower) Lead(lead bool) {
+	f.mu.Lock()
+	changed := f.lead != lead
+	f.lead = lead
+	f.mu.Unlock()
+	if changed && lead {
+		f.rouse()
+	}
+}
+
+// Known is up to which offset the topic is known, and when the read was sent that last showed that there was no more.
+func (f *Follower) Known() (next int64, sent time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next, f.known, f.whole
+}
+
+// Confirm notes that another router found the topic to end at the offset, by a read that was sent at the time since
+// boot. Where this router has not read that far, it goes and reads.
+func (f *Follower) Confirm(next int64, sent time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.whole || f.next < next {
+		f.behind = true
+		f.rouse()
+		return
+	}
+	f.read(sent)
+}
+
+// Fed notes that another router has told all that changed up to the offset.
+func (f *Follower) Fed(next int64, sent time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next, f.whole = max(f.next, next), true
+	f.read(sent)
+}
+
+func (f *Follower) read(sent time.Duration) {
+	f.behind = false
+	f.known = max(f.known, sent)
+	f.sink.Read(sent)
+}
+
+func (f *Follower) rouse() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (f *Follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		rest := f.rest()
+		if rest > 0 {
+			f.sleep(ctx, rest)
+			continue
+		}
 		began := time.Now()
 		err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -103,47 +169,79 @@
 		} else {
 			f.regained()
 		}
-		sleep(ctx, pause)
+		f.sleep(ctx, pause)
 	}
 }
 
+// rest is how long this router may rely on what it is told.
+func (f *Follower) rest() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lead || f.behind || !f.whole {
+		return 0
+	}
+	return f.known + f.options.Stale - f.options.Clock()
+}
+
 // step makes one read. After a gap only the newest values tell what is in force.
 func (f *Follower) step(ctx context.Context) (err error) {
 	sent := f.options.Clock()
+	f.mu.Lock()
+	from, whole := f.next, f.whole
+	f.mu.Unlock()
 	var p keyed.Page
-	if f.whole {
-		p, err = f.since(ctx)
+	if whole {
+		p, err = f.since(ctx, from)
 	} else {
 		p, err = f.newest(ctx)
 	}
+	var trimmed keyed.TrimmedError
+	if errors.As(err, &trimmed) {
+		_ = f.logger.Log("event", "recordsTrimmed", "topic", f.options.Name, "want", trimmed.Want, "first", trimmed.First)
+		f.mu.Lock()
+		f.whole = false
+		f.mu.Unlock()
+		return nil
+	}
 	if err != nil {
-		var trimmed keyed.TrimmedError
-		if errors.As(err, &trimmed) {
-			_ = f.logger.Log("event", "recordsTrimmed", "topic", f.options.Name, "want", trimmed.Want, "first", trimmed.First)
-			f.whole = false
-			return nil
-		}
 		return err
 	}
-	if f.whole {
+	f.take(p, from, whole, sent)
+	return nil
+}
+
+// take hands on what was read, unless this router was told more in the meantime: older records would undo it.
+func (f *Follower) take(p keyed.Page, from int64, whole bool, sent time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if whole && f.next != from {
+		return
+	}
+	if whole {
 		f.sink.Apply(p.Records)
 	} else {
 		f.sink.Replace(p.Records)
 	}
 	f.next, f.whole = p.Next, true
-	f.sink.Read(sent)
-	return nil
+	f.read(sent)
 }
 
-func (f *Follower) since(ctx context.Context) (p keyed.Page, err error) {
+func (f *Follower) since(ctx context.Context, from int64) (p keyed.Page, err error) {
 	wait := f.options.Wait
-	if f.failed > 0 {
-		// The first read after a failure answers at once, so that the loss is over as soon as the store is back.
+	if f.failed > 0 || !f.leads() {
+		// A read that is needed now must not wait for a record: after a failure it shows that the store is back,
+		// and without the hub it is what is known to be in force.
 		wait = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+f.patience())
 	defer cancel()
-	return f.topic.Since(ctx, f.next, wait)
+	return f.topic.Since(ctx, from, wait)
+}
+
+func (f *Follower) leads() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lead
 }
 
 func (f *Follower) newest(ctx context.Context) (p keyed.Page, err error) {
@@ -179,7 +277,7 @@
 	f.failed = 0
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+func (f *Follower) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
@@ -187,6 +285,7 @@
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
+	case <-f.wake:
 	case <-t.C:
 	}
 }
--- /dev/null
+++ b/io/hub/agent.go
@@ -0,0 +1,261 @@
+package hub
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"savoryfall/core/annotate"
+	"savoryfall/core/background"
+	"savoryfall/core/board"
+	"savoryfall/core/members"
+	"savoryfall/io/meter"
+)
+
+// Followed is a topic that is read at the store, by this router or by the hub.
+type Followed interface {
+	Lead(lead bool)
+	Known() (next int64, sent time.Duration, ok bool)
+	Confirm(next int64, sent time.Duration)
+	Fed(next int64, sent time.Duration)
+}
+
+// Endpoints is what this router knows of the endpoints that are listed.
+type Endpoints interface {
+	Changes() *board.Changes
+	Feed(changes []board.Change, whole bool)
+}
+
+// Loads is what this router has going on, and hears of the others.
+type Loads interface {
+	Loads(now time.Time) []board.Load
+	Placed() []board.Read
+	Others(total, own []board.Load, now time.Time)
+	Learn(reads []board.Read)
+}
+
+// Parts are the services that an agent works with.
+type Parts struct {
+	Self          members.Member
+	Members       *members.List
+	Configuration Followed
+	Registry      Followed
+	Endpoints     Endpoints
+	Loads         Loads
+	Listing       Listing
+	Meter         *meter.Meter
+	Logger        log.Logger
+	// Clock is the time since boot, suspension included.
+	Clock func() time.Duration
+	// Counted hears how many routers there are.
+	Counted func(routers int)
+}
+
+// Agent reports to the hub, and is the hub when it is this router's turn.
+type Agent struct {
+	Parts
+	listener net.Listener
+	board    board.Board
+	epoch    int64
+	cancel   context.CancelFunc
+	running  background.Group
+
+	mu       sync.Mutex
+	accepted map[net.Conn]bool
+	client   *rpc.Client
+	to       members.Member
+	news     chan struct{}
+	listed   int64
+	led      time.Time
+	hubName  string
+
+	// What was heard last of the hub of this epoch; used by the reporting goroutine only.
+	of      int64
+	entries int64
+	heard   int64
+	members int64
+	pending []board.Read
+}
+
+// New takes the address at once.
+func New(p Parts) (a *Agent, err error) {
+	defer annotate.Error(&err, "listen for routers on %s", p.Self.Address)
+	a = &Agent{Parts: p, accepted: map[net.Conn]bool{}, news: make(chan struct{}), epoch: time.Now().UnixNano()}
+	a.Members.Put(p.Self)
+	a.listener, err = net.Listen("tcp4", p.Self.Address)
+	return a, err
+}
+
+const (
+	// hold is how long the hub keeps a report when it has no news: a leaving endpoint is known everywhere within this
+	// and the hub's own reading.
+	hold = 300 * time.Millisecond
+	// answerWithin is how much longer than that an answer may take.
+	answerWithin = 400 * time.Millisecond
+	// period is how often a hub looks at its own loads, and a router tries again that found no hub.
+	period = 300 * time.Millisecond
+	// relist is how often a hub reads the list of routers again: two hubs that do not know of each other find out.
+	relist = 10 * time.Second
+	// relistFirst is how long after its start it does so first, since all routers start at once and list themselves
+	// while others already read.
+	relistFirst = 1500 * time.Millisecond
+	// storeWithin bounds the calls to the store.
+	storeWithin = time.Second
+)
+
+// Start serves and reports in the background.
+func (a *Agent) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	go a.serve()
+	a.running.Go(func() { a.enter(ctx) })
+	a.running.Go(func() { a.run(ctx) })
+	return nil
+}
+
+// Stop ends both. The list at the store keeps this router's name: a VM that comes back has the same one, and the next
+// hub finds out by itself who answers.
+func (a *Agent) Stop(context.Context) error {
+	a.cancel()
+	_ = a.listener.Close()
+	a.mu.Lock()
+	for c := range a.accepted {
+		_ = c.Close()
+	}
+	a.drop()
+	a.mu.Unlock()
+	a.running.Stop()
+	return nil
+}
+
+// enter lists this router at the store and reads who else is there.
+func (a *Agent) enter(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := a.within(ctx, func(ctx context.Context) error { return a.Listing.Enter(ctx, a.Self) })
+		if err == nil {
+			break
+		}
+		_ = a.Logger.Log("event", "notListed", "err", err)
+		wait(ctx, storeWithin, nil)
+	}
+	a.read(ctx)
+}
+
+func (a *Agent) within(ctx context.Context, do func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, storeWithin)
+	defer cancel()
+	return do(ctx)
+}
+
+// read takes the list of routers off the store.
+func (a *Agent) read(ctx context.Context) {
+	var all []members.Member
+	err := a.within(ctx, func(ctx context.Context) (err error) {
+		all, err = a.Listing.List(ctx)
+		return err
+	})
+	if err != nil {
+		_ = a.Logger.Log("event", "routersUnknown", "err", err)
+		return
+	}
+	a.learn(all)
+}
+
+func (a *Agent) learn(all []members.Member) {
+	for _, m := range all {
+		if m.Name == a.Self.Name || !a.Members.Put(m) {
+			continue
+		}
+		a.mu.Lock()
+		a.listed++
+		a.mu.Unlock()
+	}
+	a.Counted(a.Members.Len())
+}
+
+func (a *Agent) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		m, other := a.Members.Hub(a.Self.Name, time.Now())
+		if !other {
+			a.leadOn(ctx)
+			continue
+		}
+		err := a.report(ctx, m)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			a.Members.Failed(m.Name, time.Now())
+			_ = a.Logger.Log("event", "hubLost", "hub", m.Name, "err", err)
+			continue
+		}
+		a.lead(false, m.Name)
+	}
+}
+
+// leadOn is one round of the hub itself: it reports to its own board.
+func (a *Agent) leadOn(ctx context.Context) {
+	a.lead(true, a.Self.Name)
+	now := time.Now()
+	own := a.Loads.Loads(now)
+	a.board.Take(a.Self.Name, own, a.Loads.Placed(), now)
+	total, _ := a.board.Totals(now)
+	a.Loads.Others(total, own, now)
+	var reads []board.Read
+	reads, a.heard = a.board.ReadsSince(a.heardOf(a.epoch))
+	a.Loads.Learn(reads)
+	if now.After(a.relistAt()) {
+		a.read(ctx)
+	}
+	wait(ctx, period, nil)
+}
+
+// heardOf is the number of the last read heard of the board of that epoch.
+func (a *Agent) heardOf(epoch int64) int64 {
+	if a.of != epoch {
+		a.of, a.heard, a.entries, a.members = epoch, 0, 0, 0
+	}
+	return a.heard
+}
+
+// relistAt is when the list of routers is due to be read again, and moves it on.
+func (a *Agent) relistAt() (at time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at = a.led
+	if time.Now().After(at) {
+		a.led = time.Now().Add(relist)
+	}
+	return at
+}
+
+// lead notes who reads the store from now on.
+func (a *Agent) lead(lead bool, hub string) {
+	a.mu.Lock()
+	changed := a.hubName != hub
+	a.hubName = hub
+	if changed && lead {
+		a.led = time.Now().Add(relistFirst)
+	}
+	a.mu.Unlock()
+	if !changed {
+		return
+	}
+	a.Configuration.Lead(lead)
+	a.Registry.Lead(lead)
+	_ = a.Logger.Log("event", "hubFollowed", "hub", hub, "self", lead, "routers", a.Members.Len())
+}
+
+func wait(ctx context.Context, d time.Duration, news <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-news:
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/hub/client.go
@@ -0,0 +1,100 @@
+package hub
+
+import (
+	"context"
+	"errors"
+	"net/rpc"
+	"time"
+
+	"savoryfall/core/board"
+	"savoryfall/core/members"
+	"savoryfall/io/meter"
+)
+
+// serviceName is that of the hub in net/rpc.
+const serviceName = "Hub"
+
+// report tells the hub what this router has going on, and takes what it answers.
+func (a *Agent) report(ctx context.Context, m members.Member) (err error) {
+	now := time.Now()
+	own := a.Loads.Loads(now)
+	a.pending = append(a.pending, a.Loads.Placed()...)
+	args := &Report{
+		From: a.Self, Loads: own, Reads: a.pending, Epoch: a.of, Entries: a.entries, Heard: a.heard, Listed: a.members, Hold: hold,
+	}
+	args.Configuration, _, _ = a.Configuration.Known()
+	var reply Reply
+	sent := a.Clock()
+	err = a.call(ctx, m, args, &reply)
+	if err != nil {
+		return err
+	}
+	a.pending = nil
+	a.take(&reply, own, sent)
+	return nil
+}
+
+// take applies what the hub told, for a report that was sent at the time since boot.
+func (a *Agent) take(r *Reply, own []board.Load, sent time.Duration) {
+	a.of, a.entries, a.heard, a.members = r.Epoch, r.Entries, r.Heard, r.Listed
+	if r.Registry.Known {
+		a.Endpoints.Feed(r.Changes, r.Whole)
+		a.Registry.Fed(r.Registry.Next, sent-r.Registry.Age)
+	}
+	if r.Configuration.Known {
+		a.Configuration.Confirm(r.Configuration.Next, sent-r.Configuration.Age)
+	}
+	a.Loads.Others(r.Loads, own, time.Now())
+	a.Loads.Learn(r.Reads)
+	if len(r.Members) > 0 {
+		a.learn(r.Members)
+	}
+}
+
+// errSilent says that the hub did not answer in time.
+var errSilent = errors.New("the hub does not answer")
+
+func (a *Agent) call(ctx context.Context, m members.Member, args *Report, reply *Reply) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, hold+answerWithin)
+	defer cancel()
+	client, err := a.connection(ctx, m)
+	if err != nil {
+		return err
+	}
+	call := client.Go(serviceName+".Report", args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-ctx.Done():
+		err = errSilent
+	}
+	if err != nil {
+		a.mu.Lock()
+		a.drop()
+		a.mu.Unlock()
+	}
+	return err
+}
+
+// connection is the one to the hub, made when it is first needed and again after it broke.
+func (a *Agent) connection(ctx context.Context, m members.Member) (client *rpc.Client, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.client != nil && a.to == m {
+		return a.client, nil
+	}
+	a.drop()
+	raw, err := a.Meter.Dial(meter.KindPeer)(ctx, "tcp4", m.Address)
+	if err != nil {
+		return nil, err
+	}
+	a.client, a.to = rpc.NewClient(raw), m
+	return a.client, nil
+}
+
+func (a *Agent) drop() {
+	if a.client != nil {
+		_ = a.client.Close()
+		a.client = nil
+	}
+}
--- a/io/registry/keeper.go
+++ b/io/registry/keeper.go
@@ -1,10 +1,12 @@
 package registry
 
 import (
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"savoryfall/core/board"
 	"savoryfall/core/directory"
 	"savoryfall/core/keyed"
 )
@@ -14,13 +16,15 @@
 	Decode(r keyed.Record) (e directory.Entry, err error)
 }
 
-// Keeper fills the directory and tells when it changes. It is used from one goroutine.
+// Keeper fills the directory and tells when it changes.
 type Keeper struct {
-	decoder   Decoder
+	decoder Decoder
+	changes board.Changes
+	changed func(usable []directory.Entry)
+	logger  log.Logger
+
+	mu        sync.Mutex
 	directory directory.Directory
-	changed   func(usable []directory.Entry)
-	logger    log.Logger
-	read      bool
 	last      map[string]directory.Entry
 }
 
@@ -29,8 +33,42 @@
 	return &Keeper{decoder: d, changed: changed, logger: logger}
 }
 
+// Changes are what routers are told that follow the endpoints through this one.
+func (k *Keeper) Changes() *board.Changes { return &k.changes }
+
+// Feed takes what another router tells; whole tells that it is all there is.
+func (k *Keeper) Feed(changes []board.Change, whole bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if whole {
+		k.tell(k.directory.Replace(usable(changes), now))
+		return
+	}
+	changed := false
+	for _, c := range changes {
+		if c.Usable {
+			changed = k.directory.Put(c.Entry) || changed
+		} else {
+			changed = k.directory.Drop(c.Entry, now) || changed
+		}
+	}
+	k.tell(changed)
+}
+
+func usable(changes []board.Change) (entries []directory.Entry) {
+	for _, c := range changes {
+		if c.Usable {
+			entries = append(entries, c.Entry)
+		}
+	}
+	return entries
+}
+
 // Replace takes the whole list.
 func (k *Keeper) Replace(records []keyed.Record) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	var entries []directory.Entry
 	for _, r := range records {
 		e, err := k.decoder.Decode(r)
@@ -45,6 +83,8 @@
 
 // Apply takes what endpoints wrote since.
 func (k *Keeper) Apply(records []keyed.Record) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	changed := false
 	for _, r := range records {
 		changed = k.apply(r) || changed
@@ -72,14 +112,19 @@
 
 // Read gives up entries that have not come back after an outage.
 func (k *Keeper) Read(time.Duration) {
-	k.read = true
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.tell(k.directory.Settle(time.Now()))
 }
 
 // Failed keeps vanished entries for a while, since endpoints could not renew them.
-func (k *Keeper) Failed(error) { k.directory.Disturbed(time.Now()) }
+func (k *Keeper) Failed(error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.directory.Disturbed(time.Now())
+}
 
-// tell hands on the usable endpoints and logs those that came and went.
+// tell hands on the usable endpoints, and notes and logs those that came and went.
 func (k *Keeper) tell(changed bool) {
 	if !changed {
 		return
@@ -88,14 +133,23 @@
 	now := map[string]directory.Entry{}
 	for _, e := range usable {
 		now[e.ID] = e
-		if _, known := k.last[e.ID]; !known {
+		old, known := k.last[e.ID]
+		old.Sequence = e.Sequence
+		if known && old == e {
+			continue
+		}
+		k.changes.Put(board.Change{Entry: e, Usable: true})
+		if !known {
 			_ = k.logger.Log("event", "endpointUsable", "endpoint", e.ID, "service", e.Service, "address", e.Address, "born", e.Born)
 		}
 	}
 	for id, e := range k.last {
-		if _, still := now[id]; !still {
-			_ = k.logger.Log("event", "endpointGone", "endpoint", id, "service", e.Service, "address", e.Address)
+		if _, still := now[id]; still {
+			continue
 		}
+		e.Leaving = k.directory.Leaving(id)
+		k.changes.Put(board.Change{Entry: e})
+		_ = k.logger.Log("event", "endpointGone", "endpoint", id, "service", e.Service, "address", e.Address)
 	}
 	k.last = now
 	k.changed(usable)
