dispatch, hub: failing engines do not overload the others; a router that is behind asks no more often

Change: a failure costs 150 ms.

Change: nothing shortens the pause after a failed read; a router that cannot read the configuration is given it by the hub.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -17,6 +17,9 @@
 	// Bad and All count failures and attempts, faded with time.
 	Bad float32
 	All float32
+	// Hidden are requests that the endpoint said it had beyond those that the routers count: some endpoints work on
+	// for clients that have left. Of several routers' words the highest counts.
+	Hidden float32
 }
 
 // Read says that an endpoint has read the shared parts of a prompt, and so holds them.
@@ -131,4 +134,5 @@
 	l.Unread += o.Unread
 	l.Bad += o.Bad
 	l.All += o.All
+	l.Hidden = max(l.Hidden, o.Hidden)
 }
--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -71,8 +71,7 @@
 	e := a.e
 	e.heardAt = now
 	if l.Known {
-		e.others = max(l.Running+l.Waiting-e.running, 0)
-		e.othersAt = now
+		e.told(l, now)
 	}
 	a.read()
 	took := now.Sub(a.began)
--- a/core/dispatch/contest.go
+++ b/core/dispatch/contest.go
@@ -65,16 +65,23 @@
 // rankFirst ranks by rendezvous hashing: no message is needed for the routers to agree, and a lost endpoint moves only
 // its own prompts.
 func (c *contest) rankFirst() (home *endpoint) {
-	key, most := c.q.Prompt.Key(), uint64(0)
+	least := 1.0
 	for _, e := range c.pool {
-		h := mix(key ^ e.hash)
-		if !e.gone && (home == nil || h > most) {
-			home, most = e, h
+		if u := c.rank(e); !e.gone && u < least {
+			home, least = e, u
 		}
 	}
 	return home
 }
 
+// rank is where the endpoint stands for the prompt, from 0 for first to 1 for last, on every router alike.
+func (c *contest) rank(e *endpoint) float64 {
+	return fraction(c.q.Prompt.Key() ^ e.hash)
+}
+
+// fraction is a number from 0 to 1 that any difference in x changes.
+func fraction(x uint64) float64 { return float64(mix(x)>>11) / (1 << 53) }
+
 // mix is the finalizer of SplitMix64, which spreads a difference in any bit over all bits.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
@@ -89,12 +96,19 @@
 	// three requests, since the loads are estimates that lag.
 	evenBound = 1.7
 	evenSlack = 3.0
+	// leastShare is the part of the way from the mean to the bound that every prompt may go. Each prompt has a part of
+	// its own, so that they leave an endpoint that fills one after the other: when all left and came back at the same
+	// load, an endpoint just under it was sent twice its bound before any router saw it fill.
+	leastShare = 0.6
 )
 
 // full tells whether an endpoint is left out while others are not.
 func (c *contest) full(e *endpoint) bool {
-	load := e.load(c.now) + 1
-	return load > evenBound*c.mean+evenSlack
+	room := evenBound*c.mean + evenSlack - c.mean
+	if c.engine && len(c.q.Prompt) > 0 {
+		room *= leastShare + (1-leastShare)*fraction(mix(c.q.Prompt.Key())^e.hash)
+	}
+	return e.load(c.now)+1 > c.mean+room
 }
 
 // queueSlots is how many times its slots a plain endpoint may be given before requests are refused: what waits longer
@@ -144,19 +158,27 @@
 }
 
 const (
-	// failureCost is what a certain failure costs in milliseconds: about the time until a client that asks again has
-	// its answer.
-	failureCost = 600.0
-	// excessCost is what each request above the mean costs in milliseconds: it slows the steps of all that run beside
-	// it by some hundredths each.
-	excessCost = 5.0
+	// failureCost is what a certain failure costs in milliseconds. It is enough to leave an endpoint that fails for
+	// one that does not and is no busier; at four times as much, the two fifths of the engines that lost no answers
+	// were given twice the mean, beyond the users' bound, while the others idled.
+	failureCost = 150.0
+	// excessCost is what the square of the requests above an even load costs in milliseconds: each slows the steps of
+	// all that run beside it by some hundredths.
+	excessCost = 12.0
 	// readingHarm is how many times a token that has to be read counts: reading delays the next token of every request
 	// that runs beside it, and pushes out what others would find cached.
 	readingHarm = 5.0
 	// farCost is the way to another failure domain and back, in milliseconds.
 	farCost = 2.0
-	// tieCost spreads equal costs.
+	// tieCost spreads equal costs of plain endpoints.
 	tieCost = 1.0
+	// rankCost is how much the last in rank costs more than the first, in milliseconds. Among engines that hold the
+	// prompt the rank decides and not the load, as long as that is near the mean: loads are some hundred milliseconds
+	// old, and an engine that all routers saw empty at once was sent six times its share before any saw it fill.
+	rankCost = 20.0
+	// nearMean is up to which multiple of the mean, and how many requests more, a load counts as even.
+	nearMean      = 1.2
+	nearMeanSlack = 1.0
 	// usualLatency is the time of a plain answer in milliseconds until one is known.
 	usualLatency = 15.0
 	// homeBelief is how far a router believes that the first in rank holds the shared parts of a prompt that it has
@@ -166,18 +188,18 @@
 
 func (c *contest) cost(i int) (ms float64) {
 	e := c.pool[i]
-	ms = failureCost*e.failing(c.now) + tieCost*spread()
+	ms = failureCost * e.failing(c.now)
 	if e.entry.FailureDomain != c.d.failureDomain {
 		ms += farCost
 	}
 	if !c.engine {
 		// Requests within the slots run beside each other; beyond them they wait for a turn.
 		turns := 1 + e.load(c.now)/float64(max(e.entry.Slots, 1))
-		return ms + turns*e.latency.or(c.latency, c.now)
+		return ms + turns*e.latency.or(c.latency, c.now) + tieCost*spread()
 	}
-	excess := max(e.load(c.now)-c.mean, 0)
+	excess := max(e.load(c.now)-nearMean*c.mean-nearMeanSlack, 0)
 	reading := (readingHarm*float64(c.missing(i)) + float64(e.toRead(c.now))) / c.d.prefill.perMs()
-	return ms + excessCost*excess + (firstStep+reading)*max(e.slowness.or(1, c.now), 1)
+	return ms + rankCost*c.rank(e) + excessCost*excess*excess + (firstStep+reading)*max(e.slowness.or(1, c.now), 1)
 }
 
 // missing is how many tokens of the prompt the endpoint would have to read.
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -175,7 +175,8 @@
 	other.End(dispatch.Abandoned, now)
 	fresh := dispatch.Query{Service: models, Prompt: prompt.Chain{{ID: 5, Tokens: 10}}}
 	used := map[string]int{}
-	for range 40 {
+	for i := range uint64(40) {
+		fresh.Prompt[0].ID = i
 		a := choose(t, d, fresh, now.Add(time.Minute))
 		used[a.Endpoint().ID]++
 		a.End(dispatch.Abandoned, now.Add(time.Minute))
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -19,13 +19,16 @@
 	// running are this router's own requests there; unread the prompt tokens of those that have not begun to answer.
 	running int
 	unread  int
-	// others is how many requests of other routers its last answer, or the hub, told of.
+	// others is how many requests of other routers the hub told of, or without a hub the last answer.
 	others   int
 	othersAt time.Time
 	// heard is what the hub told of the other routers.
 	heard    board.Load
 	heardOf  time.Time
 	failures decaying
+	// hidden are requests that the endpoint has beyond those that the routers count, when it last told.
+	hidden   float64
+	hiddenAt time.Time
 	cache    warmth.Cache
 	// slowness is how much longer answers take than this router expected, as a factor; latency is the time in
 	// milliseconds that a plain answer takes.
@@ -48,10 +51,35 @@
 const othersAge = 2 * time.Second
 
 func (e *endpoint) load(now time.Time) float64 {
+	load := float64(e.running) + e.unaccounted(now)
 	if now.Sub(e.othersAt) > othersAge {
-		return float64(e.running)
+		return load
 	}
-	return float64(e.running + e.others)
+	return load + float64(e.others)
+}
+
+// hiddenHalf is the time in which half of the requests that nobody waits for are taken to have ended: streams of some
+// seconds that were left midway.
+const hiddenHalf = time.Second
+
+// unaccounted is what is left of the hidden requests that this router, or another, was told of.
+func (e *endpoint) unaccounted(now time.Time) float64 {
+	own := e.hidden * math.Exp2(-float64(now.Sub(e.hiddenAt))/float64(hiddenHalf))
+	if now.Sub(e.heardOf) > othersAge {
+		return own
+	}
+	return max(own, float64(e.heard.Hidden))
+}
+
+// told takes the load that an answer tells of. Against the hub's count, which is of requests that routers wait for, it
+// shows those that the endpoint still works on for nobody; without a hub it is what is known of the other routers.
+func (e *endpoint) told(l Load, now time.Time) {
+	total := l.Running + l.Waiting
+	if now.Sub(e.heardOf) <= othersAge {
+		e.hidden, e.hiddenAt = float64(max(total-e.running-e.others, 0)), now
+		return
+	}
+	e.others, e.othersAt = max(total-e.running, 0), now
 }
 
 // toRead is how many prompt tokens the endpoint has still to read before it answers what it was sent.
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"savoryfall/core/board"
@@ -13,12 +14,13 @@
 	defer d.mu.Unlock()
 	for _, e := range d.by {
 		e.failures.fade(now)
-		if e.running == 0 && e.failures.all < idle {
+		hidden := e.hidden * math.Exp2(-float64(now.Sub(e.hiddenAt))/float64(hiddenHalf))
+		if e.running == 0 && e.failures.all < idle && hidden < idle {
 			continue
 		}
 		loads = append(loads, board.Load{
 			Endpoint: e.name(), Running: e.running, Unread: e.unread,
-			Bad: float32(e.failures.bad), All: float32(e.failures.all),
+			Bad: float32(e.failures.bad), All: float32(e.failures.all), Hidden: float32(hidden),
 		})
 	}
 	return loads
--- a/core/routetable/table_test.go
+++ b/core/routetable/table_test.go
@@ -16,8 +16,13 @@
 		{Name: "other", Host: "b.example", PathPrefix: "/x/"},
 	}})
 	for _, c := range []struct{ host, path, want string }{
-		{"a.example", "/x/y/z", "xy"}, {"a.example:80", "/x/yz", "x"}, {"A.EXAMPLE", "/x", "all"},
-		{"b.example", "/x/1", "other"}, {"b.example", "/y/", ""}, {"c.example", "/x/", ""}, {"", "/x/", ""},
+		{"a.example", "/x/y/z", "xy"},
+		{"a.example:80", "/x/yz", "x"},
+		{"A.EXAMPLE", "/x", "all"},
+		{"b.example", "/x/1", "other"},
+		{"b.example", "/y/", ""},
+		{"c.example", "/x/", ""},
+		{"", "/x/", ""},
 	} {
 		r := t1.Route(c.host, c.path)
 		got := ""
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -138,7 +138,7 @@
 		Self: members.Member{
 			Name: vm.settings.VM().Name(), Address: vm.settings.Peers(), Started: time.Now().UnixMilli(), Cores: vm.settings.Cores(),
 		},
-		Members: &members.List{}, Configuration: configuration, Registry: listed, Endpoints: endpoints,
+		Members: &members.List{}, Configuration: configuration, Record: vm.desired.Record, Registry: listed, Endpoints: endpoints,
 		Loads: vm.dispatcher, Listing: hub.NewListing(c.Topic(store.MembersTopic)), Meter: meter.New(vm.set),
 		Logger: vm.logger, Clock: bootclock.Now, Counted: vm.counted,
 	})
--- a/io/desired/keeper.go
+++ b/io/desired/keeper.go
@@ -22,6 +22,7 @@
 	lease   *freshness.Lease
 	logger  log.Logger
 	current atomic.Pointer[routetable.Table]
+	record  atomic.Pointer[keyed.Record]
 	changed func(t *routetable.Table)
 }
 
@@ -33,6 +34,9 @@
 // Current is the configuration in force, nil before the first.
 func (k *Keeper) Current() *routetable.Table { return k.current.Load() }
 
+// Record is the one that the configuration in force was read from, nil before the first.
+func (k *Keeper) Record() *keyed.Record { return k.record.Load() }
+
 // Replace takes the newest records.
 func (k *Keeper) Replace(records []keyed.Record) { k.Apply(records) }
 
@@ -46,23 +50,24 @@
 			continue
 		}
 		if ok {
-			k.take(t, r.Offset)
+			k.take(t, r)
 		}
 	}
 }
 
-func (k *Keeper) take(t *routetable.Table, offset int64) {
+func (k *Keeper) take(t *routetable.Table, r keyed.Record) {
 	old := k.current.Load()
 	if old != nil && t.Version() <= old.Version() {
 		return
 	}
 	k.current.Store(t)
+	k.record.Store(&r)
 	k.changed(t)
 	from := int64(0)
 	if old != nil {
 		from = old.Version()
 	}
-	_ = k.logger.Log("event", "configurationInForce", "version", t.Version(), "from", from, "offset", offset, "routes", t.Routes())
+	_ = k.logger.Log("event", "configurationInForce", "version", t.Version(), "from", from, "offset", r.Offset, "routes", t.Routes())
 }
 
 // Read renews the lease. Before the first configuration there is nothing to serve by.
--- a/io/entry/plain_test.go
+++ b/io/entry/plain_test.go
@@ -169,9 +169,14 @@
 // Answers that are not the endpoint's own, or not whole, never reach the caller as an answer.
 func TestSpoiledAnswersAreNotPassedOn(t *testing.T) {
 	spoiled := map[string]func(c *call){
-		"short":   func(c *call) { c.write("HTTP/1.1 200 X\r\n" + c.signed() + "Content-Length: 10\r\n\r\nhal"); c.break_() },
-		"noise":   func(c *call) { c.write("\x00\x01 nothing of the kind\r\n\r\n"); c.break_() },
-		"encoded": func(c *call) { c.write("HTTP/1.1 200 X\r\n" + c.signed() + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nzz") },
+		"short": func(c *call) {
+			c.write("HTTP/1.1 200 X\r\n" + c.signed() + "Content-Length: 10\r\n\r\nhal")
+			c.break_()
+		},
+		"noise": func(c *call) { c.write("\x00\x01 nothing of the kind\r\n\r\n"); c.break_() },
+		"encoded": func(c *call) {
+			c.write("HTTP/1.1 200 X\r\n" + c.signed() + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nzz")
+		},
 		"unsigned": func(c *call) {
 			c.write("HTTP/1.1 200 X\r\nX-Savoryfall-Attempt-Id: id1\r\nContent-Length: 2\r\n\r\nok")
 		},
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -70,9 +70,11 @@
 	// no other sign, and the bound for a configuration to be in force is two seconds.
 	answerWithin = 700 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed read; it doubles, so that a store that is coming back
-	// is not met by all routers at once, yet is found within a second.
+	// is not met by all routers at once, yet is found within a second by the router that reads for the others.
 	retryFirst = 80 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// followMost is the same bound for the others, who hear from the hub.
+	followMost = 2 * time.Second
 	// slowAnswer is what a read may take after failures, when the store is slow rather than away.
 	slowAnswer = 2 * time.Second
 )
@@ -155,7 +157,7 @@
 	for ctx.Err() == nil {
 		rest := f.rest()
 		if rest > 0 {
-			f.sleep(ctx, rest)
+			pause(ctx, rest, f.wake)
 			continue
 		}
 		began := time.Now()
@@ -163,13 +165,13 @@
 		if ctx.Err() != nil {
 			return
 		}
-		pause := f.options.Pause - time.Since(began)
 		if err != nil {
-			pause = f.lost(err)
-		} else {
-			f.regained()
+			// Nothing ends this pause sooner: what cannot be read is not read more often because it is wanted.
+			pause(ctx, f.lost(err), nil)
+			continue
 		}
-		f.sleep(ctx, pause)
+		f.regained()
+		pause(ctx, f.options.Pause-time.Since(began), f.wake)
 	}
 }
 
@@ -228,7 +230,7 @@
 
 func (f *Follower) since(ctx context.Context, from int64) (p keyed.Page, err error) {
 	wait := f.options.Wait
-	if f.failed > 0 || !f.leads() {
+	if f.failures() > 0 || !f.leads() {
 		// A read that is needed now must not wait for a record: after a failure it shows that the store is back,
 		// and without the hub it is what is known to be in force.
 		wait = 0
@@ -251,7 +253,7 @@
 }
 
 func (f *Follower) patience() time.Duration {
-	if f.failed > 1 {
+	if f.failures() > 1 {
 		return slowAnswer
 	}
 	return answerWithin
@@ -259,25 +261,57 @@
 
 func (f *Follower) lost(err error) (pause time.Duration) {
 	f.sink.Failed(err)
-	if f.failed == 0 {
+	if f.failures() == 0 {
 		f.lostAt = time.Now()
 		_ = f.logger.Log("event", "storeLost", "topic", f.options.Name, "err", err)
 	}
+	most := followMost
+	if f.leads() {
+		most = retryMost
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.failed++
-	pause = min(retryFirst<<min(f.failed-1, 8), retryMost)
+	pause = min(retryFirst<<min(f.failed-1, 8), most)
 	return pause/2 + rand.N(pause/2)
 }
 
 func (f *Follower) regained() {
-	if f.failed == 0 {
+	f.mu.Lock()
+	failed, next := f.failed, f.next
+	f.failed = 0
+	f.mu.Unlock()
+	if failed == 0 {
 		return
 	}
-	_ = f.logger.Log("event", "storeRegained", "topic", f.options.Name, "failures", f.failed,
-		"afterMs", time.Since(f.lostAt).Milliseconds(), "offset", f.next)
-	f.failed = 0
+	_ = f.logger.Log("event", "storeRegained", "topic", f.options.Name, "failures", failed,
+		"afterMs", time.Since(f.lostAt).Milliseconds(), "offset", next)
+}
+
+func (f *Follower) failures() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failed
+}
+
+// Wants tells whether there is something newer that this router cannot read by itself.
+func (f *Follower) Wants() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failed > 0 && (f.behind || !f.whole)
+}
+
+// Given takes the newest records from another router that has read up to the offset.
+func (f *Follower) Given(records []keyed.Record, next int64, sent time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sink.Apply(records)
+	f.next, f.whole = max(f.next, next), true
+	f.read(sent)
 }
 
-func (f *Follower) sleep(ctx context.Context, d time.Duration) {
+// pause waits until the time is over or, where wake is given, until it is roused.
+func pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
@@ -285,7 +319,7 @@
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
-	case <-f.wake:
+	case <-wake:
 	case <-t.C:
 	}
 }
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -12,6 +12,7 @@
 	"savoryfall/core/annotate"
 	"savoryfall/core/background"
 	"savoryfall/core/board"
+	"savoryfall/core/keyed"
 	"savoryfall/core/members"
 	"savoryfall/io/meter"
 )
@@ -24,6 +25,13 @@
 	Fed(next int64, sent time.Duration)
 }
 
+// Configured is the configuration's topic, whose newest record a router may need from the hub.
+type Configured interface {
+	Followed
+	Wants() bool
+	Given(records []keyed.Record, next int64, sent time.Duration)
+}
+
 // Endpoints is what this router knows of the endpoints that are listed.
 type Endpoints interface {
 	Changes() *board.Changes
@@ -42,13 +50,15 @@
 type Parts struct {
 	Self          members.Member
 	Members       *members.List
-	Configuration Followed
+	Configuration Configured
 	Registry      Followed
-	Endpoints     Endpoints
-	Loads         Loads
-	Listing       Listing
-	Meter         *meter.Meter
-	Logger        log.Logger
+	// Record is the one that the configuration in force was read from.
+	Record    func() *keyed.Record
+	Endpoints Endpoints
+	Loads     Loads
+	Listing   Listing
+	Meter     *meter.Meter
+	Logger    log.Logger
 	// Clock is the time since boot, suspension included.
 	Clock func() time.Duration
 	// Counted hears how many routers there are.
@@ -78,6 +88,7 @@
 	entries int64
 	heard   int64
 	members int64
+	told    int64
 	pending []board.Read
 }
 
@@ -184,6 +195,7 @@
 			a.leadOn(ctx)
 			continue
 		}
+		began := time.Now()
 		err := a.report(ctx, m)
 		if ctx.Err() != nil {
 			return
@@ -194,9 +206,13 @@
 			continue
 		}
 		a.lead(false, m.Name)
+		wait(ctx, time.Until(began.Add(leastRound)), nil)
 	}
 }
 
+// leastRound is the least time between two reports: news that come one by one are told together.
+const leastRound = 50 * time.Millisecond
+
 // leadOn is one round of the hub itself: it reports to its own board.
 func (a *Agent) leadOn(ctx context.Context) {
 	a.lead(true, a.Self.Name)
@@ -217,7 +233,7 @@
 // heardOf is the number of the last read heard of the board of that epoch.
 func (a *Agent) heardOf(epoch int64) int64 {
 	if a.of != epoch {
-		a.of, a.heard, a.entries, a.members = epoch, 0, 0, 0
+		a.of, a.heard, a.entries, a.members, a.told = epoch, 0, 0, 0, 0
 	}
 	return a.heard
 }
--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"savoryfall/core/board"
+	"savoryfall/core/keyed"
 	"savoryfall/core/members"
 	"savoryfall/io/meter"
 )
@@ -21,8 +22,8 @@
 	a.pending = append(a.pending, a.Loads.Placed()...)
 	args := &Report{
 		From: a.Self, Loads: own, Reads: a.pending, Epoch: a.of, Entries: a.entries, Heard: a.heard, Listed: a.members, Hold: hold,
+		Configuration: a.told, Wants: a.Configuration.Wants(),
 	}
-	args.Configuration, _, _ = a.Configuration.Known()
 	var reply Reply
 	sent := a.Clock()
 	err = a.call(ctx, m, args, &reply)
@@ -41,9 +42,7 @@
 		a.Endpoints.Feed(r.Changes, r.Whole)
 		a.Registry.Fed(r.Registry.Next, sent-r.Registry.Age)
 	}
-	if r.Configuration.Known {
-		a.Configuration.Confirm(r.Configuration.Next, sent-r.Configuration.Age)
-	}
+	a.takeConfiguration(r, sent)
 	a.Loads.Others(r.Loads, own, time.Now())
 	a.Loads.Learn(r.Reads)
 	if len(r.Members) > 0 {
@@ -51,6 +50,19 @@
 	}
 }
 
+func (a *Agent) takeConfiguration(r *Reply, sent time.Duration) {
+	e := r.Configuration
+	if !e.Known {
+		return
+	}
+	a.told = e.Next
+	if r.Given != nil {
+		a.Configuration.Given([]keyed.Record{*r.Given}, e.Next, sent-e.Age)
+		return
+	}
+	a.Configuration.Confirm(e.Next, sent-e.Age)
+}
+
 // errSilent says that the hub did not answer in time.
 var errSilent = errors.New("the hub does not answer")
 
--- a/io/hub/message.go
+++ b/io/hub/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"savoryfall/core/board"
+	"savoryfall/core/keyed"
 	"savoryfall/core/members"
 )
 
@@ -17,8 +18,10 @@
 	Entries int64
 	Heard   int64
 	Listed  int64
-	// Configuration is the offset up to which the router knows the configuration.
+	// Configuration is the offset that was heard last of the configuration. Wants asks for the configuration itself,
+	// of a router that the store turns away.
 	Configuration int64
+	Wants         bool
 	// Hold is how long the hub may wait for news before it answers.
 	Hold time.Duration
 }
@@ -28,6 +31,8 @@
 	Epoch         int64
 	Configuration Extent
 	Registry      Extent
+	// Given is the record of the configuration in force, for a router that wants it.
+	Given *keyed.Record
 	// Changes of endpoints since; Whole tells that they are all there is.
 	Changes []board.Change
 	Whole   bool
--- a/io/hub/server.go
+++ b/io/hub/server.go
@@ -91,7 +91,7 @@
 }
 
 func (a *Agent) hasNews(args *Report) bool {
-	if args.Epoch != a.epoch {
+	if args.Epoch != a.epoch || args.Wants {
 		return true
 	}
 	next, _, ok := a.Configuration.Known()
@@ -117,6 +117,9 @@
 	// The extents are read before the changes: what comes between is told twice rather than never.
 	reply.Configuration = extent(a.Configuration, arrived)
 	reply.Registry = extent(a.Registry, arrived)
+	if args.Wants && reply.Configuration.Known {
+		reply.Given = a.Record()
+	}
 	reply.Changes, reply.Entries = a.Endpoints.Changes().Since(since)
 	reply.Loads, reply.Routers = a.board.Totals(time.Now())
 	reply.Reads, reply.Heard = a.board.ReadsSince(heard)
