--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -221,10 +221,11 @@
 	}
 	if whole {
 		f.sink.Apply(p.Records)
+		f.next = max(f.next, p.Next)
 	} else {
 		f.sink.Replace(p.Records)
+		f.next, f.whole = p.Next, true
 	}
-	f.next, f.whole = p.Next, true
 	f.read(sent)
 }
 
--- a/io/stdout/log.go
+++ b/io/stdout/log.go
@@ -88,16 +88,29 @@
 	return nil
 }
 
-// Stop writes what is queued.
-func (l *Log) Stop(context.Context) error {
+// Stop writes what is queued, as far as the writer takes it before the context ends.
+func (l *Log) Stop(ctx context.Context) error {
 	l.cancel()
-	l.running.Stop()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.running.Stop()
+		l.flush()
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+func (l *Log) flush() {
 	for {
 		select {
 		case line := <-l.lines:
 			_, _ = l.w.Write(line)
 		default:
-			return nil
+			return
 		}
 	}
 }
--- /dev/null
+++ b/io/stdout/log_test.go
@@ -0,0 +1,87 @@
+package stdout_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryfall/io/stdout"
+)
+
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+func TestLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b buffer
+		l := stdout.New(&b)
+		assert.NilError(t, l.Start(context.Background()))
+		assert.NilError(t, l.Log("event", "x", "why", "two words"))
+		assert.NilError(t, l.Stop(context.Background()))
+		assert.Equal(t, b.String(), "event=x why=\"two words\"\n")
+	})
+}
+
+// A burst of events, as when everything fails at once, costs lines and not the writer's time; how many is told.
+func TestBurstIsBoundedAndCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b buffer
+		l := stdout.New(&b)
+		assert.NilError(t, l.Start(context.Background()))
+		for range 10000 {
+			assert.NilError(t, l.Log("event", "burst"))
+		}
+		time.Sleep(6 * time.Second)
+		assert.NilError(t, l.Stop(context.Background()))
+		assert.Equal(t, strings.Count(b.String(), "event=burst"), 150)
+		assert.Assert(t, strings.Contains(b.String(), "event=linesDropped count=9850"), b.String())
+	})
+}
+
+// stalled never takes a line, like a pipe that nobody reads.
+type stalled struct{ forever chan struct{} }
+
+func (s stalled) Write([]byte) (int, error) {
+	<-s.forever
+	return 0, nil
+}
+
+// The reader of the logs has stopped reading: requests must not wait for it, and neither must the process's end.
+func TestFullPipeBlocksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := stalled{forever: make(chan struct{})}
+		l := stdout.New(w)
+		assert.NilError(t, l.Start(context.Background()))
+		began := time.Now()
+		for range 2000 {
+			assert.NilError(t, l.Log("event", "x"))
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, time.Since(began), 2*time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		assert.NilError(t, l.Stop(ctx))
+		assert.Equal(t, time.Since(began), 3*time.Second)
+		close(w.forever)
+	})
+}
