--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -64,6 +64,8 @@
 	keyMargin = 150 * time.Millisecond
 	// configurationWait is how long a read waits for a newer configuration; each read renews the right to serve.
 	configurationWait = 500 * time.Millisecond
+	// configurationPause is the least time between two reads: a store that does not wait must not be asked without end.
+	configurationPause = 50 * time.Millisecond
 	// registryPause is the least time between two reads of the endpoints' entries, which change many times a
 	// second: a leaving endpoint may get no new work two seconds later.
 	registryPause = 600 * time.Millisecond
@@ -126,7 +128,7 @@
 	c := store.New(vm.settings.Store(), &http.Client{Transport: transport})
 	vm.desired = desired.New(wiredesired.Decoder{}, &vm.lease, vm.configured, vm.logger)
 	configuration := follow.New(c.Topic(wiredesired.Topic), vm.desired, follow.Options{
-		Name: "configuration", Wait: configurationWait, Stale: staleAfter, Clock: bootclock.Now,
+		Name: "configuration", Wait: configurationWait, Pause: configurationPause, Stale: staleAfter, Clock: bootclock.Now,
 	}, vm.logger)
 	vm.kernel.Register("configuration", configuration)
 	endpoints := registry.New(wireregistry.Decoder{}, vm.listed, vm.logger)
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -146,7 +146,7 @@
 
 // A router that reads for all has a record as soon as it is written, and never proves more than its last reads did.
 func TestLeaderReadsAtOnce(t *testing.T) {
-	inBubble(t, 0, func(f *follow.Follower, tp *topic, s *sink, now func() time.Duration) {
+	inBubble(t, 50*time.Millisecond, func(f *follow.Follower, tp *topic, s *sink, now func() time.Duration) {
 		f.Lead(true)
 		time.Sleep(700 * time.Millisecond)
 		tp.put("b")
@@ -162,7 +162,7 @@
 // A router that is told by the hub reads nothing; when the hub falls silent it reads by itself in time for a
 // configuration to be in force two seconds after it was written.
 func TestFollowerReadsWhenTheHubFallsSilent(t *testing.T) {
-	inBubble(t, 0, func(f *follow.Follower, tp *topic, s *sink, now func() time.Duration) {
+	inBubble(t, 50*time.Millisecond, func(f *follow.Follower, tp *topic, s *sink, now func() time.Duration) {
 		time.Sleep(10 * time.Millisecond)
 		tp.count()
 		for range 20 {
@@ -178,7 +178,7 @@
 
 // The hub tells of a record that this router has not read: it reads it, and what the hub's word proves counts only then.
 func TestFollowerReadsWhatItLacks(t *testing.T) {
-	inBubble(t, 0, func(f *follow.Follower, tp *topic, s *sink, now func() time.Duration) {
+	inBubble(t, 50*time.Millisecond, func(f *follow.Follower, tp *topic, s *sink, now func() time.Duration) {
 		time.Sleep(10 * time.Millisecond)
 		tp.put("b")
 		f.Confirm(2, now())
@@ -191,7 +191,7 @@
 // It must not ask more often for that, and the hub's word must not prove what this router does not know. Once 30,000
 // calls were made so in nine seconds.
 func TestTurnedAwayRouterDoesNotAskMoreOften(t *testing.T) {
-	inBubble(t, 0, func(f *follow.Follower, tp *topic, s *sink, now func() time.Duration) {
+	inBubble(t, 50*time.Millisecond, func(f *follow.Follower, tp *topic, s *sink, now func() time.Duration) {
 		time.Sleep(10 * time.Millisecond)
 		tp.put("b")
 		tp.set(errors.New("turned away"), false)
@@ -212,7 +212,7 @@
 
 // A read that was under way while the hub told of later changes must not undo them.
 func TestOvertakenReadIsDropped(t *testing.T) {
-	inBubble(t, 0, func(f *follow.Follower, tp *topic, s *sink, now func() time.Duration) {
+	inBubble(t, 50*time.Millisecond, func(f *follow.Follower, tp *topic, s *sink, now func() time.Duration) {
 		f.Lead(true)
 		time.Sleep(10 * time.Millisecond)
 		f.Fed(5, now())
@@ -226,12 +226,12 @@
 
 // A read that is never answered ends by time.
 func TestSilentStore(t *testing.T) {
-	inBubble(t, 0, func(f *follow.Follower, tp *topic, s *sink, _ func() time.Duration) {
+	inBubble(t, 50*time.Millisecond, func(f *follow.Follower, tp *topic, s *sink, _ func() time.Duration) {
 		f.Lead(true)
 		time.Sleep(10 * time.Millisecond)
 		tp.set(nil, true)
 		time.Sleep(5 * time.Second)
-		assert.Assert(t, s.failed >= 2)
+		assert.Assert(t, s.failures() >= 2)
 		tp.set(nil, false)
 		tp.put("b")
 		time.Sleep(4 * time.Second)
@@ -241,7 +241,7 @@
 
 // After records have expired unread only the newest values tell what is in force.
 func TestGapIsReadWhole(t *testing.T) {
-	inBubble(t, 0, func(f *follow.Follower, tp *topic, s *sink, _ func() time.Duration) {
+	inBubble(t, 50*time.Millisecond, func(f *follow.Follower, tp *topic, s *sink, _ func() time.Duration) {
 		f.Lead(true)
 		time.Sleep(10 * time.Millisecond)
 		tp.put("b")
@@ -253,3 +253,9 @@
 		assert.Assert(t, tp.newest > 1)
 	})
 }
+
+func (s *sink) failures() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
