hub, directory: a hub that is behind brings back no endpoint that has left

The others read by themselves and dropped two endpoints; four seconds later they tried the same hub again, took its old list as whole, and sent those endpoints requests for 2.2 to 3.5 s. After the store had taken it back, the hub still listed them for its grace after an outage, with the same effect. Ruled out: slow reading (the entries were dropped within 1.3 s). Change: a hub whose reads are old, while this router's own are newer, is given up; its list counts only when it has read as far as this router; and the word of a process that has gone revives it only when it is newer than the last that was known. When nobody can read, the hub stays.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -67,7 +67,7 @@
 		return false
 	}
 	back := r.gone || !r.missingSince.IsZero()
-	if r.gone && e.Born == r.entry.Born && r.entry.Leaving {
+	if r.gone && e.Born == r.entry.Born && !r.returns(e) {
 		return false
 	}
 	// A leaving mark holds for the rest of the process's life.
@@ -90,6 +90,12 @@
 	return e.Sequence < r.entry.Sequence
 }
 
+// returns tells whether the word of a process that has gone shows that it is back. A router that has just regained the
+// store still lists what vanished meanwhile; its word is no newer than what was known when the entry went.
+func (r *record) returns(e Entry) bool {
+	return !r.entry.Leaving && e.Sequence > r.entry.Sequence
+}
+
 // Remove notes that an entry has vanished and tells whether that changed what may be used. While the store has just
 // been away, the endpoint may be alive and about to register again, so it stays in use until Settle gives it up.
 func (d *Directory) Remove(id string, now time.Time) (changed bool) {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -96,6 +96,19 @@
 	assert.Equal(t, ids(&d), "")
 }
 
+// An endpoint has left without a word, and its entry was removed. Another router, which could not read the store then,
+// still lists it: that must not bring it back. It was sent requests for two seconds more so. Its own next heartbeat does.
+func TestOldWordDoesNotBringBack(t *testing.T) {
+	var d directory.Directory
+	d.Put(entry("a", 1, 7))
+	d.Remove("a", start)
+	assert.Assert(t, !d.Put(entry("a", 1, 7)))
+	assert.Assert(t, !d.Replace([]directory.Entry{entry("a", 1, 3)}, start))
+	assert.Equal(t, ids(&d), "")
+	assert.Assert(t, d.Put(entry("a", 1, 8)))
+	assert.Equal(t, ids(&d), "a")
+}
+
 // What another router says of an earlier process of an endpoint does not end the present one.
 func TestDropMeansOneProcess(t *testing.T) {
 	var d directory.Directory
--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -31,14 +31,39 @@
 		return err
 	}
 	a.pending = nil
+	if a.behind(&reply, sent) {
+		return errBehind
+	}
 	a.take(&reply, own, sent)
 	return nil
 }
 
+// errBehind says that the hub knows less than this router does.
+var errBehind = errors.New("the hub is behind")
+
+// staleAfter is the age of a hub's reads from which on it is no use, if others can read.
+const staleAfter = 1500 * time.Millisecond
+
+// behind tells whether the hub's reads are old, and this router's own, which it then makes, are newer. Such a hub is cut
+// off from the store or turned away by it; its list of endpoints would bring back those that have left. When nobody can
+// read, this router's are no newer, and the hub stays.
+func (a *Agent) behind(r *Reply, sent time.Duration) bool {
+	return older(r.Configuration, a.Configuration, sent) || older(r.Registry, a.Registry, sent)
+}
+
+func older(e Extent, f Followed, sent time.Duration) bool {
+	next, known, ok := f.Known()
+	if !ok || !e.Known {
+		return false
+	}
+	return e.Age > staleAfter && known > sent-e.Age && next >= e.Next
+}
+
 // take applies what the hub told, for a report that was sent at the time since boot.
 func (a *Agent) take(r *Reply, own []board.Load, sent time.Duration) {
 	a.of, a.entries, a.heard, a.members = r.Epoch, r.Entries, r.Heard, r.Listed
-	if r.Registry.Known {
+	next, _, ok := a.Registry.Known()
+	if r.Registry.Known && (!ok || r.Registry.Next >= next) {
 		a.Endpoints.Feed(r.Changes, r.Whole)
 		a.Registry.Fed(r.Registry.Next, sent-r.Registry.Age)
 	}
