entry: a span for each hop, and gauges of what a router believes

Cause: the tracer was wired but made no spans, and age and version of the configuration, routers and connections were not on the metrics address. Change: a span for the request and one for each attempt; five gauges; bytes to the store and between routers are counted at the connection.

--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -119,13 +119,8 @@
 }
 
 func (vm *entryVM) buildStore() (err error) {
-	transport := &http.Transport{
-		DialContext: (&net.Dialer{Timeout: storeDial, KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
-		}}).DialContext,
-		MaxIdleConnsPerHost: 2, DisableCompression: true,
-	}
-	c := store.New(vm.settings.Store(), &http.Client{Transport: transport})
+	counted := meter.New(vm.set)
+	c := store.New(vm.settings.Store(), &http.Client{Transport: storeTransport(counted)})
 	vm.desired = desired.New(wiredesired.Decoder{}, &vm.lease, vm.configured, vm.logger)
 	configuration := follow.New(c.Topic(wiredesired.Topic), vm.desired, follow.Options{
 		Name: "configuration", Wait: configurationWait, Pause: configurationPause, Stale: staleAfter, Clock: bootclock.Now,
@@ -141,7 +136,7 @@
 			Name: vm.settings.VM().Name(), Address: vm.settings.Peers(), Started: time.Now().UnixMilli(), Cores: vm.settings.Cores(),
 		},
 		Members: &members.List{}, Configuration: configuration, Record: vm.desired.Record, Registry: listed, Endpoints: endpoints,
-		Loads: vm.dispatcher, Listing: hub.NewListing(c.Topic(store.MembersTopic)), Meter: meter.New(vm.set),
+		Loads: vm.dispatcher, Listing: hub.NewListing(c.Topic(store.MembersTopic)), Meter: counted,
 		Logger: vm.logger, Clock: bootclock.Now, Counted: vm.counted,
 	})
 	if err != nil {
@@ -151,6 +146,21 @@
 	return nil
 }
 
+// storeTransport finds out by itself that a connection has gone silent, and counts the bytes.
+func storeTransport(m *meter.Meter) *http.Transport {
+	d := &net.Dialer{Timeout: storeDial, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+	}}
+	dial := func(ctx context.Context, network, address string) (c net.Conn, err error) {
+		c, err = d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return m.Conn(meter.KindLog, c), nil
+	}
+	return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, DisableCompression: true}
+}
+
 // storeDial bounds the making of a connection to the store, which answers within some milliseconds.
 const storeDial = 500 * time.Millisecond
 
@@ -203,11 +213,29 @@
 	if err != nil {
 		return err
 	}
+	vm.gauges()
 	figures := mux.NewRouter()
 	figures.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { vm.set.WritePrometheus(w) })
 	return vm.serve("metrics", vm.settings.Metrics(), figures)
 }
 
+// gauges are what is looked at when the metrics are read.
+func (vm *entryVM) gauges() {
+	vm.set.NewGauge("savoryfall_configuration_age_seconds", func() float64 {
+		age, _ := vm.lease.Age(bootclock.Now())
+		return age.Seconds()
+	})
+	vm.set.NewGauge("savoryfall_configuration_version", func() float64 {
+		if t := vm.desired.Current(); t != nil {
+			return float64(t.Version())
+		}
+		return 0
+	})
+	vm.set.NewGauge("savoryfall_routers", func() float64 { return float64(vm.routers.Load()) })
+	vm.set.NewGauge("savoryfall_open_requests", func() float64 { return float64(vm.front.Open()) })
+	vm.set.NewGauge("savoryfall_connections_made", func() float64 { return float64(vm.front.Pool.Dials()) })
+}
+
 func (vm *entryVM) serve(name, address string, h http.Handler) (err error) {
 	s, err := httpserver.New(address, h, httpserver.Options{})
 	if err != nil {
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"savoryfall/core/ask"
 	"savoryfall/core/dispatch"
 	"savoryfall/io/http1"
@@ -38,9 +41,13 @@
 // send makes the attempt and waits for the header of its answer until the given time.
 func (x *exchange) send(a *attempt, until time.Time, lastEvent string) (err error) {
 	e := a.Endpoint()
+	ctx, span := x.front.Tracer.Start(x.ctx, "attempt", trace.WithAttributes(
+		attribute.String("request", x.ask.ID), attribute.String("endpoint", e.ID), attribute.String("service", e.Service),
+	))
+	defer span.End()
 	h := x.front.Endpoints.Encode(forwarded(x.r.Header), x.sending(a, lastEvent))
 	x.tried = append(x.tried, e.ID)
-	a.answer, err = x.front.Pool.Do(x.ctx, http1.Request{
+	a.answer, err = x.front.Pool.Do(ctx, http1.Request{
 		Address: e.Address, Method: x.ask.Method, Target: x.ask.Target, Host: x.ask.Host, Header: h,
 		Body: x.body, HasBody: x.r.ContentLength != 0 || len(x.body) > 0, Deadline: until,
 		Ours: func(h http.Header) bool { return x.front.Endpoints.Answers(h, x.ask.ID) },
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -33,7 +33,9 @@
 
 // serve takes the request through its steps: what is asked, may it be served, its body, where and how it is answered.
 func (x *exchange) serve() {
-	x.ctx = x.r.Context()
+	ctx, span := x.front.Tracer.Start(x.r.Context(), "request")
+	defer span.End()
+	x.ctx = ctx
 	p := x.decode()
 	if p == nil {
 		p = x.admit()
