--- /dev/null
+++ b/core/event/doc.go
@@ -0,0 +1,2 @@
+// Package event names what a router logs.
+package event
--- /dev/null
+++ b/core/event/event.go
@@ -0,0 +1,30 @@
+package event
+
+// Name is what happened, in the field event of a log line; docs/OPERATIONS.md explains each with its fields.
+type Name string
+
+// The events of a router on the platform's store.
+const (
+	AcceptFailed            Name = "acceptFailed"
+	ConfigurationInForce    Name = "configurationInForce"
+	ConfigurationUnreadable Name = "configurationUnreadable"
+	EndpointGone            Name = "endpointGone"
+	EndpointUsable          Name = "endpointUsable"
+	EntryUnreadable         Name = "entryUnreadable"
+	HubFollowed             Name = "hubFollowed"
+	HubLost                 Name = "hubLost"
+	LinesDropped            Name = "linesDropped"
+	ListenerLost            Name = "listenerLost"
+	NotListed               Name = "notListed"
+	RecordsTrimmed          Name = "recordsTrimmed"
+	RequestFailed           Name = "requestFailed"
+	RequestRefused          Name = "requestRefused"
+	RoutersUnknown          Name = "routersUnknown"
+	SettingsRefused         Name = "settingsRefused"
+	SettingsReloaded        Name = "settingsReloaded"
+	Started                 Name = "started"
+	Stopped                 Name = "stopped"
+	Stopping                Name = "stopping"
+	StoreLost               Name = "storeLost"
+	StoreRegained           Name = "storeRegained"
+)
--- /dev/null
+++ b/core/logstory/log.go
@@ -0,0 +1,120 @@
+package logstory
+
+import (
+	"bufio"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/go-logfmt/logfmt"
+
+	"savoryfall/core/annotate"
+	"savoryfall/core/event"
+)
+
+// Line is one event of one router.
+type Line struct {
+	At    time.Time
+	VM    string
+	Event event.Name
+	// Fields are all others, by name.
+	Fields map[string]string
+	// Text is the line as it was written.
+	Text string
+}
+
+// Log is the lines of one or more routers, by time; the zero value has none.
+type Log struct {
+	lines   []Line
+	skipped int
+}
+
+// longestLine bounds a line in bytes; what a router writes is some hundred.
+const longestLine = 1 << 20
+
+// Read adds the lines of a file. What is not a line of a router is counted and left out.
+func (l *Log) Read(r io.Reader) (err error) {
+	defer annotate.Error(&err, "read logs")
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, longestLine)
+	for s.Scan() {
+		line, ok := parse(s.Text())
+		if !ok {
+			l.skipped++
+			continue
+		}
+		l.lines = append(l.lines, line)
+	}
+	sort.SliceStable(l.lines, func(i, j int) bool { return l.lines[i].At.Before(l.lines[j].At) })
+	return s.Err()
+}
+
+// Len is how many lines there are, Skipped how many were not of a router.
+func (l *Log) Len() int { return len(l.lines) }
+
+// Skipped is how many lines were left out.
+func (l *Log) Skipped() int { return l.skipped }
+
+// parse reads a line from its first field on; what a collector has put before it is left out.
+func parse(text string) (line Line, ok bool) {
+	start := strings.Index(text, "ts=")
+	if start < 0 {
+		return line, false
+	}
+	line = Line{Fields: map[string]string{}, Text: text[start:]}
+	d := logfmt.NewDecoder(strings.NewReader(line.Text))
+	d.ScanRecord()
+	for d.ScanKeyval() {
+		line.Fields[string(d.Key())] = string(d.Value())
+	}
+	at, err := time.Parse(time.RFC3339Nano, line.Fields["ts"])
+	if err != nil || d.Err() != nil || line.Fields["event"] == "" {
+		return line, false
+	}
+	line.At, line.VM, line.Event = at, line.Fields["vm"], event.Name(line.Fields["event"])
+	return line, true
+}
+
+// beliefs are the events that change what a router believes of the fleet as a whole.
+var beliefs = map[event.Name]bool{
+	event.ConfigurationInForce: true, event.StoreLost: true, event.StoreRegained: true, event.HubFollowed: true,
+	event.HubLost: true, event.Started: true, event.Stopping: true,
+}
+
+// Story is what the logs tell of the request: its own lines, and before each what the router had last come to believe of
+// the store, the hub, the configuration, and the endpoints that the request went to.
+func (l *Log) Story(request string) (lines []Line) {
+	for i, line := range l.lines {
+		if line.Fields["request"] != request {
+			continue
+		}
+		lines = append(lines, l.background(i)...)
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// background are the latest lines of each kind, of the router of line i, before it.
+func (l *Log) background(i int) (lines []Line) {
+	of := l.lines[i]
+	chosen := map[string]bool{}
+	for _, id := range strings.Split(of.Fields["endpoints"], ",") {
+		chosen[id] = id != ""
+	}
+	seen := map[string]bool{}
+	for j := i - 1; j >= 0; j-- {
+		line := l.lines[j]
+		kind := string(line.Event) + line.Fields["topic"]
+		id := line.Fields["endpoint"]
+		if id != "" {
+			kind = id
+		}
+		if line.VM != of.VM || seen[kind] || !beliefs[line.Event] && !chosen[id] {
+			continue
+		}
+		seen[kind] = true
+		lines = append([]Line{line}, lines...)
+	}
+	return lines
+}
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -18,6 +18,7 @@
 	"savoryfall/core/annotate"
 	"savoryfall/core/directory"
 	"savoryfall/core/dispatch"
+	"savoryfall/core/event"
 	"savoryfall/core/freshness"
 	"savoryfall/core/kernel"
 	"savoryfall/core/members"
@@ -248,7 +249,7 @@
 func (vm *entryVM) start(ctx context.Context) (err error) {
 	err = vm.kernel.Start(ctx)
 	if err == nil {
-		_ = vm.logger.Log("event", "started", "clients", vm.clients.Address(), "store", vm.settings.Store())
+		_ = vm.logger.Log("event", event.Started, "clients", vm.clients.Address(), "store", vm.settings.Store())
 	}
 	return err
 }
@@ -277,17 +278,17 @@
 func (vm *entryVM) reload(file string, data []byte) {
 	cfg, err := settings.ParseEntry(file, data)
 	if err != nil {
-		_ = vm.logger.Log("event", "settingsRefused", "err", err)
+		_ = vm.logger.Log("event", event.SettingsRefused, "err", err)
 		return
 	}
 	vm.apply(cfg)
-	_ = vm.logger.Log("event", "settingsReloaded", "keyTerm", cfg.KeyTerm(), "grace", cfg.Grace())
+	_ = vm.logger.Log("event", event.SettingsReloaded, "keyTerm", cfg.KeyTerm(), "grace", cfg.Grace())
 }
 
 func (vm *entryVM) stop() (err error) {
-	_ = vm.logger.Log("event", "stopping", "open", vm.front.Open())
+	_ = vm.logger.Log("event", event.Stopping, "open", vm.front.Open())
 	vm.clients.Drain(vm.settings.Grace())
-	_ = vm.logger.Log("event", "stopped", "open", vm.front.Open())
+	_ = vm.logger.Log("event", event.Stopped, "open", vm.front.Open())
 	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
 	defer cancel()
 	return vm.kernel.Stop(ctx)
--- /dev/null
+++ b/io/command/logs.go
@@ -0,0 +1,144 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"savoryfall/core/annotate"
+	"savoryfall/core/logstory"
+)
+
+func init() { register(logsCommand) }
+
+func logsCommand(s streams) *ffcli.Command {
+	explain := &ffcli.Command{
+		Name: "explain", ShortUsage: "savoryfall logs explain ID FILE...", ShortHelp: "what became of one request, and why",
+		FlagSet: newFlags("logs explain", s), LongHelp: page("logs"),
+		Exec: func(_ context.Context, args []string) error { return explainLogs(s, args) },
+	}
+	flags := newFlags("logs report", s)
+	span := flags.Duration("span", time.Second, "the length of a row")
+	picture := flags.String("plot", "", "draw the table into this file (PNG)")
+	report := &ffcli.Command{
+		Name: "report", ShortUsage: "savoryfall logs report [--span 1s] [--plot FILE] FILE...",
+		ShortHelp: "requests that were not served, by cause over time", FlagSet: flags, LongHelp: page("logs"),
+		Exec: func(_ context.Context, args []string) error { return reportLogs(s, args, *span, *picture) },
+	}
+	return &ffcli.Command{
+		Name: "logs", ShortUsage: "savoryfall logs explain|report ...", ShortHelp: "read the logs of savoryfall entry",
+		FlagSet: newFlags("logs", s), LongHelp: page("logs"), Subcommands: []*ffcli.Command{explain, report}, Exec: noCommand,
+	}
+}
+
+func readLogs(files []string) (l *logstory.Log, err error) {
+	if len(files) == 0 {
+		return nil, usageError{problem: "a log file is missing"}
+	}
+	l = &logstory.Log{}
+	for _, file := range files {
+		err = readLog(l, file)
+		if err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+func readLog(l *logstory.Log, file string) (err error) {
+	defer annotate.Error(&err, "%s", file)
+	f, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	return l.Read(f)
+}
+
+func explainLogs(s streams, args []string) (err error) {
+	if len(args) < 2 {
+		return usageError{problem: "want the id of a request and log files"}
+	}
+	l, err := readLogs(args[1:])
+	if err != nil {
+		return err
+	}
+	story := l.Story(args[0])
+	if len(story) == 0 {
+		return fmt.Errorf("none of %d lines names request %s: it was served, or its line was dropped", l.Len(), args[0])
+	}
+	for _, line := range story {
+		_, err = fmt.Fprintln(s.out, line.Text)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func reportLogs(s streams, args []string, span time.Duration, picture string) (err error) {
+	if span <= 0 {
+		return usageError{problem: "--span must be above 0"}
+	}
+	l, err := readLogs(args)
+	if err != nil {
+		return err
+	}
+	buckets, causes := l.Report(span)
+	err = printReport(s, buckets, causes)
+	if err != nil || picture == "" {
+		return err
+	}
+	return plotReport(picture, buckets, causes)
+}
+
+func printReport(s streams, buckets []logstory.Bucket, causes []logstory.Cause) (err error) {
+	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(w, "from\t")
+	for _, c := range causes {
+		fmt.Fprint(w, c, "\t")
+	}
+	fmt.Fprintln(w)
+	for _, b := range buckets {
+		fmt.Fprint(w, b.From.Format("15:04:05.000"), "\t")
+		for _, c := range causes {
+			fmt.Fprint(w, strconv.Itoa(b.Count[c]), "\t")
+		}
+		fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
+
+// The size of the picture.
+const (
+	pictureWidth  = 10 * vg.Inch
+	pictureHeight = 4 * vg.Inch
+)
+
+func plotReport(file string, buckets []logstory.Bucket, causes []logstory.Cause) (err error) {
+	defer annotate.Error(&err, "draw %s", file)
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = "seconds", "requests not served"
+	var lines []any
+	for _, c := range causes {
+		points := make(plotter.XYs, len(buckets))
+		for i, b := range buckets {
+			points[i] = plotter.XY{X: b.From.Sub(buckets[0].From).Seconds(), Y: float64(b.Count[c])}
+		}
+		lines = append(lines, string(c), points)
+	}
+	err = plotutil.AddLines(p, lines...)
+	if err != nil {
+		return err
+	}
+	return p.Save(pictureWidth, pictureHeight, file)
+}
--- a/io/command/settings.go
+++ b/io/command/settings.go
@@ -12,10 +12,17 @@
 func init() { register(settingsCommand) }
 
 func settingsCommand(s streams) *ffcli.Command {
+	flags := newFlags("settings check", s)
+	entry := flags.Bool("entry", false, "the file is of savoryfall entry")
 	check := &ffcli.Command{
-		Name: "check", ShortUsage: "savoryfall settings check FILE", ShortHelp: "check a settings file and the files that it names",
-		FlagSet: newFlags("settings check", s), LongHelp: page("settings"),
-		Exec: func(_ context.Context, args []string) error { return checkSettings(s, args) },
+		Name: "check", ShortUsage: "savoryfall settings check [--entry] FILE", ShortHelp: "check a settings file and the files that it names",
+		FlagSet: flags, LongHelp: page("settings"),
+		Exec: func(_ context.Context, args []string) error {
+			if *entry {
+				return checkEntrySettings(s, args)
+			}
+			return checkSettings(s, args)
+		},
 	}
 	return &ffcli.Command{
 		Name: "settings", ShortUsage: "savoryfall settings check FILE", ShortHelp: "check settings",
@@ -40,3 +47,16 @@
 	_, err = fmt.Fprintf(s.out, "%s: sound\n", file)
 	return err
 }
+
+func checkEntrySettings(s streams, args []string) (err error) {
+	file, err := oneFile(args)
+	if err != nil {
+		return err
+	}
+	_, err = readEntrySettings(file)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(s.out, "%s: sound\n", file)
+	return err
+}
--- a/io/desired/keeper.go
+++ b/io/desired/keeper.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log"
 
+	"savoryfall/core/event"
 	"savoryfall/core/freshness"
 	"savoryfall/core/keyed"
 	"savoryfall/core/routetable"
@@ -46,7 +47,7 @@
 	for _, r := range records {
 		t, ok, err := k.decoder.Decode(r)
 		if err != nil {
-			_ = k.logger.Log("event", "configurationUnreadable", "offset", r.Offset, "err", err)
+			_ = k.logger.Log("event", event.ConfigurationUnreadable, "offset", r.Offset, "err", err)
 			continue
 		}
 		if ok {
@@ -67,7 +68,7 @@
 	if old != nil {
 		from = old.Version()
 	}
-	_ = k.logger.Log("event", "configurationInForce", "version", t.Version(), "from", from, "offset", r.Offset, "routes", t.Routes())
+	_ = k.logger.Log("event", event.ConfigurationInForce, "version", t.Version(), "from", from, "offset", r.Offset, "routes", t.Routes())
 }
 
 // Read renews the lease. Before the first configuration there is nothing to serve by.
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"savoryfall/core/ask"
+	"savoryfall/core/event"
 	"savoryfall/core/outcome"
 )
 
@@ -37,7 +38,7 @@
 func (x *exchange) served(status int) {
 	x.front.Figures.served(x.kind(), status, time.Since(x.began))
 	if status >= http.StatusInternalServerError {
-		_ = x.front.Logger.Log("event", "requestFailed", "request", x.ask.ID, "route", x.routeName(), "status", status,
+		_ = x.front.Logger.Log("event", event.RequestFailed, "request", x.ask.ID, "route", x.routeName(), "status", status,
 			"by", "endpoint", "endpoints", x.endpoints(), "ms", time.Since(x.began).Milliseconds())
 	}
 }
@@ -46,7 +47,7 @@
 func (x *exchange) note(status int, p *ask.Problem) {
 	x.front.Figures.refused(x.kind(), p)
 	age, _ := x.front.Lease.Age(x.front.Clock())
-	_ = x.front.Logger.Log("event", "requestRefused", "request", x.ask.ID, "route", x.routeName(), "status", status,
+	_ = x.front.Logger.Log("event", event.RequestRefused, "request", x.ask.ID, "route", x.routeName(), "status", status,
 		"reason", p.Reason, "outcome", p.Outcome, "backMs", p.Back.Milliseconds(), "sends", x.sends,
 		"endpoints", x.endpoints(), "version", x.version(), "readAgeMs", age.Milliseconds(),
 		"ms", time.Since(x.began).Milliseconds())
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -10,6 +10,7 @@
 
 	"savoryfall/core/annotate"
 	"savoryfall/core/background"
+	"savoryfall/core/event"
 )
 
 // Server listens for clients and ends their idle connections by the limits in force.
@@ -75,7 +76,7 @@
 	go func() {
 		err := s.http.Serve(s.listener)
 		if !errors.Is(err, http.ErrServerClosed) {
-			_ = s.front.Logger.Log("event", "listenerLost", "address", s.Address(), "err", err)
+			_ = s.front.Logger.Log("event", event.ListenerLost, "address", s.Address(), "err", err)
 		}
 	}()
 	return nil
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 
 	"savoryfall/core/background"
+	"savoryfall/core/event"
 	"savoryfall/core/keyed"
 )
 
@@ -199,7 +200,7 @@
 	}
 	var trimmed keyed.TrimmedError
 	if errors.As(err, &trimmed) {
-		_ = f.logger.Log("event", "recordsTrimmed", "topic", f.options.Name, "want", trimmed.Want, "first", trimmed.First)
+		_ = f.logger.Log("event", event.RecordsTrimmed, "topic", f.options.Name, "want", trimmed.Want, "first", trimmed.First)
 		f.mu.Lock()
 		f.whole = false
 		f.mu.Unlock()
@@ -264,7 +265,7 @@
 	f.sink.Failed(err)
 	if f.failures() == 0 {
 		f.lostAt = time.Now()
-		_ = f.logger.Log("event", "storeLost", "topic", f.options.Name, "err", err)
+		_ = f.logger.Log("event", event.StoreLost, "topic", f.options.Name, "err", err)
 	}
 	most := followMost
 	if f.leads() {
@@ -285,7 +286,7 @@
 	if failed == 0 {
 		return
 	}
-	_ = f.logger.Log("event", "storeRegained", "topic", f.options.Name, "failures", failed,
+	_ = f.logger.Log("event", event.StoreRegained, "topic", f.options.Name, "failures", failed,
 		"afterMs", time.Since(f.lostAt).Milliseconds(), "offset", next)
 }
 
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -12,6 +12,7 @@
 	"savoryfall/core/annotate"
 	"savoryfall/core/background"
 	"savoryfall/core/board"
+	"savoryfall/core/event"
 	"savoryfall/core/keyed"
 	"savoryfall/core/members"
 	"savoryfall/io/meter"
@@ -150,7 +151,7 @@
 		if err == nil {
 			break
 		}
-		_ = a.Logger.Log("event", "notListed", "err", err)
+		_ = a.Logger.Log("event", event.NotListed, "err", err)
 		wait(ctx, storeWithin)
 	}
 	a.read(ctx)
@@ -170,7 +171,7 @@
 		return err
 	})
 	if err != nil {
-		_ = a.Logger.Log("event", "routersUnknown", "err", err)
+		_ = a.Logger.Log("event", event.RoutersUnknown, "err", err)
 		return
 	}
 	a.learn(all)
@@ -202,7 +203,7 @@
 		}
 		if err != nil {
 			a.Members.Failed(m.Name, time.Now())
-			_ = a.Logger.Log("event", "hubLost", "hub", m.Name, "err", err)
+			_ = a.Logger.Log("event", event.HubLost, "hub", m.Name, "err", err)
 			continue
 		}
 		a.lead(false, m.Name)
@@ -263,7 +264,7 @@
 	}
 	a.Configuration.Lead(lead)
 	a.Registry.Lead(lead)
-	_ = a.Logger.Log("event", "hubFollowed", "hub", hub, "self", lead, "routers", a.Members.Len())
+	_ = a.Logger.Log("event", event.HubFollowed, "hub", hub, "self", lead, "routers", a.Members.Len())
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- a/io/hub/server.go
+++ b/io/hub/server.go
@@ -7,6 +7,7 @@
 	"net/rpc"
 	"time"
 
+	"savoryfall/core/event"
 	"savoryfall/io/meter"
 )
 
@@ -25,7 +26,7 @@
 			return
 		}
 		if err != nil {
-			_ = a.Logger.Log("event", "acceptFailed", "err", err)
+			_ = a.Logger.Log("event", event.AcceptFailed, "err", err)
 			wait(context.Background(), period)
 			continue
 		}
--- a/io/registry/keeper.go
+++ b/io/registry/keeper.go
@@ -8,6 +8,7 @@
 
 	"savoryfall/core/board"
 	"savoryfall/core/directory"
+	"savoryfall/core/event"
 	"savoryfall/core/keyed"
 )
 
@@ -107,7 +108,7 @@
 }
 
 func (k *Keeper) unreadable(r keyed.Record, err error) {
-	_ = k.logger.Log("event", "entryUnreadable", "endpoint", r.Key, "offset", r.Offset, "err", err)
+	_ = k.logger.Log("event", event.EntryUnreadable, "endpoint", r.Key, "offset", r.Offset, "err", err)
 }
 
 // Read gives up entries that have not come back after an outage.
@@ -140,7 +141,7 @@
 		}
 		k.changes.Put(board.Change{Entry: e, Usable: true})
 		if !known {
-			_ = k.logger.Log("event", "endpointUsable", "endpoint", e.ID, "service", e.Service, "address", e.Address, "born", e.Born)
+			_ = k.logger.Log("event", event.EndpointUsable, "endpoint", e.ID, "service", e.Service, "address", e.Address, "born", e.Born)
 		}
 	}
 	for id, e := range k.last {
@@ -149,7 +150,7 @@
 		}
 		e.Leaving = k.directory.Leaving(id)
 		k.changes.Put(board.Change{Entry: e})
-		_ = k.logger.Log("event", "endpointGone", "endpoint", id, "service", e.Service, "address", e.Address)
+		_ = k.logger.Log("event", event.EndpointGone, "endpoint", id, "service", e.Service, "address", e.Address)
 	}
 	k.last = now
 	k.changed(usable)
--- a/io/stdout/log.go
+++ b/io/stdout/log.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"savoryfall/core/background"
+	"savoryfall/core/event"
 )
 
 // Log is a logger with a bounded rate and queue. What does not fit is dropped and counted: a reader of the logs that
@@ -132,6 +133,6 @@
 	l.dropped = 0
 	l.mu.Unlock()
 	if n > 0 {
-		_ = l.Log("event", "linesDropped", "count", strconv.Itoa(n))
+		_ = l.Log("event", event.LinesDropped, "count", strconv.Itoa(n))
 	}
 }
