--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -116,15 +116,20 @@
 // connection is the one to the hub, made when it is first needed and again after it broke.
 func (a *Agent) connection(ctx context.Context, m members.Member) (client *rpc.Client, err error) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	if a.client != nil && a.to == m {
+		defer a.mu.Unlock()
 		return a.client, nil
 	}
 	a.drop()
+	a.mu.Unlock()
+	// Dialled without the lock: a hub whose VM is lost answers nothing, and who tells of a new configuration meanwhile
+	// must not wait for that.
 	raw, err := a.Meter.Dial(meter.KindPeer)(ctx, "tcp4", m.Address)
 	if err != nil {
 		return nil, err
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.client, a.to = rpc.NewClient(raw), m
 	return a.client, nil
 }
