dispatch, tests: an attempt keeps its own copy of the entry; the wire's words in platform/ only

Cause: (1) the race detector found that an attempt read the endpoint's entry while the list of endpoints was taken anew (TestLeavingEndpointGetsNoNewWork and four others, in one run of five so far); (2) tests of io/ spoke the wire's headers. Change: the attempt copies the entry, with a test; the tests of the path lie in platform/path, unchanged, and a client stands in platform/standin.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -10,6 +10,7 @@
 type Attempt struct {
 	d       *Dispatcher
 	e       *endpoint
+	entry   directory.Entry
 	q       Query
 	began   time.Time
 	missing int
@@ -47,7 +48,7 @@
 	i := c.index(e)
 	missing, donor := c.missing(i), c.donor(i)
 	e.running++
-	a := &Attempt{d: d, e: e, q: q, began: now, missing: missing, unread: missing, donor: donor}
+	a := &Attempt{d: d, e: e, entry: e.entry, q: q, began: now, missing: missing, unread: missing, donor: donor}
 	e.unread += missing
 	if len(q.Prompt) > 0 {
 		d.place(q, e)
@@ -55,8 +56,8 @@
 	return a
 }
 
-// Endpoint is where the attempt goes.
-func (a *Attempt) Endpoint() directory.Entry { return a.e.entry }
+// Endpoint is where the attempt goes, as it was listed when the attempt began.
+func (a *Attempt) Endpoint() directory.Entry { return a.entry }
 
 // Donor is the address of an endpoint that holds parts of the prompt which this one lacks, empty for none.
 func (a *Attempt) Donor() string { return a.donor }
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -269,3 +269,22 @@
 		})
 	}
 }
+
+// The list of endpoints changes while an attempt is under way: the attempt goes on knowing where it went. The router and
+// the reader of the list once shared that entry without a lock.
+func TestListChangesUnderAnAttempt(t *testing.T) {
+	d, entries := fleet(1)
+	a := choose(t, d, dispatch.Query{Service: plain}, start)
+	before := a.Endpoint()
+	done := make(chan bool)
+	go func() {
+		defer close(done)
+		for i := range entries {
+			entries[i].Slots++
+		}
+		d.Update(entries)
+	}()
+	assert.DeepEqual(t, a.Endpoint(), before)
+	<-done
+	assert.DeepEqual(t, a.Endpoint(), before)
+}
--- a/io/command/entryvm_test.go
+++ b/io/command/entryvm_test.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -18,6 +17,7 @@
 
 	"savoryfall/core/settings"
 	"savoryfall/io/stdout"
+	"savoryfall/platform/standin/client"
 	"savoryfall/platform/standin/server"
 	"savoryfall/platform/standin/store"
 )
@@ -47,7 +47,7 @@
 	}
 	f.await("ready", func() bool {
 		for _, vm := range f.vms {
-			if !vm.front.Ready() || f.get(vm, "/read/x", "good").status != 200 {
+			if !vm.front.Ready() || f.get(vm, "/read/x", "good").Status != 200 {
 				return false
 			}
 		}
@@ -129,45 +129,27 @@
 	}, poll.WithTimeout(time.Minute), poll.WithDelay(5*time.Millisecond))
 }
 
-type got struct {
-	status int
-	body   string
-	whole  bool
-}
-
 var requests atomic.Int64
 
-func (f *entryFleet) get(vm *entryVM, path, key string) got {
+func (f *entryFleet) get(vm *entryVM, path, key string) client.Answer {
 	return f.ask(vm, "GET", path, key, fmt.Sprint("r", requests.Add(1)))
 }
 
-func (f *entryFleet) ask(vm *entryVM, method, path, key, id string) (g got) {
-	c, err := net.Dial("tcp4", vm.clients.Address())
-	if err != nil {
-		return got{}
-	}
-	defer func() { _ = c.Close() }()
-	_, _ = fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: shop.example\r\nX-Savoryfall-Attempt-Id: %s\r\nX-Savoryfall-Deadline-Ms: 3000\r\n"+
-		"X-Savoryfall-Prefix-Hash: a:100,b:1000,c:10\r\nAuthorization: Bearer %s\r\n\r\n", method, path, id, key)
-	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
-	if err != nil {
-		return got{}
-	}
-	body, err := io.ReadAll(resp.Body)
-	return got{status: resp.StatusCode, body: string(body), whole: err == nil}
+func (f *entryFleet) ask(vm *entryVM, method, path, key, id string) client.Answer {
+	return client.Ask(vm.clients.Address(), client.Request{Method: method, Host: "shop.example", Path: path, ID: id, Key: key})
 }
 
 func TestEntryFleetServesEachKind(t *testing.T) {
 	t.Parallel()
 	f := newEntryFleet(t, 3)
 	for _, vm := range f.vms {
-		assert.Equal(t, f.get(vm, "/read/x", "good").body, "/read/x for coop by plain")
-		assert.Equal(t, f.ask(vm, "POST", "/book/x", "good", "b"+vm.settings.VM().Name()).status, 200)
+		assert.Equal(t, f.get(vm, "/read/x", "good").Body, "/read/x for coop by plain")
+		assert.Equal(t, f.ask(vm, "POST", "/book/x", "good", "b"+vm.settings.VM().Name()).Status, 200)
 		g := f.ask(vm, "POST", "/draft/x", "good", "s"+vm.settings.VM().Name())
-		assert.Equal(t, strings.Count(g.body, "data: piece"), 5)
-		assert.Assert(t, g.whole)
-		assert.Equal(t, f.get(vm, "/read/x", "bad").status, 401)
-		assert.Equal(t, f.get(vm, "/none/x", "good").status, 404)
+		assert.Equal(t, strings.Count(g.Body, "data: piece"), 5)
+		assert.Assert(t, g.Whole)
+		assert.Equal(t, f.get(vm, "/read/x", "bad").Status, 401)
+		assert.Equal(t, f.get(vm, "/none/x", "good").Status, 404)
 	}
 	booked := int64(0)
 	for _, s := range f.servers {
@@ -183,14 +165,14 @@
 	f := newEntryFleet(t, 3)
 	f.configure(7, "new", "other")
 	for _, vm := range f.vms {
-		f.await("version 7", func() bool { return f.get(vm, "/read/x", "new").body == "/read/x for coop by other" })
-		assert.Equal(t, f.get(vm, "/read/x", "good").status, 401)
+		f.await("version 7", func() bool { return f.get(vm, "/read/x", "new").Body == "/read/x for coop by other" })
+		assert.Equal(t, f.get(vm, "/read/x", "good").Status, 401)
 	}
 	f.configure(3, "good", "plain")
 	f.configure(9, "newest", "other")
 	for _, vm := range f.vms {
-		f.await("version 9", func() bool { return f.get(vm, "/read/x", "newest").status == 200 })
-		assert.Equal(t, f.get(vm, "/read/x", "good").status, 401)
+		f.await("version 9", func() bool { return f.get(vm, "/read/x", "newest").Status == 200 })
+		assert.Equal(t, f.get(vm, "/read/x", "good").Status, 401)
 	}
 }
 
@@ -207,7 +189,7 @@
 	f.store.Forget("keyed.servers")
 	f.configure(2, "new", "plain")
 	for _, vm := range f.vms[1:] {
-		f.await("version 2", func() bool { return f.get(vm, "/read/x", "new").status == 200 })
+		f.await("version 2", func() bool { return f.get(vm, "/read/x", "new").Status == 200 })
 	}
 	f.await("the next hub", func() bool { return f.vms[1].hub.Follows() == "vm1" && f.vms[2].hub.Follows() == "vm1" })
 }
@@ -238,14 +220,14 @@
 	t.Parallel()
 	f := newEntryFleet(t, 2)
 	f.store.SetDown(true)
-	assert.Equal(t, f.get(f.vms[0], "/read/x", "good").status, 200)
+	assert.Equal(t, f.get(f.vms[0], "/read/x", "good").Status, 200)
 	f.await("the right to serve runs out", func() bool {
-		return f.get(f.vms[0], "/read/x", "good").status == 503 && f.get(f.vms[1], "/read/x", "good").status == 503
+		return f.get(f.vms[0], "/read/x", "good").Status == 503 && f.get(f.vms[1], "/read/x", "good").Status == 503
 	})
 	assert.Assert(t, !f.vms[0].front.Ready())
 	f.store.SetDown(false)
 	for _, vm := range f.vms {
-		f.await("served again", func() bool { return f.get(vm, "/read/x", "good").status == 200 && vm.front.Ready() })
+		f.await("served again", func() bool { return f.get(vm, "/read/x", "good").Status == 200 && vm.front.Ready() })
 	}
 }
 
@@ -254,9 +236,9 @@
 	t.Parallel()
 	f := newEntryFleet(t, 1)
 	f.store.SetSilent(true)
-	f.await("the right to serve runs out", func() bool { return f.get(f.vms[0], "/read/x", "good").status == 503 })
+	f.await("the right to serve runs out", func() bool { return f.get(f.vms[0], "/read/x", "good").Status == 503 })
 	f.store.SetSilent(false)
-	f.await("served again", func() bool { return f.get(f.vms[0], "/read/x", "good").status == 200 })
+	f.await("served again", func() bool { return f.get(f.vms[0], "/read/x", "good").Status == 200 })
 }
 
 // Entries of another writer name no endpoint to use; the others hold.
@@ -274,7 +256,7 @@
 	f.configure(5, "good", "plain")
 	f.await("version 5", func() bool { return f.vms[0].desired.Current().Version() == 5 })
 	for range 50 {
-		assert.Equal(t, f.get(f.vms[0], "/read/x", "good").status, 200)
+		assert.Equal(t, f.get(f.vms[0], "/read/x", "good").Status, 200)
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,9 +3,7 @@
 package soak_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -23,6 +21,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"savoryfall/platform/standin/client"
 	"savoryfall/platform/standin/server"
 	"savoryfall/platform/standin/store"
 )
@@ -268,49 +267,34 @@
 		id := fmt.Sprint("r", w.number.Add(1))
 		kind := []string{"read", "book", "draft"}[random.IntN(3)]
 		tooLate := gone && time.Since(at) > keyTerm+keySlack
-		status, body, whole := w.ask(r, kind, id, key)
-		w.judge(kind, id, status, body, whole)
+		got := client.Ask(r.clients, client.Request{
+			Method: http.MethodPost, Host: "soak.example", Path: "/" + kind + "/" + id, ID: id, Key: key,
+		})
+		w.judge(kind, id, got)
 		if tooLate && w.ran(id) > 0 {
 			w.wrong("%s ran with %s, which was withdrawn %v before", id, key, time.Since(at))
 		}
 	}
 }
 
-func (w *world) ask(r *router, kind, id, key string) (status int, body string, whole bool) {
-	c, err := net.DialTimeout("tcp4", r.clients, time.Second)
-	if err != nil {
-		return 0, "", false
-	}
-	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(4 * time.Second))
-	_, _ = fmt.Fprintf(c, "POST /%s/%s HTTP/1.1\r\nHost: soak.example\r\nX-Savoryfall-Attempt-Id: %s\r\nX-Savoryfall-Deadline-Ms: 3000\r\n"+
-		"X-Savoryfall-Prefix-Hash: a:500,b:1000,c:10\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", kind, id, id, key)
-	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodPost})
-	if err != nil {
-		return 0, "", false
-	}
-	text, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(text), err == nil
-}
-
-func (w *world) judge(kind, id string, status int, body string, whole bool) {
-	if status == http.StatusOK && whole {
+func (w *world) judge(kind, id string, got client.Answer) {
+	if got.Status == http.StatusOK && got.Whole {
 		w.served.Add(1)
 		want := fmt.Sprintf("/%s/%s for coop by plain", kind, id)
 		if kind == "draft" {
 			want = stream()
 		}
-		if body != want {
-			w.wrong("%s got %q, want %q", id, body, want)
+		if got.Body != want {
+			w.wrong("%s got %q, want %q", id, got.Body, want)
 		}
 	}
-	if kind == "draft" && !strings.HasPrefix(stream(), body) {
-		w.wrong("stream %s has a gap or a repeat: %q", id, body)
+	if kind == "draft" && !strings.HasPrefix(stream(), got.Body) {
+		w.wrong("stream %s has a gap or a repeat: %q", id, got.Body)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if kind == "book" {
-		w.answers = append(w.answers, answer{id: id, status: status})
+		w.answers = append(w.answers, answer{id: id, status: got.Status})
 	}
 }
 
