entry, dispatch: one loop for attempts, one mixing of hashes

Cause: plain answers and streams each had the loop over attempts, and dispatch and placement the same finalizer. Change: tryEach serves both; core/scatter holds the finalizer.

--- a/core/dispatch/contest.go
+++ b/core/dispatch/contest.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"savoryfall/core/scatter"
 )
 
 // contest compares the endpoints of a pool for one request.
@@ -80,16 +82,7 @@
 }
 
 // fraction is a number from 0 to 1 that any difference in x changes.
-func fraction(x uint64) float64 { return float64(mix(x)>>11) / (1 << 53) }
-
-// mix is the finalizer of SplitMix64, which spreads a difference in any bit over all bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
+func fraction(x uint64) float64 { return float64(scatter.Mix(x)>>11) / (1 << 53) }
 
 const (
 	// evenBound and evenSlack are how far above the mean an endpoint may be loaded: under the users' factor of two and
@@ -106,7 +99,7 @@
 func (c *contest) full(e *endpoint) bool {
 	room := evenBound*c.mean + evenSlack - c.mean
 	if c.engine && len(c.q.Prompt) > 0 {
-		room *= leastShare + (1-leastShare)*fraction(mix(c.q.Prompt.Key())^e.hash)
+		room *= leastShare + (1-leastShare)*fraction(scatter.Mix(c.q.Prompt.Key())^e.hash)
 	}
 	return e.load(c.now)+1 > c.mean+room
 }
--- a/core/placement/baselines.go
+++ b/core/placement/baselines.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"savoryfall/core/candidate"
+	"savoryfall/core/scatter"
 )
 
 func usable(all []candidate.Candidate, members []int32) (list []int32) {
@@ -72,7 +73,7 @@
 func (rendezvous) Choose(r Request, all []candidate.Candidate, members []int32) (int, Reason) {
 	best, bestScore := None, math.Inf(-1)
 	for _, i := range usable(all, members) {
-		if s := weighted(unit(mix(r.Key^all[i].Hash())), all[i].Weight()); s > bestScore {
+		if s := weighted(unit(scatter.Mix(r.Key^all[i].Hash())), all[i].Weight()); s > bestScore {
 			best, bestScore = int(i), s
 		}
 	}
@@ -104,7 +105,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.build(all, list)
-	at := mix(r.Key)
+	at := scatter.Mix(r.Key)
 	n := sort.Search(len(p.points), func(i int) bool { return p.points[i].at >= at })
 	return int(p.points[n%len(p.points)].index), ReasonRank
 }
@@ -112,7 +113,7 @@
 func (p *ring) build(all []candidate.Candidate, list []int32) {
 	of := uint64(len(list))
 	for _, i := range list {
-		of = mix(of ^ all[i].Hash())
+		of = scatter.Mix(of ^ all[i].Hash())
 	}
 	if of == p.of && p.points != nil {
 		return
@@ -120,7 +121,7 @@
 	p.of, p.points = of, nil
 	for _, i := range list {
 		for v := range uint64(pointsPerCandidate) {
-			p.points = append(p.points, point{at: mix(all[i].Hash() + v*0x9e3779b97f4a7c15), index: i})
+			p.points = append(p.points, point{at: scatter.Mix(all[i].Hash() + v*0x9e3779b97f4a7c15), index: i})
 		}
 	}
 	sort.Slice(p.points, func(a, b int) bool { return p.points[a].at < p.points[b].at })
--- a/core/placement/bounded.go
+++ b/core/placement/bounded.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"savoryfall/core/candidate"
+	"savoryfall/core/scatter"
 )
 
 // Bounded is weighted rendezvous hashing with a bounded load: among the candidates under the bound, the one that
@@ -62,7 +63,7 @@
 		if !c.Usable() {
 			continue
 		}
-		s := unit(mix(key ^ c.Hash()))
+		s := unit(scatter.Mix(key ^ c.Hash()))
 		if l.uneven {
 			s = weighted(s, c.Weight())
 		}
@@ -139,15 +140,6 @@
 	return -weight / math.Log(u)
 }
 
-// mix is the finalizer of SplitMix64, which spreads a difference in any bit over all bits.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // unit is a number above 0 and below 1.
 func unit(x uint64) float64 {
 	return (float64(x>>11) + 0.5) / (1 << 53)
--- /dev/null
+++ b/core/scatter/doc.go
@@ -0,0 +1,2 @@
+// Package scatter spreads hashes evenly.
+package scatter
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -109,6 +109,31 @@
 	return dispatch.Broken, true
 }
 
+// tryEach makes attempts, each at another endpoint, until one is done or none may follow; the problem is the last one's.
+func (x *exchange) tryEach(try func(a *attempt) (done bool, p *ask.Problem)) (done bool, p *ask.Problem) {
+	p = ask.NotRun(ask.NoEndpoint, backLater)
+	for range mostChoices {
+		if !x.maySend(time.Now()) {
+			return false, p
+		}
+		a, none := x.choose()
+		if none != nil && x.sends == 0 {
+			return false, none
+		}
+		if none != nil {
+			return false, p
+		}
+		done, p = try(a)
+		if done {
+			return true, nil
+		}
+		if x.ctx.Err() != nil || p.Outcome != notRun && !x.route.Kind.Repeatable() {
+			return false, p
+		}
+	}
+	return false, p
+}
+
 // maySend tells whether the request may go to another endpoint: within its route's attempts, its time, and this
 // router's part of the retries.
 func (x *exchange) maySend(now time.Time) bool {
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -21,34 +21,22 @@
 
 // plain answers a request whose answer is one body.
 func (x *exchange) plain() (p *ask.Problem) {
-	p = ask.NotRun(ask.NoEndpoint, backLater)
+	// failure is an endpoint's own, which is passed on when no other endpoint does better.
 	var failure *whole
-	for range mostChoices {
-		if !x.maySend(time.Now()) {
-			break
+	done, p := x.tryEach(func(a *attempt) (done bool, p *ask.Problem) {
+		failure = nil
+		answer, p := x.try(a)
+		if p != nil {
+			return false, p
 		}
-		a, none := x.choose()
-		if none != nil {
-			if x.sends == 0 {
-				p = none
-			}
-			break
-		}
-		answer, problem := x.try(a)
-		if problem == nil && !x.another(answer) {
-			x.deliver(answer)
-			return nil
-		}
-		if problem == nil {
+		if x.another(answer) {
 			failure = answer
-			continue
+			return false, ask.Unknown(ask.Broken)
 		}
-		p, failure = problem, nil
-		if x.ctx.Err() != nil || p.Outcome != notRun && !x.route.Kind.Repeatable() {
-			break
-		}
-	}
-	if failure != nil {
+		x.deliver(answer)
+		return true, nil
+	})
+	if !done && failure != nil {
 		x.deliver(failure)
 		return nil
 	}
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -29,26 +29,9 @@
 	s.flusher, _ = x.w.(http.Flusher)
 	last, err := strconv.ParseInt(x.ask.LastEvent, 10, 64)
 	s.lastID, s.hasLast = last, err == nil
-	p = ask.NotRun(ask.NoEndpoint, backLater)
-	for range mostChoices {
-		if !x.maySend(time.Now()) {
-			break
-		}
-		a, none := x.choose()
-		if none != nil {
-			if x.sends == 0 {
-				p = none
-			}
-			break
-		}
-		done, problem := s.try(a)
-		if done {
-			return nil
-		}
-		p = problem
-		if x.ctx.Err() != nil || p.Outcome != notRun && !x.route.Kind.Repeatable() {
-			break
-		}
+	done, p := x.tryEach(s.try)
+	if done {
+		return nil
 	}
 	if s.started {
 		x.cut(p)
