--- a/io/command/demo.go
+++ b/io/command/demo.go
@@ -25,10 +25,16 @@
 func demoCommand(s streams) *ffcli.Command {
 	flags := newFlags("demo", s)
 	quiet := flags.Bool("quiet", false, "write no log lines")
+	onPlatform := flags.Bool("platform", false, "run on the platform's store instead of release notes")
 	return &ffcli.Command{
-		Name: "demo", ShortUsage: "savoryfall demo", ShortHelp: "run a small fleet and its stand-ins in this process",
+		Name: "demo", ShortUsage: "savoryfall demo [--platform]", ShortHelp: "run a small fleet and its stand-ins in this process",
 		LongHelp: page("demo"), FlagSet: flags,
-		Exec: func(ctx context.Context, _ []string) error { return runDemo(ctx, s, *quiet) },
+		Exec: func(ctx context.Context, _ []string) error {
+			if *onPlatform {
+				return runPlatformDemo(ctx, s, *quiet)
+			}
+			return runDemo(ctx, s, *quiet)
+		},
 	}
 }
 
--- /dev/null
+++ b/io/command/demoplatform.go
@@ -0,0 +1,148 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"savoryfall/core/annotate"
+	"savoryfall/core/settings"
+	"savoryfall/io/stdout"
+	"savoryfall/platform/standin/server"
+	"savoryfall/platform/standin/store"
+)
+
+// platformDemo is a small fleet on the platform's store, with its stand-ins, in this process.
+type platformDemo struct {
+	store   store.Service
+	address string
+	servers []*http.Server
+	vms     []*entryVM
+}
+
+// demoConfiguration has a route of each kind for the key "demo".
+const demoConfiguration = `{"version":1,"routes":[
+	{"name":"draft","host":"demo.example","path_prefix":"/draft/","type":"streaming","resumable":true,"timeout_ms":15000,
+		"goal_ms":800,"service":"models","max_attempts":2},
+	{"name":"book","host":"demo.example","path_prefix":"/book/","type":"non_idempotent","timeout_ms":1000,"goal_ms":100,
+		"service":"plain","max_attempts":1},
+	{"name":"read","host":"demo.example","path_prefix":"/read/","type":"idempotent","timeout_ms":1000,"goal_ms":100,
+		"service":"plain","max_attempts":2}],
+	"services":[{"name":"models","engine":{"slots":32,"kv_capacity":500000}},{"name":"plain"}],
+	"tenants":[{"name":"guardia","api_keys":["demo"]}]}`
+
+func runPlatformDemo(ctx context.Context, s streams, quiet bool) (err error) {
+	d := &platformDemo{}
+	defer d.stop()
+	err = d.start(ctx, s, quiet)
+	if err != nil {
+		return err
+	}
+	address := d.vms[0].clients.Address()
+	fmt.Fprintf(s.out, "clients    http://%s\nstore      http://%s\nkey        demo\n\n", address, d.address)
+	fmt.Fprintf(s.out, "curl -sN -X POST http://%s/draft/plan -H 'Host: demo.example' -H 'Authorization: Bearer demo' "+
+		"%s\n\nstop with an interrupt\n", address, server.CurlHeaders)
+	<-ctx.Done()
+	return nil
+}
+
+func (d *platformDemo) start(ctx context.Context, s streams, quiet bool) (err error) {
+	defer annotate.Error(&err, "start the demo")
+	d.address, err = d.serve(&d.store)
+	if err != nil {
+		return err
+	}
+	d.store.Put("keyed.op", "config", []byte(demoConfiguration))
+	for i := range demoEngines {
+		err = d.add(server.Options{ID: fmt.Sprint("engine", i), Service: "models", Slots: 32, Events: 40, Step: 30 * time.Millisecond})
+		if err != nil {
+			return err
+		}
+	}
+	for i := range demoServices {
+		err = d.add(server.Options{ID: fmt.Sprint("plain", i), Service: "plain", Slots: 6, Work: 15 * time.Millisecond})
+		if err != nil {
+			return err
+		}
+	}
+	for i := range demoRouters {
+		err = d.route(ctx, s, i, quiet)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve takes a free address on loopback.
+func (d *platformDemo) serve(h http.Handler) (address string, err error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h}
+	d.servers = append(d.servers, server)
+	go func() {
+		err := server.Serve(l)
+		if !errors.Is(err, http.ErrServerClosed) {
+			panic("demo: " + err.Error())
+		}
+	}()
+	return l.Addr().String(), nil
+}
+
+func (d *platformDemo) add(o server.Options) (err error) {
+	var s *server.Server
+	o.Zone = "demo"
+	o.Address, err = d.serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.ServeHTTP(w, r) }))
+	if err != nil {
+		return err
+	}
+	s = server.New(o)
+	d.store.Put("keyed.servers", o.ID, s.Entry())
+	return nil
+}
+
+func (d *platformDemo) route(ctx context.Context, s streams, i int, quiet bool) (err error) {
+	peers, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	address := peers.Addr().String()
+	err = peers.Close()
+	if err != nil {
+		return err
+	}
+	text := fmt.Sprintf("[vm]\nname = \"vm%d\"\nfailureDomain = \"demo\"\n[clients]\naddress = \"127.0.0.1:0\"\n"+
+		"[readiness]\naddress = \"127.0.0.1:0\"\n[metrics]\naddress = \"127.0.0.1:0\"\n[peers]\naddress = %q\n[store]\naddress = %q\n",
+		i, address, d.address)
+	cfg, err := settings.ParseEntry("demo.toml", []byte(text))
+	if err != nil {
+		return err
+	}
+	out := s.err
+	if quiet {
+		out = io.Discard
+	}
+	vm, err := newEntryVM(cfg, stdout.New(out))
+	if err != nil {
+		return err
+	}
+	d.vms = append(d.vms, vm)
+	return vm.start(ctx)
+}
+
+func (d *platformDemo) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), demoDrain)
+	defer cancel()
+	for _, vm := range d.vms {
+		_ = vm.kernel.Stop(ctx)
+	}
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+}
