metrics: the users' own measures, and what decisions rest on

Cause: on-call had no figure for prefix reuse, skew, the age of the load view or the retries left. Change: gauges of them on the metrics address; prompts count for engines only.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -50,7 +50,9 @@
 	e.running++
 	a := &Attempt{d: d, e: e, entry: e.entry, q: q, began: now, missing: missing, unread: missing, donor: donor}
 	e.unread += missing
-	if len(q.Prompt) > 0 {
+	if c.engine && len(q.Prompt) > 0 {
+		d.promptTokens += uint64(c.total)
+		d.warmTokens += uint64(c.total - missing)
 		d.place(q, e)
 	}
 	return a
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -257,6 +257,22 @@
 	}
 }
 
+// The users' measures: of two requests with one document the second finds it warm; the busiest is told against the mean.
+func TestMeasures(t *testing.T) {
+	d, _ := fleet(2)
+	assert.Equal(t, d.Measure(start).Busiest, 0.0)
+	for i := range uint64(2) {
+		choose(t, d, dispatch.Query{Service: models, Prompt: document(1, i)}, start)
+	}
+	m := d.Measure(start)
+	assert.Equal(t, m.Prompt, uint64(2*10800))
+	assert.Assert(t, m.Warm > 10000 && m.Warm < 2*10800, "%d", m.Warm)
+	assert.Equal(t, m.Busiest, 2.0)
+	assert.Equal(t, m.Endpoints, 4)
+	d.Others(nil, nil, start)
+	assert.Equal(t, d.Measure(start.Add(time.Second)).ViewAge, time.Second)
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{10, 100, 2500} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -21,6 +21,9 @@
 	prefill       prefillRate
 	placed        []board.Read
 	byName        map[uint32]*endpoint
+	promptTokens  uint64
+	warmTokens    uint64
+	heardAt       time.Time
 }
 
 // New makes a dispatcher for a router of the failure domain.
--- a/core/dispatch/fleet.go
+++ b/core/dispatch/fleet.go
@@ -33,6 +33,7 @@
 func (d *Dispatcher) Others(total, own []board.Load, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.heardAt = now
 	for _, e := range d.by {
 		e.heard, e.heardOf = board.Load{}, now
 		e.others, e.othersAt = 0, now
--- /dev/null
+++ b/core/dispatch/measure.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import "time"
+
+// Measures are the users' own: how warm prompts were where they went, and how even the load is.
+type Measures struct {
+	// Prompt and Warm are tokens of all prompts sent, and those of them that the engine was believed to hold.
+	Prompt, Warm uint64
+	// Busiest is the load of the busiest endpoint over the mean of its service, the largest of all services with a load
+	// of at least one request an endpoint; 0 when there is none.
+	Busiest float64
+	// Endpoints is how many may get work, Failing how many of them fail at least every fourth attempt.
+	Endpoints, Failing int
+	// ViewAge is how long ago the hub told of the other routers' loads.
+	ViewAge time.Duration
+}
+
+// failingRate is the share of failures from which on an endpoint counts as failing.
+const failingRate = 0.25
+
+// Measure takes the measures now.
+func (d *Dispatcher) Measure(now time.Time) (m Measures) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m.Prompt, m.Warm, m.Endpoints = d.promptTokens, d.warmTokens, len(d.by)
+	if !d.heardAt.IsZero() {
+		m.ViewAge = now.Sub(d.heardAt)
+	}
+	for _, pool := range d.pools {
+		m.Busiest = max(m.Busiest, busiest(pool, now))
+		for _, e := range pool {
+			if e.failing(now) >= failingRate {
+				m.Failing++
+			}
+		}
+	}
+	return m
+}
+
+func busiest(pool []*endpoint, now time.Time) float64 {
+	sum, most := 0.0, 0.0
+	for _, e := range pool {
+		sum += e.load(now)
+		most = max(most, e.load(now))
+	}
+	if sum < float64(len(pool)) {
+		return 0
+	}
+	return most * float64(len(pool)) / sum
+}
--- a/core/routetable/table.go
+++ b/core/routetable/table.go
@@ -1,6 +1,7 @@
 package routetable
 
 import (
+	"sort"
 	"strings"
 	"time"
 )
@@ -134,6 +135,15 @@
 // Service is the service of that name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Services are the names of all services, in order.
+func (t *Table) Services() (names []string) {
+	for name := range t.services {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
 // Account is the client account that holds the key, or nil.
 func (t *Table) Account(key string) *Account { return t.accounts[key] }
 
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -200,6 +202,9 @@
 	return spans.Tracer(), nil
 }
 
+// nameMetrics is the name of the server of the metrics.
+const nameMetrics = "metrics"
+
 // readyPath is where the balancer asks whether this router takes new clients.
 const readyPath = front.ReadyPath
 
@@ -216,8 +221,11 @@
 	}
 	vm.gauges()
 	figures := mux.NewRouter()
-	figures.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { vm.set.WritePrometheus(w) })
-	return vm.serve("metrics", vm.settings.Metrics(), figures)
+	figures.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		vm.set.WritePrometheus(w)
+		vm.retriesLeft(w)
+	})
+	return vm.serve(nameMetrics, vm.settings.Metrics(), figures)
 }
 
 // gauges are what is looked at when the metrics are read.
@@ -233,10 +241,41 @@
 		return 0
 	})
 	vm.set.NewGauge("savoryfall_routers", func() float64 { return float64(vm.routers.Load()) })
+	vm.measures()
 	vm.set.NewGauge("savoryfall_open_requests", func() float64 { return float64(vm.front.Open()) })
 	vm.set.NewGauge("savoryfall_connections_made", func() float64 { return float64(vm.front.Pool.Dials()) })
 }
 
+// measures are the users' own, and what they rest on.
+func (vm *entryVM) measures() {
+	for name, value := range map[string]func(m dispatch.Measures) float64{
+		"savoryfall_prompt_tokens_total":      func(m dispatch.Measures) float64 { return float64(m.Prompt) },
+		"savoryfall_warm_prompt_tokens_total": func(m dispatch.Measures) float64 { return float64(m.Warm) },
+		"savoryfall_busiest_over_mean":        func(m dispatch.Measures) float64 { return m.Busiest },
+		"savoryfall_endpoints":                func(m dispatch.Measures) float64 { return float64(m.Endpoints) },
+		"savoryfall_endpoints_failing":        func(m dispatch.Measures) float64 { return float64(m.Failing) },
+		"savoryfall_load_view_age_seconds":    func(m dispatch.Measures) float64 { return m.ViewAge.Seconds() },
+	} {
+		vm.set.NewGauge(name, func() float64 { return value(vm.dispatcher.Measure(time.Now())) })
+	}
+}
+
+// retriesLeft shows this router's part of the retries at each service of the configuration.
+func (vm *entryVM) retriesLeft(w io.Writer) {
+	t := vm.desired.Current()
+	if t == nil {
+		return
+	}
+	for _, name := range t.Services() {
+		metrics.WriteGaugeFloat64(w, fmt.Sprintf("savoryfall_retries_left{service=%q}", name), vm.retries.Left(name, time.Now()))
+	}
+}
+
+// metricsAddress is where the metrics are served.
+func (vm *entryVM) metricsAddress() string {
+	return vm.kernel.Find(nameMetrics).(*httpserver.Server).Address()
+}
+
 func (vm *entryVM) serve(name, address string, h http.Handler) (err error) {
 	s, err := httpserver.New(address, h, httpserver.Options{})
 	if err != nil {
--- a/io/command/entryvm_test.go
+++ b/io/command/entryvm_test.go
@@ -158,6 +158,27 @@
 	assert.Equal(t, booked, int64(1))
 }
 
+// What on-call engineers look at is on the metrics address.
+func TestMetrics(t *testing.T) {
+	t.Parallel()
+	f := newEntryFleet(t, 1)
+	f.ask(f.vms[0], "POST", "/draft/x", "good", "m1")
+	f.get(f.vms[0], "/read/x", "bad")
+	resp, err := http.Get("http://" + f.vms[0].metricsAddress() + "/metrics")
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	for _, want := range []string{
+		`savoryfall_requests_total{kind="resumableStream",status="200",reason="served"} 1`,
+		`savoryfall_requests_total{kind="idempotent",outcome="notRun",reason="unknownKey"} 1`,
+		"savoryfall_first_event_seconds", "savoryfall_prompt_tokens_total 1510", "savoryfall_endpoints 7", "savoryfall_routers 1",
+		"savoryfall_configuration_version 1", `savoryfall_retries_left{service="plain"}`, `savoryfall_control_bytes_total{kind="log"`,
+	} {
+		assert.Assert(t, strings.Contains(string(body), want), "%s in\n%s", want, body)
+	}
+}
+
 // A new configuration is in force on every router, and none goes back to an older one, also when the store tells the
 // older one once more.
 func TestConfigurationOnlyGoesForward(t *testing.T) {
