--- a/core/dispatch/baseline_test.go
+++ b/core/dispatch/baseline_test.go
@@ -20,7 +20,7 @@
 type heavy struct {
 	random  *rand.Rand
 	engines []*engine
-	// read are the tokens that engines had to read, over the requests that met an engine beyond the users' bound.
+	// read are the tokens that engines had to read, over are the requests that met an engine beyond the users' bound.
 	read, over int
 }
 
@@ -28,7 +28,6 @@
 	id      string
 	cache   warmth.Cache
 	running int
-	ends    []time.Time
 }
 
 const (
