logs: requests served after more than one send leave a line; failures go first

Cause: a request that was served only by a second endpoint left nothing to explain its time, and in a surge of them their lines would have taken the budget of those on failures. Change: requestServed, with a budget of its own inside the common one; a test.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -19,6 +19,7 @@
 	RecordsTrimmed          Name = "recordsTrimmed"
 	RequestFailed           Name = "requestFailed"
 	RequestRefused          Name = "requestRefused"
+	RequestServed           Name = "requestServed"
 	RoutersUnknown          Name = "routersUnknown"
 	SettingsRefused         Name = "settingsRefused"
 	SettingsReloaded        Name = "settingsReloaded"
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -37,6 +37,10 @@
 
 func (x *exchange) served(status int) {
 	x.front.Figures.served(x.kind(), status, time.Since(x.began))
+	if x.sends > 1 {
+		_ = x.front.Logger.Log("event", event.RequestServed, "request", x.ask.ID, "route", x.routeName(), "status", status,
+			"sends", x.sends, "endpoints", x.endpoints(), "version", x.version(), "ms", time.Since(x.began).Milliseconds())
+	}
 	if status >= http.StatusInternalServerError {
 		_ = x.front.Logger.Log("event", event.RequestFailed, "request", x.ask.ID, "route", x.routeName(), "status", status,
 			"by", "endpoint", "endpoints", x.endpoints(), "ms", time.Since(x.began).Milliseconds())
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -81,16 +81,17 @@
 	to       members.Member
 	news     chan struct{}
 	listed   int64
-	led      time.Time
+	relistAt time.Time
 	hubName  string
 
-	// What was heard last of the hub of this epoch; used by the reporting goroutine only.
-	of      int64
-	entries int64
-	heard   int64
-	members int64
-	told    int64
-	pending []board.Read
+	// What was heard last of the hub of this epoch: the numbers of changes, reads and list, and the configuration's
+	// offset. Used by the reporting goroutine only, like the reads that no hub has taken yet.
+	hubEpoch int64
+	entries  int64
+	heard    int64
+	members  int64
+	told     int64
+	pending  []board.Read
 }
 
 // New takes the address at once.
@@ -225,7 +226,7 @@
 	var reads []board.Read
 	reads, a.heard = a.board.ReadsSince(a.heardOf(a.epoch))
 	a.Loads.Learn(reads)
-	if now.After(a.relistAt()) {
+	if a.relistDue(now) {
 		a.read(ctx)
 	}
 	wait(ctx, period)
@@ -233,21 +234,21 @@
 
 // heardOf is the number of the last read heard of the board of that epoch.
 func (a *Agent) heardOf(epoch int64) int64 {
-	if a.of != epoch {
-		a.of, a.heard, a.entries, a.members, a.told = epoch, 0, 0, 0, 0
+	if a.hubEpoch != epoch {
+		a.hubEpoch, a.heard, a.entries, a.members, a.told = epoch, 0, 0, 0, 0
 	}
 	return a.heard
 }
 
-// relistAt is when the list of routers is due to be read again, and moves it on.
-func (a *Agent) relistAt() (at time.Time) {
+// relistDue tells whether the list of routers is to be read again, and sets the next time.
+func (a *Agent) relistDue(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	at = a.led
-	if time.Now().After(at) {
-		a.led = time.Now().Add(relist)
+	if now.Before(a.relistAt) {
+		return false
 	}
-	return at
+	a.relistAt = now.Add(relist)
+	return true
 }
 
 // lead notes who reads the store from now on.
@@ -256,7 +257,7 @@
 	changed := a.hubName != hub
 	a.hubName = hub
 	if changed && lead {
-		a.led = time.Now().Add(relistFirst)
+		a.relistAt = time.Now().Add(relistFirst)
 	}
 	a.mu.Unlock()
 	if !changed {
--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -21,7 +21,7 @@
 	own := a.Loads.Loads(now)
 	a.pending = append(a.pending, a.Loads.Placed()...)
 	args := &Report{
-		From: a.Self, Loads: own, Reads: a.pending, Epoch: a.of, Entries: a.entries, Heard: a.heard, Listed: a.members, Hold: hold,
+		From: a.Self, Loads: own, Reads: a.pending, Epoch: a.hubEpoch, Entries: a.entries, Heard: a.heard, Listed: a.members, Hold: hold,
 		Configuration: a.told, Wants: a.Configuration.Wants(),
 	}
 	var reply Reply
@@ -61,7 +61,7 @@
 
 // take applies what the hub told, for a report that was sent at the time since boot.
 func (a *Agent) take(r *Reply, own []board.Load, sent time.Duration) {
-	a.of, a.entries, a.heard, a.members = r.Epoch, r.Entries, r.Heard, r.Listed
+	a.hubEpoch, a.entries, a.heard, a.members = r.Epoch, r.Entries, r.Heard, r.Listed
 	next, _, ok := a.Registry.Known()
 	if r.Registry.Known && (!ok || r.Registry.Next >= next) {
 		a.Endpoints.Feed(r.Changes, r.Whole)
--- a/io/stdout/log.go
+++ b/io/stdout/log.go
@@ -20,6 +20,7 @@
 type Log struct {
 	lines   chan []byte
 	budget  *rate.Limiter
+	served  *rate.Limiter
 	w       io.Writer
 	mu      sync.Mutex
 	dropped int
@@ -34,6 +35,9 @@
 	// well below a hundredth of a core.
 	linesPerSecond = 50
 	burst          = 150
+	// servedPerSecond bounds the lines on requests that were served after all, so that those on failures and on what
+	// the router believes have most of the budget left.
+	servedPerSecond = 10
 	// queued is how many lines wait for a writer that stalls.
 	queued = 512
 	// reportEvery is how often the number of dropped lines is told.
@@ -42,14 +46,17 @@
 
 // New makes a logger that writes to w once it is started.
 func New(w io.Writer) *Log {
-	l := &Log{lines: make(chan []byte, queued), budget: rate.NewLimiter(linesPerSecond, burst), w: w}
+	l := &Log{
+		lines: make(chan []byte, queued), w: w,
+		budget: rate.NewLimiter(linesPerSecond, burst), served: rate.NewLimiter(servedPerSecond, servedPerSecond),
+	}
 	l.encoder = log.NewLogfmtLogger(&l.buf)
 	return l
 }
 
 // Log queues one line, or drops it when the rate or the queue is used up.
 func (l *Log) Log(keyvals ...any) error {
-	if !l.budget.Allow() {
+	if about(keyvals) == event.RequestServed && !l.served.Allow() || !l.budget.Allow() {
 		l.drop()
 		return nil
 	}
@@ -66,6 +73,17 @@
 	return nil
 }
 
+// about is the event that the line tells of.
+func about(keyvals []any) (name event.Name) {
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		if keyvals[i] == "event" {
+			name, _ = keyvals[i+1].(event.Name)
+			return name
+		}
+	}
+	return ""
+}
+
 func (l *Log) encode(keyvals []any) (line []byte, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/stdout/log_test.go
+++ b/io/stdout/log_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"savoryfall/core/event"
 	"savoryfall/io/stdout"
 )
 
@@ -58,6 +59,25 @@
 	})
 }
 
+// In a surge of requests that are served at the second try, a failure still has its line.
+func TestFailuresGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b buffer
+		l := stdout.New(&b)
+		assert.NilError(t, l.Start(context.Background()))
+		for range 1000 {
+			assert.NilError(t, l.Log("ts", 1, "event", event.RequestServed))
+		}
+		for range 100 {
+			assert.NilError(t, l.Log("ts", 1, "event", event.RequestRefused))
+		}
+		time.Sleep(time.Second)
+		assert.NilError(t, l.Stop(context.Background()))
+		assert.Equal(t, strings.Count(b.String(), "event=requestServed"), 10)
+		assert.Equal(t, strings.Count(b.String(), "event=requestRefused"), 100)
+	})
+}
+
 // stalled never takes a line, like a pipe that nobody reads.
 type stalled struct{ forever chan struct{} }
 
