http1, members, dispatch, entry: what nobody used, and one step written thrice

Cause: found on reading the change: a request's option for a new connection and two methods of the list of routers were never called, a contest kept a length that only one function needs, and the load of an answer was taken from its header in three places. Change: removed; one method notes the first bytes. Ruled out for now: one pause for hub and follower, whose waits differ by what ends them. Behaviour and tests as before.

--- a/core/dispatch/contest.go
+++ b/core/dispatch/contest.go
@@ -21,9 +21,9 @@
 	latency float64
 	// home is the endpoint that ranks first for the prompt on every router alike.
 	home *endpoint
-	// common is the length of the prompt's shared parts, total that of all; warm is what each endpoint holds of it.
-	common, total int
-	warm          []int
+	// total is the length of the prompt, warm what each endpoint holds of it.
+	total int
+	warm  []int
 }
 
 func (d *Dispatcher) contest(q Query, pool []*endpoint, now time.Time) *contest {
@@ -52,12 +52,13 @@
 // measureWarmth takes what each endpoint is known to hold of the prompt, and believes of the first in rank that other
 // routers sent the shared parts there.
 func (c *contest) measureWarmth() {
-	c.total, c.common = c.q.Prompt.Tokens(), commonParts(c.q.Prompt).Tokens()
+	c.total = c.q.Prompt.Tokens()
+	believed := int(homeBelief * float64(commonParts(c.q.Prompt).Tokens()))
 	c.warm = make([]int, len(c.pool))
 	for i, e := range c.pool {
 		c.warm[i] = e.cache.Warm(c.q.Prompt)
 		if e == c.home {
-			c.warm[i] = max(c.warm[i], int(homeBelief*float64(c.common)))
+			c.warm[i] = max(c.warm[i], believed)
 		}
 	}
 }
--- a/core/members/list.go
+++ b/core/members/list.go
@@ -48,25 +48,6 @@
 	return true
 }
 
-// Remove drops a router that took itself off the list.
-func (l *List) Remove(name string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.by, name)
-	l.sort()
-}
-
-// Replace takes the whole list.
-func (l *List) Replace(all []Member) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.by = map[string]Member{}
-	for _, m := range all {
-		l.by[m.Name] = m
-	}
-	l.sort()
-}
-
 // sort puts the VMs with most processor time first; among equals a hash decides, which all routers compute alike.
 func (l *List) sort() {
 	l.order = l.order[:0]
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -20,6 +20,11 @@
 	reply  ask.Reply
 }
 
+// heard notes the first bytes of the answer, with the load that its header tells of.
+func (a *attempt) heard() {
+	a.Answered(dispatch.Load{Running: a.reply.Running, Waiting: a.reply.Waiting, Known: a.reply.HasLoad}, time.Now())
+}
+
 // spareTime is how much longer than it was told an endpoint may take, so that its own word at the deadline arrives.
 const spareTime = 40 * time.Millisecond
 
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -61,8 +61,7 @@
 		return nil, x.lost(v)
 	}
 	x.sends++
-	now := time.Now()
-	a.Answered(dispatch.Load{Running: a.reply.Running, Waiting: a.reply.Waiting, Known: a.reply.HasLoad}, now)
+	a.heard()
 	if a.reply.NotRun {
 		return nil, x.turnedAway(a)
 	}
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -54,7 +54,7 @@
 	}
 	x.sends++
 	if a.reply.NotRun {
-		a.Answered(dispatch.Load{Running: a.reply.Running, Waiting: a.reply.Waiting, Known: a.reply.HasLoad}, time.Now())
+		a.heard()
 		return false, x.turnedAway(a)
 	}
 	if a.answer.Status != http.StatusOK || !x.genuine(a) {
@@ -125,7 +125,7 @@
 	for {
 		n, err := a.answer.Read(s.buf)
 		if n > 0 && !w.answered.Swap(true) {
-			a.Answered(dispatch.Load{Running: a.reply.Running, Waiting: a.reply.Waiting, Known: a.reply.HasLoad}, time.Now())
+			a.heard()
 		}
 		if n > 0 && !s.pass(a, split, s.buf[:n]) {
 			return errEvents
--- a/io/http1/exchange.go
+++ b/io/http1/exchange.go
@@ -25,8 +25,6 @@
 	HasBody bool
 	// Deadline ends the attempt.
 	Deadline time.Time
-	// Fresh asks for a new connection.
-	Fresh bool
 	// Ours tells whether an answer belongs to this request; others are skipped.
 	Ours func(h http.Header) bool
 }
@@ -73,12 +71,7 @@
 
 // Do sends the request once, and returns when the header of its answer has come. The error is always a *Failure.
 func (p *Pool) Do(ctx context.Context, r Request) (a *Answer, err error) {
-	var c *conn
-	if r.Fresh {
-		c, err = p.dial(ctx, r.Address)
-	} else {
-		c, err = p.take(ctx, r.Address)
-	}
+	c, err := p.take(ctx, r.Address)
 	if err != nil {
 		return nil, &Failure{Cause: err, Timeout: isTimeout(err)}
 	}
