--- /dev/null
+++ b/io/entry/rig_test.go
@@ -0,0 +1,217 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"savoryfall/core/directory"
+	"savoryfall/core/dispatch"
+	"savoryfall/core/freshness"
+	"savoryfall/core/retryshare"
+	"savoryfall/core/routetable"
+	"savoryfall/io/http1"
+	"savoryfall/platform/backend"
+	"savoryfall/platform/front"
+)
+
+// rig is a server for clients, in memory and on the bubble's clock, before one endpoint that runs each request for a
+// while.
+type rig struct {
+	server  *Server
+	lines   lines
+	lease   freshness.Lease
+	retries retryshare.Share
+	table   *routetable.Table
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+	began   time.Time
+	// arrived counts the requests that the endpoint got.
+	arrived atomic.Int64
+	mu      sync.Mutex
+	ends    []net.Conn
+	// onRead is called once, when a read of a client's connection has returned bytes with the mark in them and nobody
+	// has seen them yet: there a goroutine may stand still for as long as its VM does.
+	onRead atomic.Pointer[func()]
+}
+
+const (
+	mark = "X-Mark: 1\r\n"
+	// runFor is how long the endpoint takes.
+	runFor = 50 * time.Millisecond
+)
+
+// lines are those of the log.
+type lines struct {
+	mu  sync.Mutex
+	all []string
+}
+
+func (l *lines) Log(keyvals ...any) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, fmt.Sprintln(keyvals...))
+	return nil
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Join(l.all, "")
+}
+
+func (s *rig) Current() *routetable.Table { return s.table }
+func (s *rig) clock() time.Duration       { return time.Hour + time.Since(s.began) }
+
+// bookings is a configuration with one route, whose requests may not be repeated.
+func bookings(limits routetable.Limits) *routetable.Table {
+	return routetable.New(routetable.Contents{
+		Version: 1, Services: []routetable.Service{{Name: "plain"}}, Limits: limits,
+		Routes: []routetable.Route{{
+			Name: "book", Host: "shop.example", PathPrefix: "/book/", Kind: routetable.NonIdempotent, MaxAttempts: 1,
+			Targets: []routetable.Target{{Service: "plain", Weight: 1}}, Timeout: 3 * time.Second, Goal: 100 * time.Millisecond,
+		}},
+	})
+}
+
+func newRig(limits routetable.Limits) *rig {
+	s := &rig{conns: make(chan net.Conn), closed: make(chan struct{}), began: time.Now(), table: bookings(limits)}
+	s.retries.SetLimits(retryshare.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Routers: 1})
+	s.lease.SetTerm(time.Hour)
+	s.lease.Renew(s.clock())
+	d := dispatch.New("a")
+	d.Configure(s.table)
+	d.Update([]directory.Entry{{ID: "e1", Service: "plain", Address: "e1:1", FailureDomain: "a", Slots: 8}})
+	f := New(Parts{
+		Clients: front.Front{}, Endpoints: backend.Backend{}, Configuration: s, Lease: &s.lease, Dispatcher: d, Retries: &s.retries,
+		Pool: http1.NewPool(s.dial), Tracer: noop.NewTracerProvider().Tracer(""), Figures: NewFigures(metrics.NewSet()),
+		Logger: log.Logger(&s.lines), Clock: s.clock,
+	})
+	s.server = newServer(f, s)
+	_ = s.server.Start(context.Background())
+	return s
+}
+
+// end stops all, and waits for the endpoint's goroutines, which must end before the bubble does.
+func (s *rig) end() {
+	_ = s.server.Stop(context.Background())
+	s.mu.Lock()
+	for _, c := range s.ends {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	time.Sleep(time.Minute)
+}
+
+// dial connects to the endpoint.
+func (s *rig) dial(context.Context, string) (net.Conn, error) {
+	ours, theirs := net.Pipe()
+	s.hold(theirs)
+	go s.play(theirs)
+	return ours, nil
+}
+
+func (s *rig) hold(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ends = append(s.ends, c)
+}
+
+// play is the endpoint on one connection.
+func (s *rig) play(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.ReadAll(req.Body)
+		s.arrived.Add(1)
+		time.Sleep(runFor)
+		_, err = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nX-Savoryfall-Attempt-Id: %s\r\nX-Savoryfall-Server-Signature: of e1\r\n"+
+			"Content-Length: 2\r\n\r\nok", req.Header.Get("X-Savoryfall-Attempt-Id"))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Accept, Close and Addr make the rig the listener of its server.
+func (s *rig) Accept() (net.Conn, error) {
+	select {
+	case c := <-s.conns:
+		return &markedConn{Conn: c, s: s}, nil
+	case <-s.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (s *rig) Close() error {
+	s.once.Do(func() { close(s.closed) })
+	return nil
+}
+
+func (s *rig) Addr() net.Addr { return &net.TCPAddr{} }
+
+// markedConn calls the rig's hook between the arrival of bytes in the process and the first look at them.
+type markedConn struct {
+	net.Conn
+	s *rig
+}
+
+func (c *markedConn) Read(p []byte) (n int, err error) {
+	n, err = c.Conn.Read(p)
+	hook := c.s.onRead.Load()
+	if hook != nil && strings.Contains(string(p[:n]), mark) && c.s.onRead.CompareAndSwap(hook, nil) {
+		(*hook)()
+	}
+	return n, err
+}
+
+// rigClient is one connection of a client.
+type rigClient struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (s *rig) connect() *rigClient {
+	ours, theirs := net.Pipe()
+	s.hold(ours)
+	s.conns <- theirs
+	return &rigClient{Conn: ours, r: bufio.NewReader(ours)}
+}
+
+// booking is a request with more header lines.
+func booking(more string) string {
+	return "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nX-Savoryfall-Attempt-Id: id1\r\nX-Savoryfall-Deadline-Ms: 3000\r\n" +
+		more + "\r\n"
+}
+
+// send writes without waiting for the router to read.
+func (c *rigClient) send(text string) {
+	go func() { _, _ = io.WriteString(c, text) }()
+}
+
+// answer is what the client gets within 20 s: the status of a whole answer, or an error.
+func (c *rigClient) answer() (status int, closing bool, err error) {
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodPost})
+	if err != nil {
+		return 0, false, err
+	}
+	_, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Close, err
+}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -52,14 +52,21 @@
 // NewServer takes the address at once.
 func NewServer(address string, f *Front) (s *Server, err error) {
 	defer annotate.Error(&err, "listen for clients on %s", address)
-	s = &Server{front: f, idle: map[net.Conn]idleness{}}
+	listen := net.ListenConfig{KeepAliveConfig: clientKeepAlive}
+	l, err := listen.Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return newServer(f, l), nil
+}
+
+func newServer(f *Front, l net.Listener) (s *Server) {
+	s = &Server{front: f, listener: l, idle: map[net.Conn]idleness{}}
 	s.http = &http.Server{
 		Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ConnState: s.note, ErrorLog: nil,
 	}
-	listen := net.ListenConfig{KeepAliveConfig: clientKeepAlive}
-	s.listener, err = listen.Listen(context.Background(), "tcp4", address)
-	return s, err
+	return s
 }
 
 // Address is where clients are served.
