--- a/io/entry/ending_test.go
+++ b/io/entry/ending_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	c = s.connect()
 	c.send(booking(""))
-	status, _, err := c.answer()
+	status, err := c.answer()
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
 	return c
@@ -37,7 +37,7 @@
 		}
 		s.onRead.Store(&hook)
 		c.send(booking(mark))
-		status, _, err := c.answer()
+		status, err := c.answer()
 		synctest.Wait()
 		t.Logf("status %d, %v, arrived at the endpoint: %d\n%s", status, err, s.arrived.Load(), &s.lines)
 		assert.NilError(t, err)
--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -206,12 +206,12 @@
 }
 
 // answer is what the client gets within 20 s: the status of a whole answer, or an error.
-func (c *rigClient) answer() (status int, closing bool, err error) {
+func (c *rigClient) answer() (status int, err error) {
 	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodPost})
 	if err != nil {
-		return 0, false, err
+		return 0, err
 	}
 	_, err = io.ReadAll(resp.Body)
-	return resp.StatusCode, resp.Close, err
+	return resp.StatusCode, err
 }
