clientconn, entry: what ended a client's connection is logged and counted

Callers who got no answer were all logged as clientGone, whoever had ended their connection: the logs could not tell this router's own ends from the clients', nor what the limit for idle connections was. Change: a connection notes its reads, its end and by whom; lines on requests that could not be answered end with ended, served, idleMs and readMs; reason=connectionEnded in place of clientGone where the router did it; counters by ending; the limits of a configuration are on its line. What it shows: the failing test's line now reads reason=connectionEnded sends=1 ms=0 ended=idle idleMs=11500 readMs=5000.

--- a/core/ask/problem.go
+++ b/core/ask/problem.go
@@ -28,6 +28,8 @@
 	Broken          Reason = "broken"
 	Late            Reason = "late"
 	Gone            Reason = "clientGone"
+	// ConnectionEnded says that this router has ended the client's connection.
+	ConnectionEnded Reason = "connectionEnded"
 )
 
 // Problem is the answer to a request that was not served.
--- /dev/null
+++ b/io/clientconn/ending.go
@@ -0,0 +1,40 @@
+package clientconn
+
+import (
+	"errors"
+	"io"
+	"syscall"
+)
+
+// Ending is why a connection ended.
+type Ending string
+
+// The endings. The first three are the other side's, the others this process's own.
+const (
+	// ByClient: the client has closed its sending side, and with HTTP/1.1 there is no telling whether it still listens.
+	ByClient Ending = "client"
+	ByReset  Ending = "reset"
+	// BySilence: keep-alive probes found nobody.
+	BySilence Ending = "silence"
+	// ByIdle: idle for too long.
+	ByIdle Ending = "idle"
+)
+
+// Endings are all of them.
+func Endings() []Ending { return []Ending{ByClient, ByReset, BySilence, ByIdle} }
+
+// Ours tells whether this process ended the connection.
+func (e Ending) Ours() bool { return e == ByIdle }
+
+// endingOf is what an error of a read says of the other side; a deadline's says nothing.
+func endingOf(err error) Ending {
+	switch {
+	case errors.Is(err, io.EOF):
+		return ByClient
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return ByReset
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return BySilence
+	}
+	return ""
+}
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -28,6 +28,7 @@
 	"savoryfall/core/routetable"
 	"savoryfall/core/settings"
 	"savoryfall/io/bootclock"
+	"savoryfall/io/clientconn"
 	"savoryfall/io/desired"
 	"savoryfall/io/entry"
 	"savoryfall/io/follow"
@@ -252,6 +253,11 @@
 	vm.measures()
 	vm.set.NewGauge("savoryfall_open_requests", func() float64 { return float64(vm.front.Open()) })
 	vm.set.NewGauge("savoryfall_connections_made", func() float64 { return float64(vm.front.Pool.Dials()) })
+	for _, by := range clientconn.Endings() {
+		vm.set.NewGauge(fmt.Sprintf("savoryfall_client_connections_ended_total{by=%q}", by), func() float64 {
+			return float64(vm.clients.Connections().Ended(by))
+		})
+	}
 }
 
 // measures are the users' own, and what they rest on.
--- a/io/desired/keeper.go
+++ b/io/desired/keeper.go
@@ -68,7 +68,8 @@
 	if old != nil {
 		from = old.Version()
 	}
-	_ = k.logger.Log("event", event.ConfigurationInForce, "version", t.Version(), "from", from, "offset", r.Offset, "routes", t.Routes())
+	_ = k.logger.Log("event", event.ConfigurationInForce, "version", t.Version(), "from", from, "offset", r.Offset, "routes", t.Routes(),
+		"idleMs", t.Limits().IdleTimeout.Milliseconds(), "headerMs", t.Limits().HeaderTimeout.Milliseconds())
 }
 
 // Read renews the lease. Before the first configuration there is nothing to serve by.
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -11,6 +11,7 @@
 
 	"savoryfall/core/ask"
 	"savoryfall/core/routetable"
+	"savoryfall/io/clientconn"
 )
 
 // exchange is one request on its way.
@@ -26,6 +27,7 @@
 	route    *routetable.Route
 	account  *routetable.Account
 	service  string
+	conn     *clientconn.Conn
 	body     []byte
 	tried    []string
 	sends    int
@@ -137,7 +139,7 @@
 	if x.r.ContentLength > limit {
 		return ask.NotRun(ask.BodyTooLarge, 0)
 	}
-	if x.r.Body == nil || x.r.Body == http.NoBody {
+	if !x.hasBody() {
 		return nil
 	}
 	rc := http.NewResponseController(x.w)
@@ -157,6 +159,8 @@
 	return nil
 }
 
+func (x *exchange) hasBody() bool { return x.r.Body != nil && x.r.Body != http.NoBody }
+
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -13,6 +13,7 @@
 	"savoryfall/core/freshness"
 	"savoryfall/core/retryshare"
 	"savoryfall/core/routetable"
+	"savoryfall/io/clientconn"
 	"savoryfall/io/http1"
 )
 
@@ -91,6 +92,6 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.open.Add(1)
 	defer f.open.Add(-1)
-	x := &exchange{front: f, w: w, r: r, began: time.Now()}
+	x := &exchange{front: f, w: w, r: r, began: time.Now(), conn: clientconn.Of(r.Context())}
 	x.serve()
 }
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -13,9 +13,8 @@
 
 // refuse answers with what went wrong. A client that has left is told nothing.
 func (x *exchange) refuse(p *ask.Problem) {
-	if x.ctx.Err() != nil {
-		p = &ask.Problem{Reason: ask.Gone, Outcome: p.Outcome}
-		x.note(0, p)
+	if why := x.unreachable(); why != "" {
+		x.note(0, &ask.Problem{Reason: why, Outcome: p.Outcome})
 		panic(http.ErrAbortHandler)
 	}
 	h := x.w.Header()
@@ -28,13 +27,28 @@
 
 // cut ends an answer that has begun so that it cannot be taken for whole: the connection closes before its end.
 func (x *exchange) cut(p *ask.Problem) {
-	if x.ctx.Err() != nil {
-		p = &ask.Problem{Reason: ask.Gone, Outcome: p.Outcome}
+	if why := x.unreachable(); why != "" {
+		p = &ask.Problem{Reason: why, Outcome: p.Outcome}
 	}
 	x.note(0, p)
 	panic(http.ErrAbortHandler)
 }
 
+// unreachable is why the client cannot be answered any more, empty when it can. That the context has ended does not say
+// who ended the connection.
+func (x *exchange) unreachable() (why ask.Reason) {
+	if x.ctx.Err() == nil {
+		return ""
+	}
+	if x.conn == nil {
+		return ask.Gone
+	}
+	if x.conn.Ending().Ours() {
+		return ask.ConnectionEnded
+	}
+	return ask.Gone
+}
+
 func (x *exchange) served(status int) {
 	x.front.Figures.served(x.kind(), status, time.Since(x.began))
 	if x.sends > 1 {
@@ -60,6 +74,9 @@
 	if p.Reason == ask.Full || p.Reason == ask.Reserved {
 		line = append(line, x.fullness()...)
 	}
+	if x.conn != nil && x.conn.Ending() != "" {
+		line = append(line, x.conn.Fields()...)
+	}
 	_ = x.front.Logger.Log(line...)
 }
 
--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -42,8 +42,8 @@
 	arrived atomic.Int64
 	mu      sync.Mutex
 	ends    []net.Conn
-	// onRead is called once, when a read of a client's connection has returned bytes with the mark in them and nobody
-	// has seen them yet: there a goroutine may stand still for as long as its VM does.
+	// onRead is called once, when a read of a client's connection has returned bytes with the mark in them and net/http
+	// has not seen them yet: there a goroutine may stand still for as long as its VM does.
 	onRead atomic.Pointer[func()]
 }
 
@@ -100,7 +100,8 @@
 		Logger: log.Logger(&s.lines), Clock: s.clock,
 	})
 	s.server = newServer(f, s)
-	_ = s.server.Start(context.Background())
+	s.server.cancel = func() {}
+	go s.server.serve(markedListener{s.server.conns, s})
 	return s
 }
 
@@ -153,7 +154,7 @@
 func (s *rig) Accept() (net.Conn, error) {
 	select {
 	case c := <-s.conns:
-		return &markedConn{Conn: c, s: s}, nil
+		return c, nil
 	case <-s.closed:
 		return nil, net.ErrClosed
 	}
@@ -166,12 +167,29 @@
 
 func (s *rig) Addr() net.Addr { return &net.TCPAddr{} }
 
-// markedConn calls the rig's hook between the arrival of bytes in the process and the first look at them.
+// markedListener gives the connections that the server serves.
+type markedListener struct {
+	net.Listener
+	s *rig
+}
+
+func (l markedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &markedConn{Conn: c, s: l.s}, nil
+}
+
+// markedConn calls the rig's hook between the arrival of bytes in the process and net/http's first look at them.
 type markedConn struct {
 	net.Conn
 	s *rig
 }
 
+// NetConn is the connection below, as tls.Conn has it.
+func (c *markedConn) NetConn() net.Conn { return c.Conn }
+
 func (c *markedConn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
 	hook := c.s.onRead.Load()
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -5,23 +5,21 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"savoryfall/core/annotate"
 	"savoryfall/core/background"
 	"savoryfall/core/event"
+	"savoryfall/io/clientconn"
 )
 
 // Server listens for clients and ends their idle connections by the limits in force.
 type Server struct {
-	front    *Front
-	listener net.Listener
-	http     *http.Server
-	mu       sync.Mutex
-	idle     map[net.Conn]idleness
-	running  background.Group
-	cancel   context.CancelFunc
+	front   *Front
+	conns   *clientconn.Set
+	http    *http.Server
+	running background.Group
+	cancel  context.CancelFunc
 }
 
 const (
@@ -33,22 +31,11 @@
 	idleTimeout   = 5 * time.Minute
 	// sweepEvery is how often idle connections are looked at.
 	sweepEvery = time.Second
-	// idleSlack is how much longer than the limit an idle connection is kept, so that a client that uses it at the
-	// last moment is served.
-	idleSlack = time.Second
 )
 
 // clientKeepAlive finds clients that have vanished without a word.
 var clientKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}
 
-// idleness is since when a connection is idle, and for how long it might be when that began. A limit that is lowered
-// must not end the connections that became idle before: their clients go by the limit of then, and a request that was on
-// its way was read and cut.
-type idleness struct {
-	since time.Time
-	limit time.Duration
-}
-
 // NewServer takes the address at once.
 func NewServer(address string, f *Front) (s *Server, err error) {
 	defer annotate.Error(&err, "listen for clients on %s", address)
@@ -61,66 +48,49 @@
 }
 
 func newServer(f *Front, l net.Listener) (s *Server) {
-	s = &Server{front: f, listener: l, idle: map[net.Conn]idleness{}}
-	s.http = &http.Server{
+	s = &Server{front: f, http: &http.Server{
 		Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ConnState: s.note, ErrorLog: nil,
-	}
+	}}
+	s.conns = clientconn.New(l, s.limits)
+	s.conns.Attach(s.http)
 	return s
 }
 
 // Address is where clients are served.
-func (s *Server) Address() string { return s.listener.Addr().String() }
-
-// note keeps the time since when a connection is idle.
-func (s *Server) note(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateIdle {
-		s.idle[c] = idleness{since: time.Now(), limit: s.idleLimit()}
-		return
-	}
-	delete(s.idle, c)
-}
+func (s *Server) Address() string { return s.conns.Addr().String() }
+
+// Connections are those of the clients.
+func (s *Server) Connections() *clientconn.Set { return s.conns }
 
 // Start serves in the background.
 func (s *Server) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.running.Go(func() { background.Every(ctx, sweepEvery, s.sweep) })
-	go func() {
-		err := s.http.Serve(s.listener)
-		if !errors.Is(err, http.ErrServerClosed) {
-			_ = s.front.Logger.Log("event", event.ListenerLost, "address", s.Address(), "err", err)
-		}
-	}()
+	go s.serve(s.conns)
 	return nil
 }
 
+func (s *Server) serve(l net.Listener) {
+	err := s.http.Serve(l)
+	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		_ = s.front.Logger.Log("event", event.ListenerLost, "address", s.Address(), "err", err)
+	}
+}
+
 // sweep ends connections that have been idle for longer than the configuration allows.
 func (s *Server) sweep(now time.Time) {
 	s.front.Pool.Sweep(now)
-	limit := s.idleLimit()
-	if limit <= 0 {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c, i := range s.idle {
-		if now.Sub(i.since) > max(limit, i.limit)+idleSlack {
-			delete(s.idle, c)
-			_ = c.Close()
-		}
-	}
+	s.conns.Sweep(now)
 }
 
-// idleLimit is for how long connections may be idle by the configuration in force, 0 when it does not say.
-func (s *Server) idleLimit() time.Duration {
+// limits are those of the configuration in force.
+func (s *Server) limits() (l clientconn.Limits) {
 	t := s.front.Configuration.Current()
-	if t == nil {
-		return 0
+	if t != nil {
+		l.Idle = t.Limits().IdleTimeout
 	}
-	return t.Limits().IdleTimeout
+	return l
 }
 
 // leaveShare is the part of the grace in which a stopping router still takes requests: about as long as the balancer
