entry: the limits in force bound connections, not the router's own

Clients that kept to a configuration with more than five minutes between requests, or more than ten seconds for a header, lost their connections without an answer; a configuration that allows less for a header was not heeded at all. Cause: net/http's own time-outs, set for the time without a configuration, stayed in force beside the configuration's, and go by when a goroutine runs. Change: one place bounds connections, by the limits in force and the usual ones without a configuration; net/http's time-outs are not set.

--- a/io/entry/ending_test.go
+++ b/io/entry/ending_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"savoryfall/core/background"
 	"savoryfall/core/routetable"
 )
 
@@ -138,3 +139,45 @@
 		assert.Assert(t, err != nil)
 	})
 }
+
+// The configuration allows more than the router does by itself: ten minutes between two requests, half a minute for a
+// header. The router's own limits, meant for the time without a configuration, ended the connection of a client that kept
+// to those in force.
+func TestLimitsInForceGoBeforeTheUsual(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRig(routetable.Limits{IdleTimeout: 10 * time.Minute, HeaderTimeout: 30 * time.Second})
+		defer s.end()
+		sweeping, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go background.Every(sweeping, sweepEvery, s.server.sweep)
+		c := keptConnection(t, s)
+		time.Sleep(9 * time.Minute)
+		text := booking("")
+		const half = 40
+		c.send(text[:half])
+		time.Sleep(25 * time.Second)
+		c.send(text[half:])
+		status, err := c.answer()
+		t.Logf("status %d, %v\n%s", status, err, &s.lines)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	})
+}
+
+// A client takes longer for its header than the configuration in force allows, which nobody looked at.
+func TestLateHeaderEndsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRig(routetable.Limits{HeaderTimeout: 3 * time.Second})
+		defer s.end()
+		sweeping, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go background.Every(sweeping, sweepEvery, s.server.sweep)
+		c := s.connect()
+		c.send("POST /book/x HTTP/1.1\r\n")
+		began := time.Now()
+		_, err := c.answer()
+		assert.Assert(t, err != nil)
+		took := time.Since(began)
+		assert.Assert(t, took > 3*time.Second && took < 6*time.Second, "%v", took)
+	})
+}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -48,9 +48,7 @@
 }
 
 func newServer(f *Front, l net.Listener) (s *Server) {
-	s = &Server{front: f, http: &http.Server{
-		Handler: f, MaxHeaderBytes: mostHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}}
+	s = &Server{front: f, http: &http.Server{Handler: f, MaxHeaderBytes: mostHeader}}
 	s.conns = clientconn.New(l, s.limits)
 	s.conns.Attach(s.http)
 	return s
@@ -84,12 +82,19 @@
 	s.conns.Sweep(now)
 }
 
-// limits are those of the configuration in force.
+// limits are those of the configuration in force, and the usual ones where it does not say.
 func (s *Server) limits() (l clientconn.Limits) {
+	l = clientconn.Limits{Idle: idleTimeout, Header: headerTimeout}
 	t := s.front.Configuration.Current()
-	if t != nil {
+	if t == nil {
+		return l
+	}
+	if t.Limits().IdleTimeout > 0 {
 		l.Idle = t.Limits().IdleTimeout
 	}
+	if t.Limits().HeaderTimeout > 0 {
+		l.Header = t.Limits().HeaderTimeout
+	}
 	return l
 }
 
