entry: a slow body is told so, and a refusal does not wait for a body

Clients whose body did not come within the request's time got nothing, neither 408 nor an end of the connection; they were logged as clientGone. Clients that were refused before their body had come got the refusal after it, or never. Cause: a client was taken for gone whenever its request's context had ended, and net/http ends that with any error of a read, also of the router's own deadline. And net/http reads what is left of a body before it answers, without a bound. Change: a client has gone when its connection says so; what is left of an unwanted body is waited for 50 ms. A refused client whose body is all there keeps its connection.

--- a/io/entry/ending_test.go
+++ b/io/entry/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -181,3 +182,61 @@
 		assert.Assert(t, took > 3*time.Second && took < 6*time.Second, "%v", took)
 	})
 }
+
+// A booking's body does not come within the booking's time. Nothing was sent on, and the client is owed that. net/http ends
+// a request's context with any error of a read, also that of the router's own deadline; the router took the client for gone
+// and answered nothing, and the connection stayed open.
+func TestSlowBodyIsToldSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRig(routetable.Limits{IdleTimeout: 15 * time.Second})
+		defer s.end()
+		c := s.connect()
+		c.send(booking("Content-Length: 100\r\n") + "some")
+		began := time.Now()
+		status, err := c.answer()
+		t.Logf("after %v: status %d, %v\n%s", time.Since(began), status, err, &s.lines)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusRequestTimeout)
+		assert.Assert(t, time.Since(began) < 4*time.Second)
+		assert.Equal(t, s.arrived.Load(), int64(0))
+		_, err = c.answer()
+		assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	})
+}
+
+// A router refuses a booking before it has read its body, and the body stalls. net/http reads what is left of a body before
+// it sends an answer, without a bound: the refusal was never sent.
+func TestRefusalDoesNotWaitForABody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRig(routetable.Limits{IdleTimeout: 15 * time.Second})
+		defer s.end()
+		s.table.Store(nil)
+		c := s.connect()
+		c.send(booking("Content-Length: 100000\r\n") + "some")
+		began := time.Now()
+		status, err := c.answer()
+		t.Logf("after %v: status %d, %v\n%s", time.Since(began), status, err, &s.lines)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Assert(t, time.Since(began) < time.Second)
+	})
+}
+
+// A refused client whose body is all there keeps its connection.
+func TestRefusalKeepsTheConnectionOfAWholeBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRig(routetable.Limits{IdleTimeout: 15 * time.Second})
+		defer s.end()
+		table := s.table.Swap(nil)
+		c := s.connect()
+		c.send(booking("Content-Length: 4\r\n") + "some")
+		status, err := c.answer()
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		s.table.Store(table)
+		c.send(booking("Content-Length: 4\r\n") + "more")
+		status, err = c.answer()
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	})
+}
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -29,6 +29,7 @@
 	service  string
 	conn     *clientconn.Conn
 	body     []byte
+	bodyRead bool
 	tried    []string
 	sends    int
 }
@@ -145,6 +146,7 @@
 	rc := http.NewResponseController(x.w)
 	_ = rc.SetReadDeadline(x.deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	x.bodyRead = err == nil
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -17,6 +17,7 @@
 		x.note(0, &ask.Problem{Reason: why, Outcome: p.Outcome})
 		panic(http.ErrAbortHandler)
 	}
+	x.boundBody()
 	h := x.w.Header()
 	status := x.front.Clients.Refuse(p, h)
 	h.Set("Content-Length", "0")
@@ -35,7 +36,8 @@
 }
 
 // unreachable is why the client cannot be answered any more, empty when it can. That the context has ended does not say
-// who ended the connection.
+// so: net/http ends it with any error of a read, also when this router's own deadline for a body has passed, and a client
+// that was slow must be told.
 func (x *exchange) unreachable() (why ask.Reason) {
 	if x.ctx.Err() == nil {
 		return ""
@@ -43,10 +45,24 @@
 	if x.conn == nil {
 		return ask.Gone
 	}
-	if x.conn.Ending().Ours() {
+	switch ending := x.conn.Ending(); {
+	case ending.Ours():
 		return ask.ConnectionEnded
+	case ending != "":
+		return ask.Gone
+	}
+	return ""
+}
+
+// restOfBody is how long the rest of a body that nobody wants is waited for.
+const restOfBody = 50 * time.Millisecond
+
+// boundBody bounds the wait for what is left of the body. net/http reads it before it sends an answer, so that the
+// connection can be kept; without a bound, a body that stalls would hold the answer back for ever.
+func (x *exchange) boundBody() {
+	if x.hasBody() && !x.bodyRead {
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(restOfBody))
 	}
-	return ask.Gone
 }
 
 func (x *exchange) served(status int) {
--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -33,7 +33,7 @@
 	lines   lines
 	lease   freshness.Lease
 	retries retryshare.Share
-	table   *routetable.Table
+	table   atomic.Pointer[routetable.Table]
 	conns   chan net.Conn
 	closed  chan struct{}
 	once    sync.Once
@@ -72,7 +72,7 @@
 	return strings.Join(l.all, "")
 }
 
-func (s *rig) Current() *routetable.Table { return s.table }
+func (s *rig) Current() *routetable.Table { return s.table.Load() }
 func (s *rig) clock() time.Duration       { return time.Hour + time.Since(s.began) }
 
 // bookings is a configuration with one route, whose requests may not be repeated.
@@ -87,12 +87,14 @@
 }
 
 func newRig(limits routetable.Limits) *rig {
-	s := &rig{conns: make(chan net.Conn), closed: make(chan struct{}), began: time.Now(), table: bookings(limits)}
+	s := &rig{conns: make(chan net.Conn), closed: make(chan struct{}), began: time.Now()}
+	table := bookings(limits)
+	s.table.Store(table)
 	s.retries.SetLimits(retryshare.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Routers: 1})
 	s.lease.SetTerm(time.Hour)
 	s.lease.Renew(s.clock())
 	d := dispatch.New("a")
-	d.Configure(s.table)
+	d.Configure(table)
 	d.Update([]directory.Entry{{ID: "e1", Service: "plain", Address: "e1:1", FailureDomain: "a", Slots: 8}})
 	f := New(Parts{
 		Clients: front.Front{}, Endpoints: backend.Backend{}, Configuration: s, Lease: &s.lease, Dispatcher: d, Retries: &s.retries,
