entry: a connection whose context has ended is not kept

A client whose body came just after its request's time was told 408 and kept its connection; each later booking on it was sent on, cut, and told 504. Cause: net/http ends the context of the whole connection with any error of a read. Change: an answer on a connection whose context has ended says Connection: close. The rest of an unwanted body is waited for 300 ms in place of 50, longer than a process whose core is shared was seen to stand still. TestConnectionOfASlowBodyIsNotKept fails without it.

--- a/io/entry/ending_test.go
+++ b/io/entry/ending_test.go
@@ -240,3 +240,24 @@
 		assert.Equal(t, status, http.StatusOK)
 	})
 }
+
+// A client's body comes to its end just after the booking's time is over. It is told that the booking has not run; on a
+// connection that was kept after that, each later booking was sent on, cut, and told to be late.
+func TestConnectionOfASlowBodyIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRig(routetable.Limits{IdleTimeout: 15 * time.Second})
+		defer s.end()
+		c := s.connect()
+		c.send(booking("Content-Length: 8\r\n") + "some")
+		time.Sleep(3020 * time.Millisecond)
+		c.send("more")
+		status, err := c.answer()
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusRequestTimeout)
+		c.send(booking(""))
+		status, err = c.answer()
+		t.Logf("status %d, %v\n%s", status, err, &s.lines)
+		assert.Assert(t, err != nil, "the connection was kept")
+		assert.Equal(t, s.arrived.Load(), int64(0))
+	})
+}
--- a/io/entry/header.go
+++ b/io/entry/header.go
@@ -41,9 +41,11 @@
 	}
 }
 
-// closing asks the client to leave this connection when the router stops.
+// closing asks the client to leave this connection when the router stops, and when the request's context has ended though
+// the client can be answered: net/http has ended the whole connection's with it, and would take the client of each later
+// request for gone.
 func (x *exchange) closing(h http.Header) {
-	if x.front.phase.Load() != serving {
+	if x.front.phase.Load() != serving || x.ctx.Err() != nil {
 		h.Set("Connection", "close")
 	}
 }
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -54,8 +54,9 @@
 	return ""
 }
 
-// restOfBody is how long the rest of a body that nobody wants is waited for.
-const restOfBody = 50 * time.Millisecond
+// restOfBody is how long the rest of a body that nobody wants is waited for: longer than a process may stand still whose
+// core is shared, for the body may lie there unread.
+const restOfBody = 300 * time.Millisecond
 
 // boundBody bounds the wait for what is left of the body. net/http reads it before it sends an answer, so that the
 // connection can be kept; without a bound, a body that stalls would hold the answer back for ever.
