entry: silent clients do not hold up a stop

Found by a review. Cause: it waits for connections now, and took new ones as long as any was left. Change: it takes connections for a fifth of the grace after it has begun to refuse, and then only ends those it has. Also a test that the limit in force ends idle connections, which the tests of the set alone did not show. TestSilentClientsDoNotHoldUpTheStop: ends within 6 s.

--- a/io/entry/ending_test.go
+++ b/io/entry/ending_test.go
@@ -261,3 +261,39 @@
 		assert.Equal(t, s.arrived.Load(), int64(0))
 	})
 }
+
+// The limit for idle connections in force is the one that the router goes by.
+func TestIdleLimitInForceEndsConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRig(routetable.Limits{IdleTimeout: 5 * time.Second})
+		defer s.end()
+		c := keptConnection(t, s)
+		sweeping, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go background.Every(sweeping, sweepEvery, s.server.sweep)
+		began := time.Now()
+		_, err := c.answer()
+		assert.Assert(t, err != nil)
+		took := time.Since(began)
+		assert.Assert(t, took > 5*time.Second && took < 8*time.Second, "%v", took)
+	})
+}
+
+// Clients go on connecting and say nothing while a router stops. It ends all the same, long before its grace does.
+func TestSilentClientsDoNotHoldUpTheStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRig(routetable.Limits{IdleTimeout: 15 * time.Second})
+		defer s.end()
+		connecting, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go background.Every(connecting, 300*time.Millisecond, func(time.Time) {
+			select {
+			case <-s.closed:
+			default:
+				s.connect()
+			}
+		})
+		took := <-stop(s)
+		assert.Assert(t, took < 6*time.Second, "%v", took)
+	})
+}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// sweep ends connections that have been idle for longer than the configuration allows.
+// sweep ends connections to endpoints and of clients that have been idle, or bring a header, for too long.
 func (s *Server) sweep(now time.Time) {
 	s.front.Pool.Sweep(now)
 	s.conns.Sweep(now)
@@ -105,15 +105,22 @@
 // endShare is the part of the grace after which what is still open is cut, so that the process ends by itself.
 const endShare = 0.93
 
+// lingerShare is the part of the grace in which a router that refuses still takes connections, if some are used: clients
+// that go on connecting must not keep it.
+const lingerShare = 0.2
+
 // Drain serves on for a while, then refuses, and returns when no client is left on a connection or most of the grace has
 // passed. The connections are counted and not the requests: one that is being read is not a request yet.
 func (s *Server) Drain(grace time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(endShare*float64(grace)))
+	part := func(share float64) time.Duration { return time.Duration(share * float64(grace)) }
+	ctx, cancel := context.WithTimeout(context.Background(), part(endShare))
 	defer cancel()
 	s.front.Leave()
-	time.Sleep(time.Duration(leaveShare * float64(grace)))
+	time.Sleep(part(leaveShare))
 	s.front.Close()
-	_ = s.conns.Drain(ctx)
+	lingering, enough := context.WithTimeout(ctx, part(lingerShare))
+	defer enough()
+	_ = s.conns.Drain(lingering)
 	_ = s.conns.Close()
 	_ = s.conns.Drain(ctx)
 }
