clientconn: half-closes, ends of writes, what net/http holds, and a real second look

Found by a review of the connections of clients: - The sending side could not be closed first, so that the end came 500 ms after an answer to an unread body, as a reset where bytes were left; net/http asks the connection for CloseWrite. A connection counts as unused only while net/http waits for bytes on it.

--- a/io/clientconn/conn.go
+++ b/io/clientconn/conn.go
@@ -18,7 +18,7 @@
 const (
 	// fresh: accepted, nothing was read yet.
 	fresh state = iota
-	// reading: the first bytes of a request were read, its handler has not begun.
+	// reading: bytes that belong to no answered request were read, and no handler has begun on them.
 	reading
 	// serving: from the beginning of the handler until the answer was written.
 	serving
@@ -40,6 +40,9 @@
 	state  state
 	since  time.Time
 	ending Ending
+	// waiting tells that net/http waits for bytes. It does not when it has read more than the request before, or has not
+	// come to it yet.
+	waiting bool
 	// limit is for how long the connection may be idle by what was in force when it became so: its client goes by that,
 	// also when the limit has been lowered since.
 	limit time.Duration
@@ -48,8 +51,8 @@
 	idleFor time.Duration
 	// readFor is how long the present request took from its first byte to its handler.
 	readFor time.Duration
-	// overdue tells that the header was late when it was last looked at.
-	overdue bool
+	// overdue is when the present request's header was first seen to be late.
+	overdue time.Time
 }
 
 func newConn(c net.Conn) *Conn {
@@ -67,6 +70,7 @@
 // may stand still for as long as its VM does.
 func (c *Conn) Read(p []byte) (n int, err error) {
 	if c.raw == nil || len(p) == 0 {
+		c.wait(true)
 		n, err = c.Conn.Read(p)
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -77,12 +81,14 @@
 		defer c.mu.Unlock()
 		n, err = readOnce(int(fd), p)
 		if errors.Is(err, unix.EAGAIN) {
+			c.waiting = true
 			return false
 		}
 		n, err = c.took(n, err)
 		return true
 	})
 	if failed != nil {
+		c.wait(false)
 		return 0, c.readError(failed)
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
@@ -91,6 +97,33 @@
 	return n, err
 }
 
+func (c *Conn) wait(waiting bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = waiting
+}
+
+// Write notes when the other side is found to be gone, or does not take what is sent.
+func (c *Conn) Write(p []byte) (n int, err error) {
+	n, err = c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.lost(writeEnding(err))
+	}
+	return n, err
+}
+
+// CloseWrite ends the sending side. net/http does so before it waits for a client that is still sending: otherwise the
+// client's bytes meet a closed connection, and the reset that answers them takes the answer with it.
+func (c *Conn) CloseWrite() error {
+	half, is := c.Conn.(interface{ CloseWrite() error })
+	if !is {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
 func readOnce(fd int, p []byte) (n int, err error) {
 	for {
 		n, err = unix.Read(fd, p)
@@ -121,6 +154,7 @@
 
 // took notes what a read brought. Bytes that come after this process has ended the connection go nowhere.
 func (c *Conn) took(n int, err error) (int, error) {
+	c.waiting = false
 	if c.ending.Ours() {
 		return 0, net.ErrClosed
 	}
@@ -128,13 +162,20 @@
 		c.idleFor = time.Since(c.since)
 		c.enter(reading)
 	}
-	if err != nil && c.ending == "" {
-		c.ending = endingOf(err)
+	if err != nil {
+		c.lost(readEnding(err))
 	}
 	return n, err
 }
 
-func (c *Conn) enter(s state) { c.state, c.since, c.overdue = s, time.Now(), false }
+// lost notes the first end.
+func (c *Conn) lost(e Ending) {
+	if c.ending == "" {
+		c.ending = e
+	}
+}
+
+func (c *Conn) enter(s state) { c.state, c.since, c.overdue = s, time.Now(), time.Time{} }
 
 // begin is called when a request's handler begins, and tells whether it may: not on a connection that was ended.
 func (c *Conn) begin() (ok bool) {
@@ -154,10 +195,10 @@
 	c.enter(idle)
 }
 
-// endIf ends the connection when nobody is using it and may allows it. Bytes that lie in the kernel are a request.
+// endIf ends the connection when nobody is using it and may allows it: net/http waits for bytes, and none lie in the kernel.
 func (c *Conn) endIf(why Ending, may func() bool) {
 	c.mu.Lock()
-	ended := c.ending == "" && (c.state == idle || c.state == fresh) && may() && !c.unread()
+	ended := c.ending == "" && (c.state == idle || c.state == fresh) && c.waiting && may() && !c.unread()
 	if ended {
 		c.ending = why
 	}
@@ -171,9 +212,7 @@
 // cut ends the connection whatever it is used for.
 func (c *Conn) cut() {
 	c.mu.Lock()
-	if c.ending == "" {
-		c.ending = ByStop
-	}
+	c.lost(ByStop)
 	c.mu.Unlock()
 	_ = c.Close()
 }
@@ -191,13 +230,18 @@
 	return yes
 }
 
-// endLate ends the connection when a header is late for the second time that it is looked at: a process that stood still
-// must have time to go on with what it has read.
+// secondLook is how much later a late header is looked at again before it ends its connection.
+const secondLook = 500 * time.Millisecond
+
+// endLate ends the connection when a header is late and still is at a second look: a process that stood still must have
+// time to go on with what it has read.
 func (c *Conn) endLate(now time.Time, limit time.Duration) {
 	c.mu.Lock()
 	late := c.ending == "" && c.state == reading && now.Sub(c.since) > limit
-	ended := late && c.overdue
-	c.overdue = late
+	if late && c.overdue.IsZero() {
+		c.overdue = now
+	}
+	ended := late && now.Sub(c.overdue) >= secondLook
 	if ended {
 		c.ending = ByHeader
 	}
@@ -214,7 +258,7 @@
 	return c.state
 }
 
-// Ending is why the connection has ended, empty while it has not.
+// Ending is why the connection has ended, empty while it has not and where net/http ended it after an answer.
 func (c *Conn) Ending() Ending {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/clientconn/set.go
+++ b/io/clientconn/set.go
@@ -19,11 +19,11 @@
 
 // Set are the connections of one listener, and takes its place for an http.Server; New makes one.
 type Set struct {
-	net.Listener
-	limits func() Limits
-	mu     sync.Mutex
-	conns  map[*Conn]struct{}
-	ended  map[Ending]uint64
+	listener net.Listener
+	limits   func() Limits
+	mu       sync.Mutex
+	conns    map[*Conn]struct{}
+	ended    map[Ending]uint64
 }
 
 const (
@@ -38,12 +38,12 @@
 
 // New keeps the connections of the listener within what limits gives at the time.
 func New(l net.Listener, limits func() Limits) *Set {
-	return &Set{Listener: l, limits: limits, conns: map[*Conn]struct{}{}, ended: map[Ending]uint64{}}
+	return &Set{listener: l, limits: limits, conns: map[*Conn]struct{}{}, ended: map[Ending]uint64{}}
 }
 
 // Accept waits for the next connection.
 func (s *Set) Accept() (net.Conn, error) {
-	raw, err := s.Listener.Accept()
+	raw, err := s.listener.Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -54,6 +54,12 @@
 	return c, nil
 }
 
+// Close takes no more connections; those that are there stay.
+func (s *Set) Close() error { return s.listener.Close() }
+
+// Addr is where the set listens.
+func (s *Set) Addr() net.Addr { return s.listener.Addr() }
+
 // Attach lets the server tell the set what its connections are used for. The server's own time-outs for connections must
 // not be set: they go by when a goroutine runs, not by when bytes came.
 func (s *Set) Attach(h *http.Server) {
