peer: bound the handshake with a peer that stands still

With certificates set, a router went silent for good when the process of one peer stood still: the exchange with that peer never ended, nothing more was said to the others, and they took a sound router for dead.

The kernel of a stopped process still takes connections. The handshake was left to the first write of net/rpc, which knows no bound, and holds the lock that every later call on the connection needs. The time-out of the call was looked at only after that write, so it did not help. Without certificates the write goes into the kernel's buffer and returns.

The handshake is now made with the connection, within the call's own time.

TestSilentHandshakeEndsWithTheCall before: "the exchange still waits" after 2 s (four time-outs of a call); now 0.5 s.

--- a/io/peer/connection.go
+++ b/io/peer/connection.go
@@ -100,13 +100,29 @@
 	if err != nil {
 		return nil, err
 	}
-	if a.TLS != nil {
-		raw = tls.Client(raw, clientTLS(a.TLS, c.address))
+	raw, err = a.secure(ctx, raw, c.address)
+	if err != nil {
+		return nil, err
 	}
 	c.client = rpc.NewClient(raw)
 	return c.client, nil
 }
 
+// secure makes the handshake at once: left to the first write, it waits without bound for a peer whose process stands
+// still, and every call after it.
+func (a *Agent) secure(ctx context.Context, raw net.Conn, address string) (c net.Conn, err error) {
+	if a.TLS == nil {
+		return raw, nil
+	}
+	secured := tls.Client(raw, clientTLS(a.TLS, address))
+	err = secured.HandshakeContext(ctx)
+	if err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
 // clientTLS checks the peer by the IP number that it is called at.
 func clientTLS(base *tls.Config, address string) *tls.Config {
 	host, _, err := net.SplitHostPort(address)
