peer: a call that runs out of time ends no other call

A caller's call that is claimed through another router could lose its claim's answer: the claim was made there, this router got "use of closed network connection", and claimed a second time on the log by itself before it answered the caller. It happened whenever any other call to that router took longer than its half second, and also when another caller hung up while its own claim was under way.

All calls to a peer share one connection, and any call that ended without an answer closed it. Worse, each call that was cut so closed whatever connection had been made since.

A call that runs out of time now retires the connection: new calls make another one, the old one is ended with the last call on it. Each call has a bound of its own, 3 s at most, so a silent connection ends soon, and no new call waits for it. A caller that hangs up says nothing of the peer and retires nothing. Ending a connection that nothing was heard on for long was ruled out: it needs a timer, and the next heartbeats would go on failing on it until then.

The connection is made once for all that wait for it. The lock that was held meanwhile let each wait for the others' attempts and then fail by its own time, a heartbeat behind a claim for up to 2 s. A message is written beside the call's timer, so that a peer that reads nothing doesn't hold the caller, and with it the count of calls.

--- a/io/peer/agent.go
+++ b/io/peer/agent.go
@@ -63,6 +63,8 @@
 	listener net.Listener
 	mu       sync.Mutex
 	conns    map[string]*connection
+	open     map[*connection]bool
+	killed   bool
 	accepted map[net.Conn]bool
 	findings map[string]spreading
 	marks    map[Mark]int
@@ -99,7 +101,7 @@
 func New(address string, p Parts) (a *Agent, err error) {
 	defer annotate.Error(&err, "listen for peers on %s", address)
 	a = &Agent{
-		Parts: p, conns: map[string]*connection{}, accepted: map[net.Conn]bool{},
+		Parts: p, conns: map[string]*connection{}, open: map[*connection]bool{}, accepted: map[net.Conn]bool{},
 		findings: map[string]spreading{}, marks: map[Mark]int{},
 		cursors: map[string]uint64{}, urgent: make(chan struct{}, 1),
 	}
@@ -135,8 +137,9 @@
 	a.cancel()
 	_ = a.listener.Close()
 	a.mu.Lock()
-	for _, c := range a.conns {
-		c.close()
+	a.killed = true
+	for c := range a.open {
+		a.end(c)
 	}
 	for c := range a.accepted {
 		_ = c.Close()
--- a/io/peer/connection.go
+++ b/io/peer/connection.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/rpc"
-	"sync"
 	"time"
 
 	"savoryfall/core/membership"
@@ -18,20 +17,22 @@
 	serviceName = "Peer"
 )
 
-// connection is the one to a peer, made when it is first needed and again after it broke.
+// connection is one to a peer, shared by all calls to it: heartbeats as well as claims of callers' calls, which may take
+// much longer. A call that runs out of time says that the peer may be silent, but not that the other calls get no answer:
+// when it ended the connection, claims that were being made were lost to their callers. So it retires the connection: new
+// calls make another, and the old one is ended with the last call on it. A silent peer is given up no later for that,
+// since every call has a bound of its own.
 type connection struct {
-	mu      sync.Mutex
 	address string
-	client  *rpc.Client
-}
-
-func (c *connection) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.client != nil {
-		_ = c.client.Close()
-		c.client = nil
-	}
+	cancel  context.CancelFunc
+	// made is closed when the connection is there or has failed; client and err are set before.
+	made   chan struct{}
+	client *rpc.Client
+	err    error
+	// The agent's lock guards the rest.
+	calls   int
+	retired bool
+	ended   bool
 }
 
 // errCut stands for a network that does not carry the message; only tests cut.
@@ -60,52 +61,135 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
-	c := a.connection(p)
-	client, err := a.dial(ctx, c)
+	c, err := a.enter(p)
 	if err != nil {
 		return err
 	}
-	call := client.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	defer a.leave(c)
+	err = c.call(ctx, method, args, reply)
+	if speaksAgainst(err) {
+		a.retire(p.Name, c)
+	}
+	return err
+}
+
+// speaksAgainst tells whether the error is one of the connection: a peer that answers with an error is there, and a caller
+// that hangs up says nothing of the peer.
+func speaksAgainst(err error) bool {
+	var answered rpc.ServerError
+	return err != nil && !errors.As(err, &answered) && !errors.Is(err, context.Canceled)
+}
+
+// call returns when the peer has answered or the context has ended, also while the message is still being written: a peer
+// that reads nothing must not hold the caller.
+func (c *connection) call(ctx context.Context, method string, args, reply any) (err error) {
 	select {
-	case <-call.Done:
-		err = call.Error
+	case <-c.made:
 	case <-ctx.Done():
-		err = ctx.Err()
+		return ctx.Err()
 	}
-	var answered rpc.ServerError
-	if err != nil && !errors.As(err, &answered) {
-		c.close()
+	if c.err != nil {
+		return c.err
 	}
-	return err
+	done := make(chan error, 1)
+	go func() { done <- c.client.Call(serviceName+"."+method, args, reply) }()
+	select {
+	case err = <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// enter finds or makes the connection for a new call, and counts the call.
+func (a *Agent) enter(p membership.Peer) (c *connection, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.killed {
+		return nil, net.ErrClosed
+	}
+	c = a.conns[p.Name]
+	if c != nil && c.address == p.Address {
+		c.calls++
+		return c, nil
+	}
+	if c != nil {
+		c.retired = true
+		a.endUnused(c)
+	}
+	// No call waits longer than the longest for the connection to be made.
+	ctx, cancel := context.WithTimeout(context.Background(), claimTimeout)
+	c = &connection{address: p.Address, cancel: cancel, made: make(chan struct{}), calls: 1}
+	a.conns[p.Name] = c
+	a.open[c] = true
+	go a.dial(ctx, p.Name, c)
+	return c, nil
+}
+
+func (a *Agent) leave(c *connection) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c.calls--
+	a.endUnused(c)
 }
 
-func (a *Agent) connection(p membership.Peer) *connection {
+// retire keeps new calls off the connection.
+func (a *Agent) retire(name string, c *connection) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c := a.conns[p.Name]
-	if c == nil || c.address != p.Address {
-		c = &connection{address: p.Address}
-		a.conns[p.Name] = c
+	if a.conns[name] == c {
+		delete(a.conns, name)
+	}
+	c.retired = true
+	a.endUnused(c)
+}
+
+func (a *Agent) endUnused(c *connection) {
+	if c.retired && c.calls == 0 {
+		a.end(c)
 	}
-	return c
 }
 
-func (a *Agent) dial(ctx context.Context, c *connection) (client *rpc.Client, err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// end ends the connection under whatever is on it; the agent's lock is held.
+func (a *Agent) end(c *connection) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	delete(a.open, c)
+	c.cancel()
 	if c.client != nil {
-		return c.client, nil
+		// Not under the lock: with TLS a farewell is written first, which a peer that reads nothing holds up.
+		go func() { _ = c.client.Close() }()
 	}
+}
+
+// dial makes the connection for all that wait for it, so that none of them waits for another's attempt and then for its
+// own.
+func (a *Agent) dial(ctx context.Context, name string, c *connection) {
+	defer c.cancel()
 	raw, err := a.Meter.Dial(meter.KindPeer)(ctx, "tcp", c.address)
-	if err != nil {
-		return nil, err
+	if err == nil {
+		raw, err = a.secure(ctx, raw, c.address)
 	}
-	raw, err = a.secure(ctx, raw, c.address)
+	a.made(c, raw, err)
 	if err != nil {
-		return nil, err
+		a.retire(name, c)
+	}
+}
+
+func (a *Agent) made(c *connection, raw net.Conn, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	defer close(c.made)
+	if err == nil && c.ended {
+		_ = raw.Close()
+		err = net.ErrClosed
+	}
+	c.err = err
+	if err == nil {
+		c.client = rpc.NewClient(raw)
 	}
-	c.client = rpc.NewClient(raw)
-	return c.client, nil
 }
 
 // secure makes the handshake at once: left to the first write, it waits without bound for a peer whose process stands
