peer: who is asked to try a member answers before its asker gives up

The asked router waited half a second for the lost one, and its asker waited half a second for it, from earlier on. The asked one now waits half as long. To let the asker wait longer instead was ruled out: the question is part of the round of heartbeats, and would hold back those to all others.

--- a/io/peer/agent_test.go
+++ b/io/peer/agent_test.go
@@ -219,3 +219,17 @@
 	hangUp()
 	assert.ErrorIs(t, <-waited, context.Canceled)
 }
+
+// The process of a third router stands still. The first can't reach it and asks the second, which is sound, to try. The
+// second waited for the third as long as the first for the second, so that the first always gave up first, took the second
+// for silent as well, and never learned what the second had found. The second must answer in time that it heard nothing.
+func TestAskedRouterAnswersBeforeItsAskerGivesUp(t *testing.T) {
+	first, other := agent(t, "first", nil, nil), agent(t, "second", nil, nil)
+	third := silent(t)
+	know(first, map[string]string{"second": other.Address(), "third": third})
+	know(other, map[string]string{"first": first.Address(), "third": third})
+	var answer Answer
+	const withTheWayThere = callTimeout * 9 / 10
+	assert.NilError(t, first.callWithin(t.Context(), withTheWayThere, second(t, first), "Try", Probe{Target: "third"}, &answer))
+	assert.Assert(t, !answer.Heard)
+}
--- a/io/peer/router.go
+++ b/io/peer/router.go
@@ -44,6 +44,10 @@
 	return nil
 }
 
+// tryTimeout is shorter than what the asker allows: with as much time for both, the asker gives up first, whose wait began
+// first, and never hears that the member does not answer here either.
+const tryTimeout = callTimeout / 2
+
 // Try exchanges with another member on behalf of a router that cannot reach it.
 func (r *Router) Try(p Probe, reply *Answer) error {
 	for _, peer := range r.agent.Members.Peers() {
@@ -51,7 +55,7 @@
 			continue
 		}
 		var m Message
-		err := r.agent.call(context.Background(), peer, "Meet", r.agent.message(peer.Name), &m)
+		err := r.agent.callWithin(context.Background(), tryTimeout, peer, "Meet", r.agent.message(peer.Name), &m)
 		reply.Heard = err == nil
 		if reply.Heard {
 			r.agent.take(&m)
