peer: a planned stop answers what other routers have asked

A router that was stopped as planned cut the claims and outcomes that it was putting on the log for others: each of them got "unexpected EOF" for a claim that was made, claimed again by itself while its caller waited, and wrote outcomes twice.

Stop told the peers and then closed the connections that it had accepted, with calls in service. It now stops reading from them, a tenth of a second after the peers were told, since what they sent before they heard is under way. net/rpc then sends the answers that it owes and closes by itself. The stop's own bound holds: when it has passed, the connections are closed as before. Counting calls in service was ruled out: an answer is written after the call has returned.

The hub's stop needs nothing of the kind and was left: a report that it holds fails at a follower, which tries the next hub and keeps the reads that were not taken; no client waits for it.

TestPlannedStopHasItsBound passes before and after. Tests of the fleet pass.

--- a/io/peer/agent.go
+++ b/io/peer/agent.go
@@ -77,6 +77,8 @@
 	urgent   chan struct{}
 	cancel   context.CancelFunc
 	running  background.Group
+	leaving  bool
+	serving  background.Group
 }
 
 type spreading struct {
@@ -124,10 +126,11 @@
 	return nil
 }
 
-// Stop tells the peers that this router leaves, and ends.
+// Stop tells the peers that this router leaves, answers what they have asked, and ends.
 func (a *Agent) Stop(ctx context.Context) error {
 	a.Members.Leave()
 	a.exchangeAll(ctx, a.peers())
+	a.drain(ctx)
 	a.Kill()
 	return nil
 }
@@ -146,6 +149,7 @@
 	}
 	a.mu.Unlock()
 	a.running.Stop()
+	a.serving.Stop()
 }
 
 func (a *Agent) loop(ctx context.Context) {
--- a/io/peer/agent_test.go
+++ b/io/peer/agent_test.go
@@ -233,3 +233,47 @@
 	assert.NilError(t, first.callWithin(t.Context(), withTheWayThere, second(t, first), "Try", Probe{Target: "third"}, &answer))
 	assert.Assert(t, !answer.Heard)
 }
+
+// A router stops as planned while it makes a claim, and notes an outcome, for another one. It cut both: the claim was made
+// and its grant lost, the outcome was written twice. Both must be answered before the connection ends.
+func TestPlannedStopAnswersWhatPeersAsked(t *testing.T) {
+	h, letGo := hold(t)
+	first, other := agent(t, "first", nil, nil), agent(t, "second", h, nil)
+	know(first, map[string]string{"second": other.Address()})
+	know(other, map[string]string{"first": first.Address()})
+	claimed := claimAt(t, t.Context(), first, h, "k")
+	settled := make(chan error, 1)
+	go func() {
+		settled <- first.Settle(t.Context(), "second", claim.Grant{Claim: claim.Request{Key: "s"}}, claim.Result{})
+	}()
+	assert.Equal(t, <-h.came, "s")
+	stopped := make(chan error, 1)
+	go func() { stopped <- other.Stop(t.Context()) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if state := second(t, first).State; state != membership.Leaving.String() {
+			return poll.Continue("the second is %s", state)
+		}
+		return poll.Success()
+	})
+	time.Sleep(2 * lastRead)
+	letGo()
+	assert.NilError(t, <-claimed)
+	assert.NilError(t, <-settled)
+	assert.NilError(t, <-stopped)
+}
+
+// A router stops as planned while a claim that it makes for another one hangs. The stop's time is up: the connection ends
+// all the same, and the other router claims elsewhere.
+func TestPlannedStopHasItsBound(t *testing.T) {
+	h, letGo := hold(t)
+	first, other := agent(t, "first", nil, nil), agent(t, "second", h, nil)
+	know(first, map[string]string{"second": other.Address()})
+	claimed := claimAt(t, t.Context(), first, h, "k")
+	ctx, cancel := context.WithTimeout(t.Context(), 2*lastRead)
+	defer cancel()
+	stopped := make(chan error, 1)
+	go func() { stopped <- other.Stop(ctx) }()
+	assert.ErrorContains(t, <-claimed, "EOF")
+	letGo()
+	assert.NilError(t, <-stopped)
+}
--- a/io/peer/connection.go
+++ b/io/peer/connection.go
@@ -216,34 +216,3 @@
 	}
 	return cfg
 }
-
-func (a *Agent) serve() {
-	server := rpc.NewServer()
-	err := server.RegisterName(serviceName, &Router{agent: a})
-	if err != nil {
-		panic("peer: " + err.Error())
-	}
-	for {
-		raw, err := a.listener.Accept()
-		if err != nil {
-			return
-		}
-		a.accept(server, raw)
-	}
-}
-
-func (a *Agent) accept(server *rpc.Server, raw net.Conn) {
-	a.mu.Lock()
-	a.accepted[raw] = true
-	a.mu.Unlock()
-	a.running.Go(func() {
-		c := a.Meter.Conn(meter.KindPeer, raw)
-		if a.TLS != nil {
-			c = tls.Server(c, a.TLS)
-		}
-		server.ServeConn(c)
-		a.mu.Lock()
-		delete(a.accepted, raw)
-		a.mu.Unlock()
-	})
-}
