command: stop by the grace in force

An entry VM whose settings' grace was lowered while it ran was killed by the platform with its clients' requests open: it served on and refused by the grace of its start. The log told the new one as taken (settingsReloaded grace=…).

Reloading took the term of keys and the retries, not the grace; and settings written within a second before the stop, or signalled together with it, were not looked at any more. Both are taken now: the file is read once more as the stop begins.

--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -51,6 +51,7 @@
 	kernel     kernel.Kernel
 	settings   *settings.Entry
 	logger     log.Logger
+	grace      time.Duration
 	lease      freshness.Lease
 	retries    retryshare.Share
 	limits     atomic.Pointer[retryshare.Limits]
@@ -103,6 +104,7 @@
 
 // apply takes the settings that may change while the process runs.
 func (vm *entryVM) apply(cfg *settings.Entry) {
+	vm.grace = cfg.Grace()
 	vm.lease.SetTerm(cfg.KeyTerm() - keyMargin)
 	vm.limits.Store(&retryshare.Limits{
 		Ratio: cfg.Retries().Ratio(), Slack: cfg.Retries().Slack(), Window: cfg.Retries().Window(),
@@ -321,10 +323,11 @@
 func (vm *entryVM) watchSettings(ctx context.Context, file string, last []byte, hangup <-chan os.Signal) {
 	tick := time.NewTicker(settingsLook)
 	defer tick.Stop()
-	for {
+	for stopping := false; !stopping; {
 		select {
 		case <-ctx.Done():
-			return
+			// Once more: a grace that was lowered just before the stop is the one that the process is killed by.
+			stopping = true
 		case <-hangup:
 		case <-tick.C:
 		}
@@ -349,7 +352,7 @@
 
 func (vm *entryVM) stop() (err error) {
 	_ = vm.logger.Log("event", event.Stopping, "open", vm.front.Open())
-	vm.clients.Drain(vm.settings.Grace())
+	vm.clients.Drain(vm.grace)
 	left := vm.clients.Connections().Counts()
 	_ = vm.logger.Log("event", event.Stopped, "open", vm.front.Open(), "reading", left.Reading(), "serving", left.Serving())
 	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
--- a/io/command/entryvm_test.go
+++ b/io/command/entryvm_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -295,3 +296,57 @@
 		return f.vms[0].routers.Load() == 2 && f.vms[1].routers.Load() == 2 && f.vms[1].hub.Follows() == "vm0"
 	})
 }
+
+// settingsWith are those of an entry VM without clients, with a grace.
+func (f *entryFleet) settingsWith(grace time.Duration) []byte {
+	return fmt.Appendf(nil, `
+[vm]
+name = "vm0"
+failureDomain = "a"
+[clients]
+address = "127.0.0.1:0"
+[readiness]
+address = "127.0.0.1:0"
+[metrics]
+address = "127.0.0.1:0"
+[peers]
+address = %q
+[store]
+address = %q
+[stop]
+grace = %q
+`, ownAddress(), f.url, grace)
+}
+
+// The settings' grace is lowered, which the log tells as taken, or the file is written just before the process is told to
+// stop. It served on and refused by the grace of its start, and the platform killed it with clients' requests open. It must
+// have stopped within the grace in force.
+func TestStopGoesByTheGraceInForce(t *testing.T) {
+	t.Parallel()
+	f := newEntryFleet(t, 0)
+	const old, lowered = 12 * time.Second, 2 * time.Second
+	for name, lower := range map[string]func(vm *entryVM, file string){
+		"reloaded": func(vm *entryVM, file string) { vm.reload(file, f.settingsWith(lowered)) },
+		"written as it stops": func(vm *entryVM, file string) {
+			assert.NilError(t, os.WriteFile(file, f.settingsWith(lowered), 0o600))
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			vm.watchSettings(ctx, file, f.settingsWith(old), nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			file := filepath.Join(t.TempDir(), "vm.toml")
+			cfg, err := settings.ParseEntry(file, f.settingsWith(old))
+			assert.NilError(t, err)
+			vm, err := newEntryVM(cfg, stdout.New(io.Discard))
+			assert.NilError(t, err)
+			assert.NilError(t, vm.start(context.Background()))
+			lower(vm, file)
+			began := time.Now()
+			assert.NilError(t, vm.stop())
+			took := time.Since(began)
+			assert.Assert(t, took < lowered, "stopped after %v", took)
+		})
+	}
+}
