command: a log reader that ends doesn't end the router

When the reader of a router's log ended, as a collector does that is restarted, every client of the router lost its connection with what was on it: the process was gone (exit 141).

The Go runtime ends a process by SIGPIPE when it writes to standard output or error and the pipe is broken, whatever the logger does with errors. Both kinds of router ignore the signal now; the write fails, and the line is lost. The commands that print a result keep the default, so that they end with the reader of their output.

TestLogReaderThatEndsCostsNoRequest runs the real processes.

--- a/io/command/entry.go
+++ b/io/command/entry.go
@@ -38,6 +38,7 @@
 }
 
 func runEntry(ctx context.Context, s streams, file string) (err error) {
+	outliveLogReader()
 	// Before all else: a process that is told of changed settings while it starts would end by the signal.
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
--- a/io/command/entry_test.go
+++ b/io/command/entry_test.go
@@ -1,12 +1,16 @@
 package command_test
 
 import (
+	"bufio"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -38,3 +42,89 @@
 	assert.Assert(t, cmd.ProcessState.Exited(), "%s", cmd.ProcessState)
 	assert.Assert(t, strings.Contains(out.String(), "vm.name"), out.String())
 }
+
+const entryText = `
+[vm]
+name = "vm0"
+failureDomain = "a"
+[clients]
+address = "127.0.0.1:0"
+[readiness]
+address = "127.0.0.1:0"
+[metrics]
+address = "127.0.0.1:0"
+[peers]
+address = "127.0.0.1:0"
+[store]
+address = "127.0.0.1:1"
+[stop]
+grace = "1s"
+`
+
+const routerText = `
+[vm]
+name = "vm0"
+failureDomain = "a"
+[callers]
+address = "127.0.0.1:0"
+lameDuck = "0s"
+[operators]
+address = "127.0.0.1:0"
+[peers]
+address = "127.0.0.1:0"
+[platform]
+log = "http://127.0.0.1:1"
+vmList = "http://127.0.0.1:1"
+`
+
+// running runs a router, without any platform, and returns when it serves its clients at the address that it logs.
+func running(t *testing.T, command, settings string) (cmd *exec.Cmd, lines *bufio.Scanner, log *os.File, address string) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	assert.NilError(t, os.WriteFile(file, []byte(settings), 0o600))
+	log, w, err := os.Pipe()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = log.Close() })
+	cmd = exec.Command("savoryfall", command, "--settings", file)
+	cmd.Stdout, cmd.Stderr = w, w
+	assert.NilError(t, cmd.Start())
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	assert.NilError(t, w.Close())
+	lines = bufio.NewScanner(log)
+	started := regexp.MustCompile(`event=started (?:clients|callers)=(\S+)`)
+	for lines.Scan() {
+		if m := started.FindStringSubmatch(lines.Text()); m != nil {
+			return cmd, lines, log, m[1]
+		}
+	}
+	t.Fatalf("not started: %v", lines.Err())
+	return nil, nil, nil, ""
+}
+
+// ended tells the router to stop, and compares how it ended.
+func ended(t *testing.T, cmd *exec.Cmd) {
+	t.Helper()
+	assert.NilError(t, cmd.Process.Signal(syscall.SIGTERM))
+	_ = cmd.Wait()
+	assert.Equal(t, cmd.ProcessState.String(), "exit status 0")
+}
+
+// The reader of a router's log ends while clients are served. The next line met a broken pipe, and the signal that this
+// brings ended the process under all its clients. Lines may be lost, but requests must be answered on.
+func TestLogReaderThatEndsCostsNoRequest(t *testing.T) {
+	t.Parallel()
+	for command, settings := range map[string]string{"entry": entryText, "router": routerText} {
+		t.Run(command, func(t *testing.T) {
+			t.Parallel()
+			cmd, _, log, address := running(t, command, settings)
+			assert.NilError(t, log.Close())
+			for range 20 {
+				resp, err := http.Get("http://" + address + "/read/x")
+				assert.NilError(t, err)
+				assert.NilError(t, resp.Body.Close())
+				time.Sleep(10 * time.Millisecond)
+			}
+			ended(t, cmd)
+		})
+	}
+}
--- a/io/command/router.go
+++ b/io/command/router.go
@@ -44,6 +44,7 @@
 }
 
 func runRouter(ctx context.Context, s streams, file string) (err error) {
+	outliveLogReader()
 	cfg, err := readSettings(file)
 	if err != nil {
 		return err
