command: SIGHUP doesn't end a router on release notes

A router on release notes that got SIGHUP, the signal by which the other kind of router is told of changed settings, ended at once (exit 129) and cut every request on it.

Nothing took the signal. It is taken now from the start of the command to the end of the stop, and told as event=settingsKept: such a router reads its settings at the start only, and whoever changed them should know. To read them again was ruled out here: most hold addresses and certificates that are taken once.

--- a/io/command/entry_test.go
+++ b/io/command/entry_test.go
@@ -17,11 +17,11 @@
 
 // starting runs a router whose settings are a pipe, so that it waits in its start until they are written. It returns when
 // the router has opened them.
-func starting(t *testing.T) (cmd *exec.Cmd, out *strings.Builder, settings *os.File) {
+func starting(t *testing.T, command string) (cmd *exec.Cmd, out *strings.Builder, settings *os.File) {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "settings.toml")
 	assert.NilError(t, syscall.Mkfifo(file, 0o600))
-	cmd = exec.Command("savoryfall", "entry", "--settings", file)
+	cmd = exec.Command("savoryfall", command, "--settings", file)
 	out = &strings.Builder{}
 	cmd.Stdout, cmd.Stderr = out, out
 	assert.NilError(t, cmd.Start())
@@ -33,14 +33,18 @@
 // A VM's settings change just after its router was started: the platform signals a process that has not read them yet.
 // The process ended by the signal, and its clients with it. It must go on and take what it reads, here a fault.
 func TestHangupWhileStartingEndsNothing(t *testing.T) {
-	cmd, out, settings := starting(t)
-	assert.NilError(t, cmd.Process.Signal(syscall.SIGHUP))
-	_, err := settings.WriteString("[vm]\nname = 1\n")
-	assert.NilError(t, err)
-	assert.NilError(t, settings.Close())
-	_ = cmd.Wait()
-	assert.Assert(t, cmd.ProcessState.Exited(), "%s", cmd.ProcessState)
-	assert.Assert(t, strings.Contains(out.String(), "vm.name"), out.String())
+	for _, command := range []string{"entry", "router"} {
+		t.Run(command, func(t *testing.T) {
+			cmd, out, settings := starting(t, command)
+			assert.NilError(t, cmd.Process.Signal(syscall.SIGHUP))
+			_, err := settings.WriteString("[vm]\nname = 1\n")
+			assert.NilError(t, err)
+			assert.NilError(t, settings.Close())
+			_ = cmd.Wait()
+			assert.Assert(t, cmd.ProcessState.Exited(), "%s", cmd.ProcessState)
+			assert.Assert(t, strings.Contains(out.String(), "vm.name"), out.String())
+		})
+	}
 }
 
 const entryText = `
@@ -67,7 +71,7 @@
 failureDomain = "a"
 [callers]
 address = "127.0.0.1:0"
-lameDuck = "0s"
+lameDuck = "200ms"
 [operators]
 address = "127.0.0.1:0"
 [peers]
@@ -128,3 +132,24 @@
 		})
 	}
 }
+
+// A router on release notes gets the signal by which others are told of changed settings. It ended, and every request on
+// it was cut. It must serve on and say that its settings stay; the same signal must not cut the requests that it lets end
+// when it stops.
+func TestHangupEndsNoRouter(t *testing.T) {
+	t.Parallel()
+	cmd, lines, _, address := running(t, "router", routerText)
+	assert.NilError(t, cmd.Process.Signal(syscall.SIGHUP))
+	told := false
+	for !told && lines.Scan() {
+		told = strings.Contains(lines.Text(), "event=settingsKept")
+	}
+	assert.Assert(t, told, "%v", lines.Err())
+	resp, err := http.Get("http://" + address + "/readyz")
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.NilError(t, cmd.Process.Signal(syscall.SIGTERM))
+	assert.NilError(t, cmd.Process.Signal(syscall.SIGHUP))
+	_ = cmd.Wait()
+	assert.Equal(t, cmd.ProcessState.String(), "exit status 0")
+}
--- a/io/command/router.go
+++ b/io/command/router.go
@@ -45,11 +45,16 @@
 
 func runRouter(ctx context.Context, s streams, file string) (err error) {
 	outliveLogReader()
+	// Before all else and until the end, as the signal ends a process that does not take it.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	cfg, err := readSettings(file)
 	if err != nil {
 		return err
 	}
-	r, err := router.New(cfg, newLogger(s))
+	logger := newLogger(s)
+	r, err := router.New(cfg, logger)
 	if err != nil {
 		return err
 	}
@@ -57,10 +62,22 @@
 	if err != nil {
 		return err
 	}
-	<-ctx.Done()
+	keepSettings(ctx, logger, hangup)
 	return stopRouter(r, cfg)
 }
 
+// keepSettings tells whoever has changed the settings that they hold from the next start on, until the router is to stop.
+func keepSettings(ctx context.Context, logger log.Logger, hangup <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			_ = logger.Log("event", "settingsKept", "why", "they are read at the start only")
+		}
+	}
+}
+
 // stopRouter drains; a second signal, or the bound of the settings, ends the waiting.
 func stopRouter(r *router.Router, cfg *settings.Settings) (err error) {
 	defer annotate.Error(&err, "stop router")
