board: the same reports give the same totals

What callers saw: nothing. Cause: Totals added the reports up in the order of a map, and a sum of float32 depends on its order. Ruled out: the order of endpoints within a report; it decides where a load stands in the list, not what it adds up to. Change: the reports are added up in the order of the routers' names. Why it holds: the names are sorted for each sum, and nothing else in it comes from a map.

--- a/core/board/board.go
+++ b/core/board/board.go
@@ -1,6 +1,8 @@
 package board
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -126,7 +128,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var sum totals
-	for name, r := range b.routers {
+	// Added up in the order of the map, the same reports would not always give the same totals.
+	for _, name := range slices.Sorted(maps.Keys(b.routers)) {
+		r := b.routers[name]
 		if now.Sub(r.at) > ReportAge {
 			delete(b.routers, name)
 			continue
