fairness: the same requests give the same chance

What callers saw: nothing that could be told from chance. In a service that is full a request was let in with a chance that differed in its last digit from one reckoning to the next, so that no run could be repeated exactly. Cause: the level added up what the accounts had asked for in the order of a map. Ruled out: the fading of the accounts, which treats each by itself. Change: the sum is taken after the sort that the level needs anyway. Why it holds: equal weights in another order are the same list when sorted.

--- a/core/fairness/shares.go
+++ b/core/fairness/shares.go
@@ -60,9 +60,12 @@
 	asked, total := make([]float64, 0, len(s.by)), 0.0
 	for _, n := range s.by {
 		asked = append(asked, n)
-		total += n
 	}
 	slices.Sort(asked)
+	// Added up in the order of the map, the same requests would not always give the same chance.
+	for _, n := range asked {
+		total += n
+	}
 	left := part * total
 	for i, n := range asked {
 		level = left / float64(len(asked)-i)
--- a/core/fairness/shares_test.go
+++ b/core/fairness/shares_test.go
@@ -50,6 +50,21 @@
 	assert.Assert(t, s.Chance("large", 0.5, later) > 0.49)
 }
 
+// The same request had another chance each time, by the last digit: what the accounts asked for was added up in another
+// order. A run that had seen and drawn the same could so end otherwise.
+func TestSameRequestsGiveTheSameChance(t *testing.T) {
+	var s fairness.Shares
+	later := start
+	for i := range 60 {
+		later = later.Add(7 * time.Millisecond)
+		s.Saw(fmt.Sprint(i%20), later)
+	}
+	want := s.Chance("19", 0.3, later)
+	for range 200 {
+		assert.Equal(t, s.Chance("19", 0.3, later), want)
+	}
+}
+
 // Whatever was asked, no chance is above one, who asks for less has no smaller chance, and all together are let in as
 // often as there is room.
 func TestRoomIsUsedAndShared(t *testing.T) {
