path, entry: a test that a stopping router serves until the balancer knows

What callers would see: with leaveShare at 0 a router that is told to stop refuses every request at once, although the balancer sends clients for two seconds more (two checks, a second apart) and open connections go on bringing requests. No test failed then.

The test drives the real server by Start, Drain and Stop on the bubble's clock, over a listener without a network; for that NewServer is split, and NewServerOn takes a listener. Requests on kept and on new connections must be served for two seconds; later they are served or refused as not run, none cut and none served after a refusal; when a request could no longer take its time (3 s before the end of the grace) they must be refused; what was begun ends whole, and the process within its grace.

Taken in beside the mended stop: connections that nobody uses are ended when the router begins to refuse, so the test allows a kept connection to be ended between requests from then on, and demands it; requests on connections that are open are served or refused as before. New connections are refused for as long as anybody is served.

--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -101,7 +101,7 @@
 		Pool: http1.NewPool(s.dial), Tracer: noop.NewTracerProvider().Tracer(""), Figures: NewFigures(metrics.NewSet()),
 		Logger: log.Logger(&s.lines), Clock: s.clock,
 	})
-	s.server = newServer(f, s)
+	s.server = NewServerOn(s, f)
 	s.server.cancel = func() {}
 	go s.server.serve(markedListener{s.server.conns, s})
 	return s
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -44,10 +44,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return newServer(f, l), nil
+	return NewServerOn(l, f), nil
 }
 
-func newServer(f *Front, l net.Listener) (s *Server) {
+// NewServerOn serves the clients that come by the listener.
+func NewServerOn(l net.Listener, f *Front) (s *Server) {
 	s = &Server{front: f, http: &http.Server{Handler: f, MaxHeaderBytes: mostHeader}}
 	s.conns = clientconn.New(l, s.limits)
 	s.conns.Attach(s.http)
@@ -105,10 +106,13 @@
 // endShare is the part of the grace after which what is still open is cut, so that the process ends by itself.
 const endShare = 0.93
 
-// lingerShare is the part of the grace in which a router that refuses still takes connections, if some are used: clients
-// that go on connecting must not keep it.
+// lingerShare is the part of the grace in which a router that refuses still takes connections when it serves nobody any
+// more: clients that go on connecting and say nothing must not keep it.
 const lingerShare = 0.2
 
+// look is how often a stopping router looks whether it is still used.
+const look = 20 * time.Millisecond
+
 // Drain serves on for a while, then refuses, and returns when no client is left on a connection or most of the grace has
 // passed. The connections are counted and not the requests: one that is being read is not a request yet.
 func (s *Server) Drain(grace time.Duration) {
@@ -118,13 +122,23 @@
 	s.front.Leave()
 	time.Sleep(part(leaveShare))
 	s.front.Close()
-	lingering, enough := context.WithTimeout(ctx, part(lingerShare))
-	defer enough()
-	_ = s.conns.Drain(lingering)
+	s.linger(ctx, part(lingerShare))
 	_ = s.conns.Close()
 	_ = s.conns.Drain(ctx)
 }
 
+// linger refuses those that still come, until nobody is left. While a request is served, the router has to wait in any
+// case, and a refusal tells more than a connection that cannot be made.
+func (s *Server) linger(ctx context.Context, atMost time.Duration) {
+	began := time.Now()
+	for s.conns.Release() > 0 && ctx.Err() == nil {
+		if s.conns.Counts().Serving() == 0 && time.Since(began) > atMost {
+			return
+		}
+		time.Sleep(look)
+	}
+}
+
 // Stop ends the listener and what is still open. http.Server's Shutdown would not do: it ends connections on which a
 // request is being read, and drops requests that it has read.
 func (s *Server) Stop(ctx context.Context) (err error) {
