soak: clients of a stopping router are not turned away at once; the variant that does so is caught

What callers would see: a router that is told to stop refuses what the balancer and open connections still bring it.

The check: from the signal on, for the two seconds that the balancer needs (two checks, a second apart), no request is answered by 503 and no connection is refused, where nothing is disturbed and the process had run for longer than the contact time. The bound is the stated aim, not the router's share, so the soak's grace is now that of the platform, 8 s, and a stop's parts have their real lengths. Before, the grace was 2 s, of which 0.68 s were served.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -48,7 +48,9 @@
 		w.checkRuns(q)
 		w.checkKey(q)
 		w.checkCalm(q)
+		w.checkStopping(q)
 	}
+	w.checkAccepted()
 	w.checkForward()
 	w.checkLeaving()
 	w.checkRetries(by)
@@ -130,6 +132,24 @@
 	}
 }
 
+// checkStopping: a router that is told to stop serves on for as long as the balancer may send it clients.
+func (w *world) checkStopping(q *request) {
+	if q.answer.Status == http.StatusServiceUnavailable && q.router.leaves(q.sent) && !w.disturbed(q.router, q.sent, q.ended) {
+		w.fault("%s %s was refused by %s, which had just been told to stop", q.kind, q.id, q.router.name)
+	}
+}
+
+// checkAccepted: for as long, it takes new connections.
+func (w *world) checkAccepted() {
+	for _, r := range w.routers {
+		for _, at := range r.closed {
+			if r.leaves(at) && !w.disturbed(r, at, at) {
+				w.fault("%s, which had just been told to stop, refused a connection", r.name)
+			}
+		}
+	}
+}
+
 // checkForward: a process that has served a version serves no older one again.
 func (w *world) checkForward() {
 	type life struct {
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -70,7 +70,7 @@
 func (w *world) client(random *rand.Rand) {
 	for {
 		r := w.routers[random.IntN(len(w.routers))]
-		c, err := client.Dial(r.clients)
+		c, err := r.dial()
 		if err != nil {
 			if w.over(20 * time.Millisecond) {
 				return
--- a/soak/router_test.go
+++ b/soak/router_test.go
@@ -5,11 +5,14 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"savoryfall/platform/standin/client"
 )
 
 // router is one process, and its addresses and links, which outlive it.
@@ -28,6 +31,8 @@
 	boot int
 	// since is when the process was started.
 	since time.Time
+	// stops are when processes that had run for a while were told to stop, closed when connections were refused.
+	stops, closed []time.Time
 	// told is set when the process was told to end, exited closed when it has.
 	told   bool
 	exited chan struct{}
@@ -116,6 +121,9 @@
 	if s == syscall.SIGHUP && time.Since(r.since) < deaf {
 		return
 	}
+	if s == syscall.SIGTERM && !r.told && time.Since(r.since) > contact {
+		r.stops = append(r.stops, time.Now())
+	}
 	r.told = r.told || s == syscall.SIGKILL || s == syscall.SIGTERM
 	_ = r.cmd.Process.Signal(s)
 }
@@ -128,6 +136,24 @@
 	<-exited
 }
 
+// dial connects a client, and notes when nobody accepts.
+func (r *router) dial() (c *client.Conn, err error) {
+	c, err = client.Dial(r.clients)
+	if err != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.closed = append(r.closed, time.Now())
+	}
+	return c, err
+}
+
+// leaves tells whether at that time a planned stop had begun and the balancer might not know yet.
+func (r *router) leaves(at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.stops, func(stop time.Time) bool { return !at.Before(stop) && at.Sub(stop) <= balancer })
+}
+
 // life is which of its processes the router is now.
 func (r *router) life() int {
 	r.mu.Lock()
--- a/soak/variants_test.go
+++ b/soak/variants_test.go
@@ -30,7 +30,10 @@
 		"core/directory/directory.go", "if !r.gone && !r.entry.Leaving {", "if !r.gone {",
 	},
 	"stopCutsRequests": {
-		"io/clientconn/set.go", "for s.Release() > 0 {", "for s.Release() < 0 {",
+		"io/clientconn/set.go", "return len(s.all())", "return 0",
+	},
+	"stoppingRefusesAtOnce": {
+		"io/entry/server.go", "const leaveShare = 0.34", "const leaveShare = 0",
 	},
 	"keyIsPassedOn": {
 		"platform/backend/backend.go", "\"Authorization\", headerInstance", "headerInstance",
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -25,7 +25,11 @@
 	keyTerm    = 2 * time.Second
 	retryRatio = 0.2
 	retrySlack = 52
-	grace      = 2 * time.Second
+	// grace is as long as the platform gives, so that a stop's parts have their real lengths.
+	grace = 8 * time.Second
+	// balancer is for how long new clients may come to a router that was told to stop: the balancer takes it out after
+	// two checks of its readiness, a second apart.
+	balancer = 2 * time.Second
 	// drain is for how long a leaving server may still get requests, applied within how long a configuration is in
 	// force, recovery within how long all is served again after the faults.
 	drain    = 2 * time.Second
