clientconn: a handshake is no request

Planned stops of a server under TLS would wait, until their time was over, for clients that had shaken hands and asked for nothing, as those do that connect ahead; without a limit for headers, such a connection would stay for ever. Cause: a connection takes its first bytes for those of a request. Under TLS they are of a handshake, and nothing tells when a request's begin: net/http reports no state between them. Ruled out: asking the tls.Conn, whose lock is held throughout a handshake; wrapping it, which hides it from net/http. Change: under TLS, a connection that has served nothing counts as unused also when its reader waits for more bytes; a stop ends it a second after the last byte, as it does with a new plain one. Before: TestHandshakeIsNoRequest: expression is false: endedAt(c, later); a stop of a server under TLS took its 10 s. Why it holds: a reader waits only when it has looked at all that came, so a whole request is never taken for a handshake, also when its goroutine stands still; the test has that case too. Not told apart: a client that pauses for a second in its first header is ended by a stop.

--- a/io/clientconn/conn.go
+++ b/io/clientconn/conn.go
@@ -53,6 +53,9 @@
 	readFor time.Duration
 	// overdue is when the present request's header was first seen to be late.
 	overdue time.Time
+	// encrypted tells that what is read may be of a handshake, and not of a request; heard when the last bytes came.
+	encrypted bool
+	heard     time.Time
 }
 
 func newConn(c net.Conn) *Conn {
@@ -158,6 +161,9 @@
 	if c.ending.Ours() {
 		return 0, net.ErrClosed
 	}
+	if n > 0 {
+		c.heard = time.Now()
+	}
 	if n > 0 && (c.state == idle || c.state == fresh) {
 		c.idleFor = time.Since(c.since)
 		c.enter(reading)
@@ -186,6 +192,13 @@
 	return !c.ending.Ours()
 }
 
+// encrypt is called when a server is to shake hands with the client before it reads requests.
+func (c *Conn) encrypt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.encrypted = true
+}
+
 // rest is called when an answer has been written.
 func (c *Conn) rest(limit time.Duration) {
 	c.mu.Lock()
@@ -198,7 +211,7 @@
 // endIf ends the connection when nobody is using it and may allows it: net/http waits for bytes, and none lie in the kernel.
 func (c *Conn) endIf(why Ending, may func() bool) {
 	c.mu.Lock()
-	ended := c.ending == "" && (c.state == idle || c.state == fresh) && c.waiting && may() && !c.unread()
+	ended := c.ending == "" && c.unused() && c.waiting && may() && !c.unread()
 	if ended {
 		c.ending = why
 	}
@@ -209,6 +222,25 @@
 	}
 }
 
+// unused tells whether nothing of a request was read. An encrypted connection whose client has shaken hands and asked for
+// nothing looks like one on which a header is being read; like the others, it is ended only while its reader waits for
+// more, which it does when it has looked at all that came.
+func (c *Conn) unused() bool {
+	return c.state == idle || c.state == fresh || c.encrypted && c.served == 0 && c.state == reading
+}
+
+// abandoned tells whether a stopping process need not wait for a request on an unused connection any longer.
+func (c *Conn) abandoned(now time.Time) bool {
+	switch c.state {
+	case idle:
+		return true
+	case fresh:
+		return now.Sub(c.since) > newFor
+	default:
+		return now.Sub(c.heard) > newFor
+	}
+}
+
 // cut ends the connection whatever it is used for.
 func (c *Conn) cut() {
 	c.mu.Lock()
--- a/io/clientconn/set.go
+++ b/io/clientconn/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -106,6 +107,10 @@
 		return
 	}
 	switch at {
+	case http.StateNew:
+		if _, is := raw.(*tls.Conn); is {
+			c.encrypt()
+		}
 	case http.StateIdle:
 		c.rest(s.limits().Idle)
 	case http.StateClosed, http.StateHijacked:
@@ -134,7 +139,7 @@
 func (s *Set) Release() (left int) {
 	now := time.Now()
 	for _, c := range s.all() {
-		c.endIf(ByStop, func() bool { return c.state == idle || now.Sub(c.since) > newFor })
+		c.endIf(ByStop, func() bool { return c.abandoned(now) })
 	}
 	return len(s.all())
 }
--- a/io/clientconn/set_test.go
+++ b/io/clientconn/set_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -355,3 +356,41 @@
 		assert.Equal(t, s.Counts(), Counts{})
 	})
 }
+
+// A client shakes hands on an encrypted connection, as one that connects ahead does, and asks for nothing. To the connection
+// its bytes look like a header that is being read: a stop waited for the request until its time was over, and a server
+// without a limit for headers kept the connection for ever. When the reader stands still, the same bytes may hold a request.
+func TestHandshakeIsNoRequest(t *testing.T) {
+	s, c, client := pair(t, &Limits{Idle: time.Second})
+	s.note(tls.Server(c, &tls.Config{MinVersion: tls.VersionTLS12}), http.StateNew)
+	_, err := io.WriteString(client, "hello")
+	assert.NilError(t, err)
+	p := make([]byte, 10)
+	_, err = c.Read(p)
+	assert.NilError(t, err)
+	later := time.Now().Add(time.Hour)
+	assert.Assert(t, !endedAt(c, later), "the reader has not looked at what came")
+	failed := make(chan error)
+	go func() {
+		_, err := c.Read(p)
+		failed <- err
+	}()
+	for !c.awaits() {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, !endedAt(c, time.Now()), "the client has just been heard")
+	assert.Assert(t, endedAt(c, later))
+	assert.ErrorIs(t, <-failed, net.ErrClosed)
+}
+
+func (c *Conn) awaits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waiting
+}
+
+// endedAt tells whether a stop at that time ends the connection.
+func endedAt(c *Conn, now time.Time) bool {
+	c.endIf(ByStop, func() bool { return c.abandoned(now) })
+	return c.Ending() == ByStop
+}
