caller: a stopping router asks its callers to leave their connections

Callers with connections to a stopping router kept them throughout its lame duck time and met their end, a bare close, with whatever they had just sent. Cause: only the readiness check knew of the stop; no answer said Connection: close. Change: every answer of a draining router says so, decided when the head is written and not when the request came. Before: TestStoppingRouterAsksItsCallersToLeave: resp.Close is false for each of the eight kinds of answers and for the request that came before the stop; status 200, close false. Now true for all (-race -count=5).

--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -260,6 +260,7 @@
 	x.first = time.Since(x.began)
 	x.front.figures.firstToken.Update(x.first.Seconds())
 	x.giveTicket(at.Endpoint)
+	x.front.closing(x.w.Header())
 	x.w.Header().Set("Content-Type", contentType)
 	x.w.Header().Set(header.Outcome, string(outcome.Ran))
 }
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -77,6 +77,7 @@
 // fail tells the caller, at once, that the request is given up.
 func (x *exchange) fail(p *problem) {
 	x.told(p.status, p.outcome, p.message)
+	x.front.closing(x.w.Header())
 	p.write(x.w, x.id)
 }
 
@@ -166,5 +167,6 @@
 		return
 	}
 	x.told(http.StatusOK, outcome.Ran, "")
+	f.closing(w.Header())
 	writeModels(w, x.config.Models())
 }
--- a/io/caller/front.go
+++ b/io/caller/front.go
@@ -93,17 +93,28 @@
 	return m
 }
 
-// Drain fails the readiness check, so that the balancer sends no more callers; what comes all the same is served.
+// Drain fails the readiness check, so that the balancer sends no more callers; what comes all the same is served, and its
+// callers are asked to leave their connections.
 func (f *Front) Drain() { f.draining.Store(true) }
 
 // Draining tells whether this router is stopping.
 func (f *Front) Draining() bool { return f.draining.Load() }
 
+// closing asks the caller to leave its connection when this router is stopping: one that stayed would meet the end of the
+// connection, perhaps with its next request on the way.
+func (f *Front) closing(h http.Header) {
+	if f.Draining() {
+		h.Set("Connection", "close")
+	}
+}
+
 func (f *Front) alive(w http.ResponseWriter, _ *http.Request) {
+	f.closing(w.Header())
 	w.WriteHeader(http.StatusOK)
 }
 
 func (f *Front) readyz(w http.ResponseWriter, _ *http.Request) {
+	f.closing(w.Header())
 	switch {
 	case f.Draining():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
--- a/io/caller/plain.go
+++ b/io/caller/plain.go
@@ -200,6 +200,7 @@
 	}
 	h.Set(header.Request, x.id)
 	h.Set(header.Outcome, string(outcome.Ran))
+	x.front.closing(h)
 	x.w.WriteHeader(resp.StatusCode)
 	x.told(resp.StatusCode, outcome.Ran, "")
 	err := copyFlushing(x.w, resp.Body)
@@ -309,6 +310,7 @@
 		x.w.Header().Set("Content-Type", result.ContentType)
 	}
 	x.w.Header().Set(header.Outcome, string(result.Outcome))
+	x.front.closing(x.w.Header())
 	x.w.WriteHeader(result.Status)
 	_, _ = x.w.Write(result.Body)
 	x.first = time.Since(x.began)
--- /dev/null
+++ b/io/fleet/leaving_test.go
@@ -0,0 +1,80 @@
+package fleet_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryfall/core/header"
+	"savoryfall/io/fleet"
+	"savoryfall/io/standin/plainservice"
+)
+
+// call is a request to one router, with header lines as pairs.
+func call(t *testing.T, address, method, path, body string, extra ...string) (resp *http.Response) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, "http://"+address+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer "+fleet.Key("guardia"))
+	for i := 0; i < len(extra); i += 2 {
+		r.Header.Set(extra[i], extra[i+1])
+	}
+	resp, err = http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	return resp
+}
+
+// A router is told to stop and serves on for its lame duck time. Callers that kept their connections were never asked to
+// leave them: they were still on them, and sending, when the server ended them. Every answer must ask, also that to a request
+// which came before the router was told.
+func TestStoppingRouterAsksItsCallersToLeave(t *testing.T) {
+	f := start(t, fleet.Options{Routers: 2, Engines: 1, Services: 1, Extra: map[string]string{
+		"peers": quick, "callers": "lameDuck = \"2s\"\n", "routing": "probePeriod = \"200ms\"\n",
+	}})
+	leaving := f.Routers()[0]
+	address := leaving.Callers()
+	assert.Assert(t, !call(t, address, http.MethodGet, "/v1/models", "").Close, "before the stop")
+	for _, s := range f.Services() {
+		s.Set(plainservice.Faults{LateMs: 500})
+	}
+	before := make(chan *http.Response)
+	go func() {
+		defer close(before)
+		before <- call(t, address, http.MethodPost, "/permits/1", "before")
+	}()
+	time.Sleep(100 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.StopRouter(t.Context(), leaving) }()
+	eventually(t, "it is stopping", func() bool { return status(t, leaving).Draining })
+	created := time.Now().UTC().Format(time.RFC3339)
+	for _, given := range []struct {
+		name, method, path, body string
+		extra                    []string
+		status                   int
+	}{
+		{"models", http.MethodGet, "/v1/models", "", nil, http.StatusOK},
+		{"completion", http.MethodPost, completionsPath, `{"model":"sur-large","messages":[{"role":"user","content":"a #3"}]}`, nil, http.StatusOK},
+		{"stream", http.MethodPost, completionsPath, `{"model":"sur-large","stream":true,"messages":[{"role":"user","content":"a #3"}]}`, nil, http.StatusOK},
+		{"service", http.MethodPost, "/permits/1", "x", nil, http.StatusOK},
+		{"claimed call", http.MethodPost, fleet.NotRepeatable, "x", []string{header.Idempotency, "k", header.KeyCreated, created}, http.StatusOK},
+		{"refusal", http.MethodPost, "/nowhere", "x", nil, http.StatusNotFound},
+		{"readiness", http.MethodGet, "/readyz", "", nil, http.StatusServiceUnavailable},
+		{"liveness", http.MethodGet, "/healthz", "", nil, http.StatusOK},
+	} {
+		t.Run(given.name, func(t *testing.T) {
+			resp := call(t, address, given.method, given.path, given.body, given.extra...)
+			assert.Equal(t, resp.StatusCode, given.status)
+			assert.Assert(t, resp.Close)
+		})
+	}
+	late := <-before
+	assert.Assert(t, late != nil && late.Close, "a request from before the stop")
+	assert.NilError(t, <-stopped)
+}
