caller: only a caller's own slowness counts against its body

Callers that had sent a large body whole were told 499 caller_gone, outcome unknown, while they waited, and the run of the endpoint, which read slowly, was cut. Callers that were slow themselves in the part that is passed on were told the same. Cause: the read deadline for the body was set once and ran on while the endpoint read; net/http ends a request's context with any error of a read, also that of a deadline, and an ended context was taken for a caller that has gone. Change: the body bounds its own reads: a deadline stands only while the caller is waited for, and their times add up to the setting. A read that was too late is told as 408, with the outcome of the attempt. From the answer's beginning, or an error, the deadline stands; after the body's end, which is where net/http's own read begins, it is not touched. Left: an endpoint that answers before it has read the body, and reads on, has the rest of the caller's time for it, as before.

--- a/io/caller/completions.go
+++ b/io/caller/completions.go
@@ -111,6 +111,10 @@
 	if errors.As(err, &f) {
 		told = f.Outcome
 	}
+	// Before the context, which net/http ends with any error of a read, also with that of a deadline.
+	if x.body.tooLate() {
+		return slowBody(told)
+	}
 	if x.ctx.Err() != nil {
 		return x.interrupted(told)
 	}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -34,6 +34,7 @@
 	began    time.Time
 	config   *inforce.Configuration
 	account  account.Account
+	body     *callerBody
 	decision *decision.Decision
 	first    time.Duration
 	cut      bool
@@ -46,6 +47,7 @@
 		trace.WithAttributes(attribute.String("request", x.id), attribute.String("path", r.URL.Path)))
 	x.ctx, x.cancel = context.WithTimeout(ctx, f.deadline(r))
 	x.decision = &decision.Decision{Request: x.id, At: x.began}
+	x.body = newCallerBody(w, r, f.Callers.MaxBody(), f.Callers.BodyTimeout())
 	w.Header().Set(header.Request, x.id)
 	return x
 }
@@ -53,6 +55,7 @@
 // end leaves one log line, one span and one decision behind.
 func (x *exchange) end() {
 	x.cancel()
+	x.body.end()
 	d, f := x.decision, x.front
 	took := time.Since(x.began)
 	x.span.SetAttributes(attribute.Int("status", d.Status), attribute.String("outcome", string(d.Told)))
@@ -103,17 +106,12 @@
 	return nil
 }
 
-// readBody reads the whole body, bounded in bytes and in time. The bound in time stays when the body was too slow: the
-// server reads on after the answer, and would wait for the rest for ever, with the answer unsent.
+// readBody reads the whole body, bounded in bytes and in time.
 func (x *exchange) readBody() (body []byte, p *problem) {
-	control := http.NewResponseController(x.w)
-	_ = control.SetReadDeadline(time.Now().Add(x.front.Callers.BodyTimeout()))
-	limit := x.front.Callers.MaxBody()
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := io.ReadAll(x.body)
 	if err != nil {
 		return nil, x.bodyProblem(err)
 	}
-	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
@@ -123,7 +121,7 @@
 		return tooLarge(large.Limit)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return slowBody()
+		return slowBody(outcome.NotRun)
 	}
 	return malformed("body", "the body broke off: "+err.Error())
 }
--- a/io/caller/plain.go
+++ b/io/caller/plain.go
@@ -74,19 +74,15 @@
 		c.length = int64(len(c.head))
 		return p
 	}
-	limited := http.MaxBytesReader(c.x.w, c.x.r.Body, c.x.front.Callers.MaxBody())
-	control := http.NewResponseController(c.x.w)
-	_ = control.SetReadDeadline(time.Now().Add(c.x.front.Callers.BodyTimeout()))
-	head, err := io.ReadAll(io.LimitReader(limited, replayBytes))
+	head, err := io.ReadAll(io.LimitReader(c.x.body, replayBytes))
 	if err != nil {
 		return c.x.bodyProblem(err)
 	}
 	c.head, c.length = head, c.x.r.ContentLength
 	if len(head) == replayBytes {
-		c.rest = limited
+		c.rest = c.x.body
 		return nil
 	}
-	_ = control.SetReadDeadline(time.Time{})
 	c.length = int64(len(head))
 	return nil
 }
@@ -151,6 +147,7 @@
 	if err != nil {
 		return x.problemOf(err)
 	}
+	x.body.answer()
 	defer resp.Body.Close()
 	return take(resp)
 }
--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -114,10 +114,10 @@
 	}
 }
 
-func slowBody() *problem {
+func slowBody(told outcome.Outcome) *problem {
 	return &problem{
 		status: http.StatusRequestTimeout, kind: kindInvalid, code: "body_too_slow",
-		message: "the body did not arrive in time", outcome: outcome.NotRun,
+		message: "the body did not arrive in time", outcome: told,
 	}
 }
 
