caller: an answer does not wait for a body that nobody reads

Callers that were refused before their body had come, with a wrong key or an unknown path, got the refusal after their body, or never; the same with answers to requests that need none, the probes of a balancer among them. Cause: net/http reads what is left of a body before it sends an answer, without a bound. Change: before such an answer the rest of the body is waited for 50 ms; the deadline goes through the body's own lock, so that an attempt that still reads does not lift it.

--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -43,25 +43,25 @@
 		return 0, io.EOF
 	}
 	began := time.Now()
-	b.await(began)
+	b.await()
 	n, err = b.body.Read(p)
 	b.took(time.Since(began), err)
 	return n, err
 }
 
-func (b *callerBody) await(now time.Time) {
+func (b *callerBody) await() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reading = true
-	b.bound(now)
+	b.bound(b.left)
 }
 
 // bound sets the deadline, unless it stands or nothing is left to wait for.
-func (b *callerBody) bound(now time.Time) {
+func (b *callerBody) bound(d time.Duration) {
 	if b.whole || b.answered {
 		return
 	}
-	b.until = now.Add(b.left)
+	b.until = time.Now().Add(d)
 	_ = b.control.SetReadDeadline(b.until)
 }
 
@@ -92,18 +92,33 @@
 func (b *callerBody) answer() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.bound(time.Now())
-	b.answered = true
+	b.stand(b.left)
+}
+
+// restOfBody is how long the rest of a body that nobody wants is waited for.
+const restOfBody = 50 * time.Millisecond
+
+// giveUp is called before an answer that does not need the body. net/http reads what is left of it before it sends the
+// answer, so that the connection can be kept; without a bound, a body that stalls would hold the answer back for ever.
+func (b *callerBody) giveUp() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stand(restOfBody)
 }
 
 // end is called when the handler ends: an attempt may still read, and must not touch the deadline any more.
 func (b *callerBody) end() {
-	b.answer()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.stand(restOfBody)
 	b.ended = true
 }
 
+func (b *callerBody) stand(d time.Duration) {
+	b.bound(d)
+	b.answered = true
+}
+
 // tooLate tells whether the caller took too long. A read whose time is over counts before it returns: the request's context
 // ends first, and with it the attempt.
 func (b *callerBody) tooLate() bool {
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -81,6 +81,7 @@
 func (x *exchange) fail(p *problem) {
 	x.told(p.status, p.outcome, p.message)
 	x.front.closing(x.w.Header())
+	x.body.giveUp()
 	p.write(x.w, x.id)
 }
 
@@ -166,5 +167,6 @@
 	}
 	x.told(http.StatusOK, outcome.Ran, "")
 	f.closing(w.Header())
+	x.body.giveUp()
 	writeModels(w, x.config.Models())
 }
--- a/io/caller/front.go
+++ b/io/caller/front.go
@@ -108,13 +108,19 @@
 	}
 }
 
-func (f *Front) alive(w http.ResponseWriter, _ *http.Request) {
+// unasked answers without a look at the body.
+func (f *Front) unasked(w http.ResponseWriter, r *http.Request) {
 	f.closing(w.Header())
+	newCallerBody(w, r, f.Callers.MaxBody(), f.Callers.BodyTimeout()).end()
+}
+
+func (f *Front) alive(w http.ResponseWriter, r *http.Request) {
+	f.unasked(w, r)
 	w.WriteHeader(http.StatusOK)
 }
 
-func (f *Front) readyz(w http.ResponseWriter, _ *http.Request) {
-	f.closing(w.Header())
+func (f *Front) readyz(w http.ResponseWriter, r *http.Request) {
+	f.unasked(w, r)
 	switch {
 	case f.Draining():
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
--- a/io/fleet/bodies_test.go
+++ b/io/fleet/bodies_test.go
@@ -16,12 +16,12 @@
 	"savoryfall/io/fleet"
 )
 
-// bodyFleet gives callers half a second for a body.
-func bodyFleet(t *testing.T) *fleet.Fleet {
+// bodyFleet gives callers so much time for a body.
+func bodyFleet(t *testing.T, patience time.Duration) *fleet.Fleet {
 	t.Helper()
 	return start(t, fleet.Options{Routers: 1, Engines: 1, Services: 1, Extra: map[string]string{
-		"peers": quick, "callers": "lameDuck = \"0s\"\nbodyTimeout = \"500ms\"\nmaxBodyBytes = 33554432\n",
-		"routing": "probePeriod = \"200ms\"\n",
+		"peers": quick, "routing": "probePeriod = \"200ms\"\n",
+		"callers": fmt.Sprintf("lameDuck = \"0s\"\nbodyTimeout = %q\nmaxBodyBytes = 33554432\n", patience),
 	}})
 }
 
@@ -97,7 +97,7 @@
 // busy does. The time that a caller has for its body ran on while the endpoint read: the router cut the call that it had sent
 // on, and told the caller, who was still there, that it had gone. The connection must serve the next call as well.
 func TestSlowEndpointIsNotTakenForASlowCaller(t *testing.T) {
-	f := bodyFleet(t)
+	f := bodyFleet(t, 500*time.Millisecond)
 	read := slowEndpoint(t, f, 1500*time.Millisecond)
 	c := connect(t, f)
 	for range 2 {
@@ -111,7 +111,7 @@
 // A caller sends the beginning of a large body, which is passed on, and no more. It was told that it had gone; it is still
 // there, and is told that it was too slow, and that its call may have run.
 func TestSlowCallerOfALargeBodyIsToldSo(t *testing.T) {
-	f := bodyFleet(t)
+	f := bodyFleet(t, 500*time.Millisecond)
 	slowEndpoint(t, f, 0)
 	c := connect(t, f)
 	const begin = 1 << 20
@@ -126,7 +126,7 @@
 // Many large bodies on one connection: the deadlines of their reads must neither outlive them nor meet net/http's own reads,
 // which notice that the caller goes, and which it ends by a deadline before the next request.
 func TestLargeBodiesOnOneConnection(t *testing.T) {
-	f := bodyFleet(t)
+	f := bodyFleet(t, 500*time.Millisecond)
 	read := slowEndpoint(t, f, 0)
 	c := connect(t, f)
 	const calls, size = 100, 300_000
@@ -137,3 +137,47 @@
 		assert.NilError(t, <-read)
 	}
 }
+
+// A caller sends its header, waits with the body, and the answer needs none: its key is wrong, its path unknown, or nobody
+// asked for a body. The answer is decided at once; net/http reads what is left of a body before it sends the answer, without
+// a bound, so that the caller got it after its body, or never.
+func TestAnswerDoesNotWaitForABodyThatNobodyReads(t *testing.T) {
+	f := bodyFleet(t, 5*time.Second)
+	const length = "Host: x\r\nContent-Length: 100\r\n\r\n{"
+	stranger := "Authorization: Bearer wrong\r\n" + length
+	known := "Authorization: Bearer " + fleet.Key("guardia") + "\r\n" + length
+	for _, given := range []struct {
+		line, rest string
+		status     int
+	}{
+		{"POST /v1/chat/completions", stranger, http.StatusUnauthorized},
+		{"POST /permits/1", stranger, http.StatusUnauthorized},
+		{"POST /nowhere", known, http.StatusNotFound},
+		{"GET /v1/models", known, http.StatusOK},
+		{"GET /readyz", length, http.StatusOK},
+		{"GET /healthz", length, http.StatusOK},
+	} {
+		t.Run(given.line, func(t *testing.T) {
+			c := connect(t, f)
+			began := time.Now()
+			c.send(given.line + " HTTP/1.1\r\n" + given.rest)
+			resp, body := c.told(t)
+			assert.Equal(t, resp.StatusCode, given.status, body)
+			// Not even the time that a wanted body may take.
+			assert.Assert(t, time.Since(began) < 2*time.Second)
+		})
+	}
+}
+
+// A caller that is refused, and whose body is all there, keeps its connection.
+func TestRefusalKeepsTheConnectionOfAWholeBody(t *testing.T) {
+	f := bodyFleet(t, 5*time.Second)
+	c := connect(t, f)
+	c.send("POST /permits/1 HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer wrong\r\nContent-Length: 4\r\n\r\nsome")
+	resp, body := c.told(t)
+	assert.Equal(t, resp.StatusCode, http.StatusUnauthorized, body)
+	time.Sleep(100 * time.Millisecond)
+	c.send(head("/permits/1", 4) + "\r\nmore")
+	resp, body = c.told(t)
+	assert.Equal(t, resp.StatusCode, http.StatusOK, body)
+}
