httpserver, router: an operator's connection does not hold a stop

A planned stop of a router waited for an operator's connection on which a header had begun and did not end. Operators' connections are ended first, so callers' had the less of the stop's time; without a bound for operators' headers, all of it. Change: operators' headers have 10 s, and their server 2 s of a stop; what is cut by that is no failure of the stop.

--- a/io/fleet/leaving_test.go
+++ b/io/fleet/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -78,3 +79,20 @@
 	assert.Assert(t, late != nil && late.Close, "a request from before the stop")
 	assert.NilError(t, <-stopped)
 }
+
+// An operator's connection is sending a header, and does not end it, when a router is told to stop. Operators' connections are
+// ended first: the stop waited for this one until its time was over, and had none left for the callers.
+func TestOperatorDoesNotHoldAStop(t *testing.T) {
+	f := start(t, fleet.Options{Routers: 1, Engines: 1})
+	leaving := f.Routers()[0]
+	c, err := net.Dial("tcp", leaving.Operators())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "GET /status HTTP/1.1\r\n")
+	assert.NilError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	began := time.Now()
+	assert.NilError(t, f.StopRouter(t.Context(), leaving))
+	took := time.Since(began)
+	assert.Assert(t, took < 4*time.Second, "%v", took)
+}
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -29,6 +29,9 @@
 	MaxHeader     int
 	HeaderTimeout time.Duration
 	TLS           *tls.Config
+	// StopWithin bounds a stop whose context is meant for more important servers; 0 is no bound. What is cut by it is no
+	// failure of the stop.
+	StopWithin time.Duration
 }
 
 const (
@@ -100,13 +103,23 @@
 func (s *Server) Stop(ctx context.Context) (err error) {
 	defer annotate.Error(&err, "stop server on %s", s.Address())
 	s.stopped.Store(true)
-	err = s.conns.Stop(ctx)
+	err = s.drain(ctx)
 	s.cancel()
 	s.running.Stop()
 	_ = s.http.Close()
 	return err
 }
 
+func (s *Server) drain(ctx context.Context) (err error) {
+	if s.options.StopWithin == 0 {
+		return s.conns.Stop(ctx)
+	}
+	within, cancel := context.WithTimeout(ctx, s.options.StopWithin)
+	defer cancel()
+	_ = s.conns.Stop(within)
+	return ctx.Err()
+}
+
 // Kill cuts everything at once, as the loss of the VM would.
 func (s *Server) Kill() {
 	s.stopped.Store(true)
--- a/io/httpserver/server_test.go
+++ b/io/httpserver/server_test.go
@@ -242,6 +242,19 @@
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
 
+// A client does not end its header when a server is stopped whose context is meant for another. It is cut by the server's own
+// bound, which is no failure of the stop.
+func TestStopEndsWithinItsOwnBound(t *testing.T) {
+	s := newRig(t, Options{StopWithin: 200 * time.Millisecond})
+	s.startHooked()
+	c := s.dial(t)
+	_, _ = io.WriteString(c, request[:30])
+	time.Sleep(settle)
+	assert.Assert(t, <-s.stop(t, 10*time.Second) < time.Second)
+	_, _, err := c.answer()
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
 // A client does not end its header, or shakes hands and is silent. Its connection ends soon after the time for a header.
 func TestLateHeaderEndsItsConnection(t *testing.T) {
 	const limit = 200 * time.Millisecond
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -246,6 +246,13 @@
 	return max(whole/r.members().Count(), 1)
 }
 
+// operatorHeader bounds headers of operators' requests, and operatorStop the wait for these at a stop: operators are stopped
+// first, and one that does not end its header must not take the time that callers have to get their answers.
+const (
+	operatorHeader = 10 * time.Second
+	operatorStop   = 2 * time.Second
+)
+
 func (r *Router) buildOperators() (err error) {
 	s := r.settings
 	d := operator.New(operator.Parts{
@@ -257,7 +264,9 @@
 	if err != nil {
 		return err
 	}
-	server, err := httpserver.New(s.Operators().Address(), d.Handler(), httpserver.Options{TLS: cfg})
+	server, err := httpserver.New(s.Operators().Address(), d.Handler(), httpserver.Options{
+		HeaderTimeout: operatorHeader, TLS: cfg, StopWithin: operatorStop,
+	})
 	if err != nil {
 		return err
 	}
