command, entry, caller: what is left of a stop's time is the clients'

A connection to the metrics or the readiness check on which nobody asks for anything used up the 300 ms that a router has for its clients' last answers, since these servers stop first. They get 50 ms each. An unwanted body of a caller of release notes' routers is waited for as long as one of an entry VM's client; the server's own close after the last connection is no error.

--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -95,8 +95,9 @@
 	b.stand(b.left)
 }
 
-// restOfBody is how long the rest of a body that nobody wants is waited for.
-const restOfBody = 50 * time.Millisecond
+// restOfBody is how long the rest of a body that nobody wants is waited for: longer than a process may stand still whose
+// core is shared, for the body may lie there unread.
+const restOfBody = 300 * time.Millisecond
 
 // giveUp is called before an answer that does not need the body. net/http reads what is left of it before it sends the
 // answer, so that the connection can be kept; without a bound, a body that stalls would hold the answer back for ever.
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -302,7 +302,7 @@
 }
 
 func (vm *entryVM) serve(name, address string, h http.Handler) (err error) {
-	s, err := httpserver.New(address, h, httpserver.Options{})
+	s, err := httpserver.New(address, h, httpserver.Options{StopWithin: besideStop})
 	if err != nil {
 		return err
 	}
@@ -360,5 +360,10 @@
 	return vm.kernel.Stop(ctx)
 }
 
-// stopWithin bounds the end of the services after the last request.
-const stopWithin = 300 * time.Millisecond
+const (
+	// stopWithin bounds the end of the services after the last request.
+	stopWithin = 300 * time.Millisecond
+	// besideStop is the part of it that a server beside the clients' may take: they are stopped first, and a connection
+	// on which nobody asks for anything must not use up the time of the clients' last answers.
+	besideStop = 50 * time.Millisecond
+)
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -148,7 +148,8 @@
 	ctx, cancel := context.WithTimeout(ctx, lastMoment)
 	defer cancel()
 	err = s.conns.Stop(ctx)
-	return errors.Join(err, s.http.Close())
+	_ = s.http.Close()
+	return err
 }
 
 // lastMoment is how long answers that are being written may take when the server stops.
