entry: the tests' protocol is their own

The tests of connections spoke the platform's words outside platform/; they have a small protocol now. Idle connections are looked at by the clock, as in a router.

--- a/io/entry/ending_test.go
+++ b/io/entry/ending_test.go
@@ -36,10 +36,7 @@
 		defer s.end()
 		c := keptConnection(t, s)
 		time.Sleep(11500 * time.Millisecond)
-		hook := func() {
-			time.Sleep(5 * time.Second)
-			s.server.sweep(time.Now())
-		}
+		hook := func() { time.Sleep(6 * time.Second) }
 		s.onRead.Store(&hook)
 		c.send(booking(mark))
 		status, err := c.answer()
@@ -115,7 +112,7 @@
 		stopped := stop(s)
 		time.Sleep(refusing - 500*time.Millisecond)
 		text := booking("")
-		const half = 40
+		const half = 30
 		c.send(text[:half])
 		time.Sleep(time.Second)
 		c.send(text[half:])
@@ -148,13 +145,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newRig(routetable.Limits{IdleTimeout: 10 * time.Minute, HeaderTimeout: 30 * time.Second})
 		defer s.end()
-		sweeping, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		go background.Every(sweeping, sweepEvery, s.server.sweep)
 		c := keptConnection(t, s)
 		time.Sleep(9 * time.Minute)
 		text := booking("")
-		const half = 40
+		const half = 30
 		c.send(text[:half])
 		time.Sleep(25 * time.Second)
 		c.send(text[half:])
@@ -170,9 +164,6 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newRig(routetable.Limits{HeaderTimeout: 3 * time.Second})
 		defer s.end()
-		sweeping, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		go background.Every(sweeping, sweepEvery, s.server.sweep)
 		c := s.connect()
 		c.send("POST /book/x HTTP/1.1\r\n")
 		began := time.Now()
@@ -268,9 +259,6 @@
 		s := newRig(routetable.Limits{IdleTimeout: 5 * time.Second})
 		defer s.end()
 		c := keptConnection(t, s)
-		sweeping, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		go background.Every(sweeping, sweepEvery, s.server.sweep)
 		began := time.Now()
 		_, err := c.answer()
 		assert.Assert(t, err != nil)
--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -16,14 +16,15 @@
 	"github.com/go-kit/log"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"savoryfall/core/ask"
+	"savoryfall/core/background"
 	"savoryfall/core/directory"
 	"savoryfall/core/dispatch"
 	"savoryfall/core/freshness"
+	"savoryfall/core/outcome"
 	"savoryfall/core/retryshare"
 	"savoryfall/core/routetable"
 	"savoryfall/io/http1"
-	"savoryfall/platform/backend"
-	"savoryfall/platform/front"
 )
 
 // rig is a server for clients, in memory and on the bubble's clock, before one endpoint that runs each request for a
@@ -97,16 +98,54 @@
 	d.Configure(table)
 	d.Update([]directory.Entry{{ID: "e1", Service: "plain", Address: "e1:1", FailureDomain: "a", Slots: 8}})
 	f := New(Parts{
-		Clients: front.Front{}, Endpoints: backend.Backend{}, Configuration: s, Lease: &s.lease, Dispatcher: d, Retries: &s.retries,
+		Clients: clients{}, Endpoints: endpoints{}, Configuration: s, Lease: &s.lease, Dispatcher: d, Retries: &s.retries,
 		Pool: http1.NewPool(s.dial), Tracer: noop.NewTracerProvider().Tracer(""), Figures: NewFigures(metrics.NewSet()),
 		Logger: log.Logger(&s.lines), Clock: s.clock,
 	})
 	s.server = NewServerOn(s, f)
-	s.server.cancel = func() {}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.server.cancel = cancel
+	s.server.running.Go(func() { background.Every(ctx, sweepEvery, s.server.sweep) })
 	go s.server.serve(markedListener{s.server.conns, s})
 	return s
 }
 
+// The protocol of the rig's clients and endpoint: a request and its answer have an id, and an answer is marked as the
+// endpoint's own.
+const (
+	headerID     = "Id"
+	headerSigned = "Signed"
+	patience     = 3 * time.Second
+)
+
+type clients struct{}
+
+func (clients) Decode(r *http.Request) (a ask.Ask, err error) {
+	return ask.Ask{
+		ID: r.Header.Get(headerID), Host: r.Host, Path: r.URL.Path, Target: r.RequestURI, Method: r.Method, Patience: patience,
+	}, nil
+}
+
+func (clients) Refuse(p *ask.Problem, _ http.Header) (status int) {
+	switch {
+	case p.Outcome != outcome.NotRun:
+		return http.StatusBadGateway
+	case p.Reason == ask.BodySlow:
+		return http.StatusRequestTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+type endpoints struct{}
+
+func (endpoints) Encode(client http.Header, _ ask.Sending) http.Header { return client }
+
+func (endpoints) Answers(h http.Header, id string) bool { return h.Get(headerID) == id }
+
+func (endpoints) Decode(_ int, h http.Header) ask.Reply {
+	return ask.Reply{Signed: h.Get(headerSigned) != ""}
+}
+
 // end stops all, and waits for the endpoint's goroutines, which must end before the bubble does.
 func (s *rig) end() {
 	_ = s.server.Stop(context.Background())
@@ -144,8 +183,8 @@
 		_, _ = io.ReadAll(req.Body)
 		s.arrived.Add(1)
 		time.Sleep(runFor)
-		_, err = fmt.Fprintf(c, "HTTP/1.1 200 X\r\nX-Savoryfall-Attempt-Id: %s\r\nX-Savoryfall-Server-Signature: of e1\r\n"+
-			"Content-Length: 2\r\n\r\nok", req.Header.Get("X-Savoryfall-Attempt-Id"))
+		_, err = fmt.Fprintf(c, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: of e1\r\nContent-Length: 2\r\n\r\nok",
+			headerID, req.Header.Get(headerID), headerSigned)
 		if err != nil {
 			return
 		}
@@ -216,8 +255,7 @@
 
 // booking is a request with more header lines.
 func booking(more string) string {
-	return "POST /book/x HTTP/1.1\r\nHost: shop.example\r\nX-Savoryfall-Attempt-Id: id1\r\nX-Savoryfall-Deadline-Ms: 3000\r\n" +
-		more + "\r\n"
+	return "POST /book/x HTTP/1.1\r\nHost: shop.example\r\n" + headerID + ": id1\r\n" + more + "\r\n"
 }
 
 // send writes without waiting for the router to read.
