soak: a process that was killed is not taken for one that ended by itself

The end was told to who waits for it before it was looked up whether the process had been told to end; the next process, started in between, had not. It is looked up first now. No check is changed.

--- a/soak/router_test.go
+++ b/soak/router_test.go
@@ -101,11 +101,12 @@
 
 func (w *world) supervise(r *router, cmd *exec.Cmd, exited chan struct{}) {
 	err := cmd.Wait()
-	close(exited)
+	// Before the next process may start, which has not been told.
 	r.mu.Lock()
 	told := r.told
 	r.told = true
 	r.mu.Unlock()
+	close(exited)
 	if told {
 		return
 	}
