soak: limits for idle connections that change, clients that use them up, requests in parts

The soak set no limits, so that no idle connection was ever ended by one; its clients used a connection again within 20 ms and sent each request at once. Now versions set 4 s or 1.5 s, and around planned work the second version lowers the first. Beside the brisk clients there are patient ones, which leave a connection idle for up to four fifths of the limit (a changed one reaches them two seconds later), and late ones, which leave it idle for longer than the limit, so that their requests meet the router's end of it. One request in four comes in two or three parts, 10 to 70 ms apart, half of these with a body.

New faults, each only where nothing else disturbed the router: a request that reached a server, run or not, without a whole answer (so far: that ran); one that was sent whole and left for longer than the slack before its connection ended; one on a connection that was idle for no longer than it may be, and got no answer (not while its router stops).

The stand-in of the clients went on using a connection after a failed write, which let it fail once for each further request; it does not any more.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -39,22 +39,30 @@
 // check looks at the end at what must have held all the while.
 func (w *world) check() {
 	by := w.arrivals()
-	served := 0
+	served, rested, parted := 0, 0, 0
 	for _, q := range w.requests {
+		if q.sent.Sub(q.since) > time.Second {
+			rested++
+		}
+		if q.parts > 1 {
+			parted++
+		}
 		if q.answer.Whole && q.answer.Status == http.StatusOK {
 			served++
 		}
 		w.checkAnswer(q)
 		w.checkRuns(q)
 		w.checkKey(q)
-		w.checkCalm(q)
+		w.checkCalm(q, by)
+		w.checkLost(q)
 		w.checkStopping(q)
 	}
 	w.checkAccepted()
 	w.checkForward()
 	w.checkLeaving()
 	w.checkRetries(by)
-	w.t.Logf("seed %d: %d requests, %d served whole, %d faults injected", w.seed, len(w.requests), served, len(w.troubles))
+	w.t.Logf("seed %d: %d requests, %d after a second or more of idleness, %d in parts, %d served whole, %d faults injected", w.seed,
+		len(w.requests), rested, parted, served, len(w.troubles))
 	if served == 0 {
 		w.fault("nothing was served")
 	}
@@ -109,7 +117,7 @@
 
 // checkCalm: where nothing is disturbed, a key in force is served, an answer that a server gives arrives whole also from
 // a router that is stopping, and no server works for a client that has left.
-func (w *world) checkCalm(q *request) {
+func (w *world) checkCalm(q *request, by arrivals) {
 	if w.disturbed(q.router, q.sent, q.ended) {
 		return
 	}
@@ -119,9 +127,9 @@
 	if inForce && (q.answer.Status == http.StatusUnauthorized || q.answer.Status == http.StatusNotFound) {
 		w.fault("%s got %d from %s for %s, in force for %v", q.id, q.answer.Status, q.router.name, q.key, q.sent.Sub(at))
 	}
-	if w.ran(q.id) > 0 && !q.quit && !q.answer.Whole {
-		w.fault("%s %s ran and its answer from %s was cut after %v: status %d, %q", q.kind, q.id, q.router.name,
-			q.ended.Sub(q.sent), q.answer.Status, q.answer.Body)
+	if len(by[q.id]) > 0 && !q.quit && !q.answer.Whole {
+		w.fault("%s %s reached a server, ran %d times, and its answer from %s was cut after %v: status %d, %q; %s", q.kind, q.id,
+			w.ran(q.id), q.router.name, q.ended.Sub(q.sent), q.answer.Status, q.answer.Body, q.way())
 	}
 	if q.quit && time.Since(q.ended) > time.Second {
 		for _, b := range w.servers {
@@ -132,6 +140,26 @@
 	}
 }
 
+// checkLost: a request that was sent whole is answered or refused, and not left until its connection ends. A connection that
+// was idle for no longer than it may be answers the next request; a router that stops, or a client that is late, may end it.
+func (w *world) checkLost(q *request) {
+	if q.conn == nil || q.answer.Status != 0 || w.disturbed(q.router, q.since, q.ended) {
+		return
+	}
+	if !q.whole.IsZero() && q.ended.Sub(q.whole) > slack {
+		w.fault("%s %s was neither answered nor refused by %s for %v: %s", q.kind, q.id, q.router.name, q.ended.Sub(q.whole), q.way())
+	}
+	if q.conn.habit != late && !w.stopping(q.router, q.since, q.ended) {
+		w.fault("%s %s was not answered by %s: %s", q.kind, q.id, q.router.name, q.way())
+	}
+}
+
+// way is how the request was sent.
+func (q *request) way() string {
+	return fmt.Sprintf("sent %s in %d parts after %v idle, ended %v later by %v", q.sent.Format("05.000"), q.parts,
+		q.sent.Sub(q.since), q.ended.Sub(q.sent), q.answer.Err)
+}
+
 // checkStopping: a router that is told to stop serves on for as long as the balancer may send it clients.
 func (w *world) checkStopping(q *request) {
 	if q.answer.Status == http.StatusServiceUnavailable && q.router.leaves(q.sent) && !w.disturbed(q.router, q.sent, q.ended) {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -35,6 +35,21 @@
 	return false
 }
 
+// stopping tells whether the router had been told to stop, or was, between from and to.
+func (w *world) stopping(r *router, from, to time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.troubles {
+		if t.what == toldToStop && t.where == r.name && t.to.After(from) && t.from.Before(to) {
+			return true
+		}
+	}
+	return false
+}
+
+// toldToStop is the trouble of a planned stop, which lasts for the grace.
+const toldToStop = "told to stop"
+
 const (
 	stormLength = 4 * time.Second
 	// longest is that of one fault; longer than keys may be used after their withdrawal.
@@ -73,7 +88,7 @@
 	w.mu.Lock()
 	old := w.key
 	w.mu.Unlock()
-	w.configure()
+	w.configure(shortIdle)
 	<-time.After(longest - 2*slack)
 	for range 5 {
 		w.askWith(r, nil, "read", old)
@@ -103,7 +118,7 @@
 	case 1:
 		w.pause(r, last)
 	case 2:
-		w.trouble("told to stop", r.name, grace, true)
+		w.trouble(toldToStop, r.name, grace, true)
 		r.signal(syscall.SIGTERM)
 		w.start(r)
 	case 3:
@@ -130,7 +145,7 @@
 		w.store.Forget("keyed.op")
 		w.store.Lose(1)
 	case 13:
-		w.configure()
+		w.configure([]time.Duration{shortIdle, longIdle}[dice.IntN(2)])
 	}
 }
 
@@ -206,14 +221,19 @@
 	}
 }
 
-// calm is for the promises that hold while nothing is disturbed, around planned work: a server leaves, a configuration
-// comes, a router is told to stop.
+// calm is for the promises that hold while nothing is disturbed, around planned work: a server leaves, configurations
+// come, of which the second lowers the limit for connections that became idle by the first, a router is told to stop.
 func (w *world) calm() {
 	<-time.After(contact)
 	var planned sync.WaitGroup
 	planned.Go(func() { w.leave(w.alive(models)[0]) })
 	planned.Go(func() { w.leave(w.alive(plain)[0]) })
-	w.configure()
+	w.configure(longIdle)
+	lower := applied + time.Second + time.Duration(w.random.IntN(1000))*time.Millisecond
+	planned.Go(func() {
+		<-time.After(lower)
+		w.configure(shortIdle)
+	})
 	r := w.routers[w.random.IntN(len(w.routers))]
 	planned.Go(func() { w.strike(2, r, 0, nil) })
 	<-time.After(time.Duration(w.random.IntN(500)) * time.Millisecond)
--- a/soak/router_test.go
+++ b/soak/router_test.go
@@ -11,8 +11,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"savoryfall/platform/standin/client"
 )
 
 // router is one process, and its addresses and links, which outlive it.
@@ -137,17 +135,6 @@
 	<-exited
 }
 
-// dial connects a client, and notes when nobody accepts.
-func (r *router) dial() (c *client.Conn, err error) {
-	c, err = client.Dial(r.clients)
-	if err != nil {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.closed = append(r.closed, time.Now())
-	}
-	return c, err
-}
-
 // leaves tells whether at that time a planned stop had begun and the balancer might not know yet.
 func (r *router) leaves(at time.Time) bool {
 	r.mu.Lock()
--- a/soak/variants_test.go
+++ b/soak/variants_test.go
@@ -35,6 +35,9 @@
 	"stoppingRefusesAtOnce": {
 		"io/entry/server.go", "const leaveShare = 0.34", "const leaveShare = 0",
 	},
+	"loweredLimitEndsIdleConnections": {
+		"io/entry/server.go", "> max(limit, i.limit)+idleSlack", "> limit+idleSlack",
+	},
 	"keyIsPassedOn": {
 		"platform/backend/backend.go", "\"Authorization\", headerInstance", "headerInstance",
 	},
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -35,6 +35,10 @@
 	drain    = 2 * time.Second
 	applied  = 2 * time.Second
 	recovery = 12 * time.Second
+	// longIdle and shortIdle are for how long connections may be idle, by different versions. Clients go by the one
+	// before for as long as a change may take: the short one and the second that routers add outlast that.
+	longIdle  = 4 * time.Second
+	shortIdle = 1500 * time.Millisecond
 	// contact is how long after a disturbance nothing is promised.
 	contact = 3 * time.Second
 	// slack is for the way of a request from the client to the server, on a busy machine.
@@ -67,6 +71,14 @@
 	ended bool
 	// written is when each key came with a version, withdrawn when it went.
 	written, withdrawn map[string]time.Time
+	// idles are the limits for idle connections, in the order in which they were written.
+	idles []idleLimit
+}
+
+// idleLimit is for how long connections may be idle, and since when that is written.
+type idleLimit struct {
+	at   time.Time
+	idle time.Duration
 }
 
 // end ends the processes that were started last, and lets no other start.
@@ -93,7 +105,7 @@
 	h := httptest.NewServer(&w.store)
 	defer h.Close()
 	w.url = strings.TrimPrefix(h.URL, "http://")
-	w.configure()
+	w.configure(longIdle)
 	for range 3 {
 		w.serve(w.optionsOf(models), nil)
 		w.serve(w.optionsOf(plain), nil)
@@ -105,8 +117,10 @@
 	}
 	defer w.end()
 	var running sync.WaitGroup
-	for i := range 2 + 4*len(w.routers) {
-		running.Go(func() { w.client(rand.New(rand.NewPCG(seed, uint64(i)+100))) })
+	for h, number := range []int{brisk: 2 + 4*len(w.routers), patient: 12 * len(w.routers), late: 6 * len(w.routers)} {
+		for i := range number {
+			running.Go(func() { w.client(rand.New(rand.NewPCG(seed, uint64(h*1000+i)+100)), habit(h)) })
+		}
 	}
 	// A storm that begins before anybody serves meets routers that refuse all, and shows nothing.
 	w.recover()
@@ -133,8 +147,9 @@
 	return dir
 }
 
-// configure writes a new version with a new key, and so withdraws the one before.
-func (w *world) configure() {
+// configure writes a new version with a new key, and so withdraws the one before, and with that limit for idle
+// connections.
+func (w *world) configure(idle time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version += 1 + w.version%3
@@ -146,13 +161,31 @@
 	}
 	w.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[%s,%s,%s,%s],"services":[
 		{"name":"models","engine":{"slots":32,"kv_capacity":100000}},{"name":"plain"}],
+		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":%d},
 		"tenants":[{"name":"coop","api_keys":[%q]}]}`, w.version, route("read", "idempotent", plain, 2, false),
 		route("book", "non_idempotent", plain, 2, false), route("draft", "streaming", models, 2, true),
-		route("talk", "streaming", models, 1, false), w.key))
+		route("talk", "streaming", models, 1, false), idle.Milliseconds(), w.key))
 	w.written[w.key] = time.Now()
+	w.idles = append(w.idles, idleLimit{at: time.Now(), idle: idle})
 	w.withdrawn[old] = time.Now()
 }
 
+// knownIdle is the limit for idle connections that clients go by: a change reaches them as late as it may reach routers.
+func (w *world) knownIdle() (idle time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	idle = w.idles[0].idle
+	for _, l := range w.idles {
+		if time.Since(l.at) > applied {
+			idle = l.idle
+		}
+	}
+	return idle
+}
+
+// mayIdle is for how long a client may leave a connection idle and use it again.
+func (w *world) mayIdle() time.Duration { return w.knownIdle() * 4 / 5 }
+
 func (w *world) fault(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
