--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -143,6 +143,9 @@
 // checkLost: a request that was sent whole is answered or refused, and not left until its connection ends. A connection that
 // was idle for no longer than it may be answers the next request; a router that stops, or a client that is late, may end it.
 func (w *world) checkLost(q *request) {
+	if q.answer.Read && !q.quit && !w.disturbed(q.router, q.sent, q.ended) {
+		w.fault("%s %s was read by %s and neither answered nor refused: %s", q.kind, q.id, q.router.name, q.way())
+	}
 	if q.conn == nil || q.answer.Status != 0 || w.disturbed(q.router, q.since, q.ended) {
 		return
 	}
