clientconn: a lowered limit for idle connections is heard later by clients

A client that goes by the limit of before for two seconds more found its connection ended when it came back within four fifths of that: the connection had become idle just after the router had taken the lowered limit, and was held to it. Change: for three seconds after a change, connections that become idle are held to the longer limit. A router that has no configuration ends none for idleness, so that its own usual limit is not taken for one that clients know. The soak's variant with a lowered limit is made in the new place.

--- a/io/clientconn/set.go
+++ b/io/clientconn/set.go
@@ -24,13 +24,19 @@
 	limits   func() Limits
 	mu       sync.Mutex
 	conns    map[*Conn]struct{}
-	ended    map[Ending]uint64
+	// idle is the limit in force when it was last looked at, and idleBefore the one before it, until changed.
+	idle       time.Duration
+	idleBefore time.Duration
+	changed    time.Time
+	ended      map[Ending]uint64
 }
 
 const (
 	// idleSlack is how much longer than the limit an idle connection is kept, so that a client that uses it at the last
 	// moment is served.
 	idleSlack = time.Second
+	// heardWithin is how long after a change of the limit clients may still go by the one before.
+	heardWithin = 3 * time.Second
 	// newFor is for how long a connection without a request counts as used: its client has just made it for one.
 	newFor = time.Second
 	// look is how often a stopping process looks for connections that nobody uses any more.
@@ -112,7 +118,7 @@
 			c.encrypt()
 		}
 	case http.StateIdle:
-		c.rest(s.limits().Idle)
+		c.rest(s.idleLimit(time.Now()))
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -121,15 +127,31 @@
 	}
 }
 
+// idleLimit is for how long a connection that becomes idle now may be so: the limit in force, or the one before as long as
+// clients may not have heard of the change. Ended by a lowered limit at once, a connection is gone when a client that does
+// not know it yet sends the next request.
+func (s *Set) idleLimit(now time.Time) time.Duration {
+	limit := s.limits().Idle
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if limit != s.idle {
+		s.idle, s.idleBefore, s.changed = limit, s.idle, now
+	}
+	if now.Sub(s.changed) < heardWithin {
+		return max(limit, s.idleBefore)
+	}
+	return limit
+}
+
 // Sweep ends connections that have been idle, or have been sending a header, for longer than they may.
 func (s *Set) Sweep(now time.Time) {
-	limits := s.limits()
+	idle, header := s.idleLimit(now), s.limits().Header
 	for _, c := range s.all() {
-		if limits.Idle > 0 {
-			c.endIf(ByIdle, func() bool { return now.Sub(c.since) > max(limits.Idle, c.limit)+idleSlack })
+		if idle > 0 {
+			c.endIf(ByIdle, func() bool { return now.Sub(c.since) > max(idle, c.limit)+idleSlack })
 		}
-		if limits.Header > 0 {
-			c.endLate(now, limits.Header)
+		if header > 0 {
+			c.endLate(now, header)
 		}
 	}
 }
--- a/io/clientconn/set_test.go
+++ b/io/clientconn/set_test.go
@@ -194,6 +194,28 @@
 	})
 }
 
+// A configuration lowers the limit, and this router has it at once. A client hears of it two seconds later, and leaves the
+// connection on which it has just been answered idle by the limit of before: its next request found it ended.
+func TestLoweredIdleLimitIsHeardLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := &Limits{Idle: 15 * time.Second}
+		s, c, _ := pipe(t, limits)
+		rest(s, c)
+		time.Sleep(time.Second)
+		limits.Idle = 5 * time.Second
+		s.Sweep(time.Now())
+		time.Sleep(time.Second)
+		rest(s, c)
+		time.Sleep(12 * time.Second)
+		s.Sweep(time.Now())
+		assert.Equal(t, c.Ending(), Ending(""))
+		rest(s, c)
+		time.Sleep(7 * time.Second)
+		s.Sweep(time.Now())
+		assert.Equal(t, c.Ending(), ByIdle, "the client has heard of the limit")
+	})
+}
+
 // A client sends a header byte by byte, or the process stands still while it reads one. Only the first may cost the
 // connection: after a standstill, the header may lie read and unparsed.
 func TestSlowHeaderEndsAConnectionAndAStandstillDoesNot(t *testing.T) {
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -26,7 +26,7 @@
 	// mostHeader bounds headers in bytes as long as no configuration does; the configuration's limit is checked
 	// besides.
 	mostHeader = 256 << 10
-	// headerTimeout and idleTimeout bound connections as long as no configuration does.
+	// headerTimeout and idleTimeout bound connections where the configuration does not.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 5 * time.Minute
 	// sweepEvery is how often idle connections are looked at.
@@ -83,13 +83,15 @@
 	s.conns.Sweep(now)
 }
 
-// limits are those of the configuration in force, and the usual ones where it does not say.
+// limits are those of the configuration in force, and the usual ones where it does not say. Without one, connections may
+// be idle: their clients come back when there is one.
 func (s *Server) limits() (l clientconn.Limits) {
-	l = clientconn.Limits{Idle: idleTimeout, Header: headerTimeout}
+	l.Header = headerTimeout
 	t := s.front.Configuration.Current()
 	if t == nil {
 		return l
 	}
+	l.Idle = idleTimeout
 	if t.Limits().IdleTimeout > 0 {
 		l.Idle = t.Limits().IdleTimeout
 	}
--- a/soak/variants_test.go
+++ b/soak/variants_test.go
@@ -36,7 +36,7 @@
 		"io/entry/server.go", "const leaveShare = 0.34", "const leaveShare = 0",
 	},
 	"loweredLimitEndsIdleConnections": {
-		"io/entry/server.go", "> max(limit, i.limit)+idleSlack", "> limit+idleSlack",
+		"io/clientconn/set.go", "> max(idle, c.limit)+idleSlack", "> idle+idleSlack",
 	},
 	"keyIsPassedOn": {
 		"platform/backend/backend.go", "\"Authorization\", headerInstance", "headerInstance",
