--- /dev/null
+++ b/core/field/doc.go
@@ -0,0 +1,2 @@
+// Package field names the fields of a router's log lines.
+package field
--- a/core/logstory/log.go
+++ b/core/logstory/log.go
@@ -11,6 +11,7 @@
 
 	"savoryfall/core/annotate"
 	"savoryfall/core/event"
+	"savoryfall/core/field"
 )
 
 // Line is one event of one router.
@@ -19,7 +20,7 @@
 	VM    string
 	Event event.Name
 	// Fields are all others, by name.
-	Fields map[string]string
+	Fields map[field.Name]string
 	// Text is the line as it was written.
 	Text string
 }
@@ -62,17 +63,17 @@
 	if start < 0 {
 		return line, false
 	}
-	line = Line{Fields: map[string]string{}, Text: text[start:]}
+	line = Line{Fields: map[field.Name]string{}, Text: text[start:]}
 	d := logfmt.NewDecoder(strings.NewReader(line.Text))
 	d.ScanRecord()
 	for d.ScanKeyval() {
-		line.Fields[string(d.Key())] = string(d.Value())
+		line.Fields[field.Name(d.Key())] = string(d.Value())
 	}
-	at, err := time.Parse(time.RFC3339Nano, line.Fields["ts"])
-	if err != nil || d.Err() != nil || line.Fields["event"] == "" {
+	at, err := time.Parse(time.RFC3339Nano, line.Fields[field.Time])
+	if err != nil || d.Err() != nil || line.Fields[field.Event] == "" {
 		return line, false
 	}
-	line.At, line.VM, line.Event = at, line.Fields["vm"], event.Name(line.Fields["event"])
+	line.At, line.VM, line.Event = at, line.Fields[field.VM], event.Name(line.Fields[field.Event])
 	return line, true
 }
 
@@ -86,7 +87,7 @@
 // the store, the hub, the configuration, and the endpoints that the request went to.
 func (l *Log) Story(request string) (lines []Line) {
 	for i, line := range l.lines {
-		if line.Fields["request"] != request {
+		if line.Fields[field.Request] != request {
 			continue
 		}
 		lines = append(lines, l.background(i)...)
@@ -99,14 +100,14 @@
 func (l *Log) background(i int) (lines []Line) {
 	of := l.lines[i]
 	chosen := map[string]bool{}
-	for _, id := range strings.Split(of.Fields["endpoints"], ",") {
+	for _, id := range strings.Split(of.Fields[field.Endpoints], ",") {
 		chosen[id] = id != ""
 	}
 	seen := map[string]bool{}
 	for j := i - 1; j >= 0; j-- {
 		line := l.lines[j]
-		kind := string(line.Event) + line.Fields["topic"]
-		id := line.Fields["endpoint"]
+		kind := string(line.Event) + line.Fields[field.Topic]
+		id := line.Fields[field.Endpoint]
 		if id != "" {
 			kind = id
 		}
--- a/core/logstory/report.go
+++ b/core/logstory/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"savoryfall/core/event"
+	"savoryfall/core/field"
 )
 
 // Cause is why requests were not served: the reason of a refusal, or "endpoint" for an endpoint's own failure.
@@ -53,7 +54,7 @@
 func causeOf(line Line) (c Cause, ok bool) {
 	switch line.Event {
 	case event.RequestRefused:
-		return Cause(line.Fields["reason"]), true
+		return Cause(line.Fields[field.Reason]), true
 	case event.RequestFailed:
 		return byEndpoint, true
 	}
--- a/io/clientconn/conn.go
+++ b/io/clientconn/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"savoryfall/core/field"
 )
 
 // state is what a connection is used for at the moment.
@@ -303,6 +305,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return []any{
-		"ended", c.ending, "served", c.served, "idleMs", c.idleFor.Milliseconds(), "readMs", c.readFor.Milliseconds(),
+		field.Ended, c.ending, field.Served, c.served, field.IdleMs, c.idleFor.Milliseconds(), field.ReadMs, c.readFor.Milliseconds(),
 	}
 }
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -21,6 +21,7 @@
 	"savoryfall/core/directory"
 	"savoryfall/core/dispatch"
 	"savoryfall/core/event"
+	"savoryfall/core/field"
 	"savoryfall/core/freshness"
 	"savoryfall/core/kernel"
 	"savoryfall/core/members"
@@ -86,7 +87,7 @@
 func newEntryVM(cfg *settings.Entry, logger *stdout.Log) (vm *entryVM, err error) {
 	defer annotate.Error(&err, "build entry VM %s", cfg.VM().Name())
 	vm = &entryVM{
-		settings: cfg, logger: log.With(logger, "ts", log.DefaultTimestampUTC, "vm", cfg.VM().Name()),
+		settings: cfg, logger: log.With(logger, field.Time, log.DefaultTimestampUTC, field.VM, cfg.VM().Name()),
 		dispatcher: dispatch.New(cfg.VM().FailureDomain()), set: metrics.NewSet(),
 	}
 	vm.kernel.Register("stdout", logger)
@@ -313,7 +314,7 @@
 func (vm *entryVM) start(ctx context.Context) (err error) {
 	err = vm.kernel.Start(ctx)
 	if err == nil {
-		_ = vm.logger.Log("event", event.Started, "clients", vm.clients.Address(), "store", vm.settings.Store())
+		_ = vm.logger.Log(field.Event, event.Started, field.Clients, vm.clients.Address(), field.Store, vm.settings.Store())
 	}
 	return err
 }
@@ -343,18 +344,18 @@
 func (vm *entryVM) reload(file string, data []byte) {
 	cfg, err := settings.ParseEntry(file, data)
 	if err != nil {
-		_ = vm.logger.Log("event", event.SettingsRefused, "err", err)
+		_ = vm.logger.Log(field.Event, event.SettingsRefused, field.Err, err)
 		return
 	}
 	vm.apply(cfg)
-	_ = vm.logger.Log("event", event.SettingsReloaded, "keyTerm", cfg.KeyTerm(), "grace", cfg.Grace())
+	_ = vm.logger.Log(field.Event, event.SettingsReloaded, field.KeyTerm, cfg.KeyTerm(), field.Grace, cfg.Grace())
 }
 
 func (vm *entryVM) stop() (err error) {
-	_ = vm.logger.Log("event", event.Stopping, "open", vm.front.Open())
+	_ = vm.logger.Log(field.Event, event.Stopping, field.Open, vm.front.Open())
 	vm.clients.Drain(vm.grace)
 	left := vm.clients.Connections().Counts()
-	_ = vm.logger.Log("event", event.Stopped, "open", vm.front.Open(), "reading", left.Reading(), "serving", left.Serving())
+	_ = vm.logger.Log(field.Event, event.Stopped, field.Open, vm.front.Open(), field.Reading, left.Reading(), field.Serving, left.Serving())
 	ctx, cancel := context.WithTimeout(context.Background(), stopWithin)
 	defer cancel()
 	return vm.kernel.Stop(ctx)
--- a/io/desired/keeper.go
+++ b/io/desired/keeper.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 
 	"savoryfall/core/event"
+	"savoryfall/core/field"
 	"savoryfall/core/freshness"
 	"savoryfall/core/keyed"
 	"savoryfall/core/routetable"
@@ -47,7 +48,7 @@
 	for _, r := range records {
 		t, ok, err := k.decoder.Decode(r)
 		if err != nil {
-			_ = k.logger.Log("event", event.ConfigurationUnreadable, "offset", r.Offset, "err", err)
+			_ = k.logger.Log(field.Event, event.ConfigurationUnreadable, field.Offset, r.Offset, field.Err, err)
 			continue
 		}
 		if ok {
@@ -68,8 +69,8 @@
 	if old != nil {
 		from = old.Version()
 	}
-	_ = k.logger.Log("event", event.ConfigurationInForce, "version", t.Version(), "from", from, "offset", r.Offset, "routes", t.Routes(),
-		"idleMs", t.Limits().IdleTimeout.Milliseconds(), "headerMs", t.Limits().HeaderTimeout.Milliseconds())
+	_ = k.logger.Log(field.Event, event.ConfigurationInForce, field.Version, t.Version(), field.From, from, field.Offset, r.Offset, field.Routes, t.Routes(),
+		field.IdleMs, t.Limits().IdleTimeout.Milliseconds(), field.HeaderMs, t.Limits().HeaderTimeout.Milliseconds())
 }
 
 // Read renews the lease. Before the first configuration there is nothing to serve by.
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -6,6 +6,7 @@
 
 	"savoryfall/core/ask"
 	"savoryfall/core/event"
+	"savoryfall/core/field"
 	"savoryfall/core/outcome"
 )
 
@@ -69,12 +70,12 @@
 func (x *exchange) served(status int) {
 	x.front.Figures.served(x.kind(), status, time.Since(x.began))
 	if x.sends > 1 {
-		_ = x.front.Logger.Log("event", event.RequestServed, "request", x.ask.ID, "route", x.routeName(), "status", status,
-			"sends", x.sends, "endpoints", x.endpoints(), "version", x.version(), "ms", time.Since(x.began).Milliseconds())
+		_ = x.front.Logger.Log(field.Event, event.RequestServed, field.Request, x.ask.ID, field.Route, x.routeName(), field.Status, status,
+			field.Sends, x.sends, field.Endpoints, x.endpoints(), field.Version, x.version(), field.Ms, time.Since(x.began).Milliseconds())
 	}
 	if status >= http.StatusInternalServerError {
-		_ = x.front.Logger.Log("event", event.RequestFailed, "request", x.ask.ID, "route", x.routeName(), "status", status,
-			"by", "endpoint", "endpoints", x.endpoints(), "ms", time.Since(x.began).Milliseconds())
+		_ = x.front.Logger.Log(field.Event, event.RequestFailed, field.Request, x.ask.ID, field.Route, x.routeName(), field.Status, status,
+			field.By, "endpoint", field.Endpoints, x.endpoints(), field.Ms, time.Since(x.began).Milliseconds())
 	}
 }
 
@@ -83,10 +84,10 @@
 	x.front.Figures.refused(x.kind(), p)
 	age, _ := x.front.Lease.Age(x.front.Clock())
 	line := []any{
-		"event", event.RequestRefused, "request", x.ask.ID, "route", x.routeName(), "status", status,
-		"reason", p.Reason, "outcome", p.Outcome, "backMs", p.Back.Milliseconds(), "sends", x.sends,
-		"endpoints", x.endpoints(), "version", x.version(), "readAgeMs", age.Milliseconds(),
-		"ms", time.Since(x.began).Milliseconds(),
+		field.Event, event.RequestRefused, field.Request, x.ask.ID, field.Route, x.routeName(), field.Status, status,
+		field.Reason, p.Reason, field.Outcome, p.Outcome, field.BackMs, p.Back.Milliseconds(), field.Sends, x.sends,
+		field.Endpoints, x.endpoints(), field.Version, x.version(), field.ReadAgeMs, age.Milliseconds(),
+		field.Ms, time.Since(x.began).Milliseconds(),
 	}
 	if p.Reason == ask.Full || p.Reason == ask.Reserved {
 		line = append(line, x.fullness()...)
@@ -102,8 +103,8 @@
 	now := time.Now()
 	taken, places := x.front.Dispatcher.Occupancy(x.service, now)
 	return []any{
-		"service", x.service, "rank", x.rank(), "account", x.accountName(), "taken", taken, "places", places,
-		"loadsAgeMs", x.front.Dispatcher.ViewAge(now).Milliseconds(),
+		field.Service, x.service, field.Rank, x.rank(), field.Account, x.accountName(), field.Taken, taken, field.Places, places,
+		field.LoadsAgeMs, x.front.Dispatcher.ViewAge(now).Milliseconds(),
 	}
 }
 
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -10,6 +10,7 @@
 	"savoryfall/core/annotate"
 	"savoryfall/core/background"
 	"savoryfall/core/event"
+	"savoryfall/core/field"
 	"savoryfall/io/clientconn"
 )
 
@@ -73,7 +74,7 @@
 func (s *Server) serve(l net.Listener) {
 	err := s.http.Serve(l)
 	if !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		_ = s.front.Logger.Log("event", event.ListenerLost, "address", s.Address(), "err", err)
+		_ = s.front.Logger.Log(field.Event, event.ListenerLost, field.Address, s.Address(), field.Err, err)
 	}
 }
 
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -11,6 +11,7 @@
 
 	"savoryfall/core/background"
 	"savoryfall/core/event"
+	"savoryfall/core/field"
 	"savoryfall/core/keyed"
 )
 
@@ -202,7 +203,7 @@
 	}
 	var trimmed keyed.TrimmedError
 	if errors.As(err, &trimmed) {
-		_ = f.logger.Log("event", event.RecordsTrimmed, "topic", f.options.Name, "want", trimmed.Want, "first", trimmed.First)
+		_ = f.logger.Log(field.Event, event.RecordsTrimmed, field.Topic, f.options.Name, field.Want, trimmed.Want, field.First, trimmed.First)
 		f.mu.Lock()
 		f.whole = false
 		f.mu.Unlock()
@@ -267,7 +268,7 @@
 	f.sink.Failed(err)
 	if f.failures() == 0 {
 		f.lostAt = time.Now()
-		_ = f.logger.Log("event", event.StoreLost, "topic", f.options.Name, "err", err)
+		_ = f.logger.Log(field.Event, event.StoreLost, field.Topic, f.options.Name, field.Err, err)
 	}
 	first, most := followFirst, followMost
 	if f.leads() {
@@ -288,8 +289,8 @@
 	if failed == 0 {
 		return
 	}
-	_ = f.logger.Log("event", event.StoreRegained, "topic", f.options.Name, "failures", failed,
-		"afterMs", time.Since(f.lostAt).Milliseconds(), "offset", next)
+	_ = f.logger.Log(field.Event, event.StoreRegained, field.Topic, f.options.Name, field.Failures, failed,
+		field.AfterMs, time.Since(f.lostAt).Milliseconds(), field.Offset, next)
 }
 
 func (f *Follower) failures() int {
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -13,6 +13,7 @@
 	"savoryfall/core/background"
 	"savoryfall/core/board"
 	"savoryfall/core/event"
+	"savoryfall/core/field"
 	"savoryfall/core/keyed"
 	"savoryfall/core/members"
 	"savoryfall/io/meter"
@@ -157,7 +158,7 @@
 		if err == nil {
 			break
 		}
-		_ = a.Logger.Log("event", event.NotListed, "err", err)
+		_ = a.Logger.Log(field.Event, event.NotListed, field.Err, err)
 		wait(ctx, storeWithin)
 	}
 	a.read(ctx)
@@ -177,7 +178,7 @@
 		return err
 	})
 	if err != nil {
-		_ = a.Logger.Log("event", event.RoutersUnknown, "err", err)
+		_ = a.Logger.Log(field.Event, event.RoutersUnknown, field.Err, err)
 		return
 	}
 	a.learn(all)
@@ -209,7 +210,7 @@
 		}
 		if err != nil {
 			a.Members.Failed(m.Name, time.Now())
-			_ = a.Logger.Log("event", event.HubLost, "hub", m.Name, "err", err)
+			_ = a.Logger.Log(field.Event, event.HubLost, field.Hub, m.Name, field.Err, err)
 			continue
 		}
 		a.lead(false, m.Name)
@@ -270,7 +271,7 @@
 	}
 	a.Configuration.Lead(lead)
 	a.Registry.Lead(lead)
-	_ = a.Logger.Log("event", event.HubFollowed, "hub", hub, "self", lead, "routers", a.Members.Len())
+	_ = a.Logger.Log(field.Event, event.HubFollowed, field.Hub, hub, field.Self, lead, field.Routers, a.Members.Len())
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- a/io/hub/server.go
+++ b/io/hub/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"savoryfall/core/event"
+	"savoryfall/core/field"
 	"savoryfall/io/meter"
 )
 
@@ -26,7 +27,7 @@
 			return
 		}
 		if err != nil {
-			_ = a.Logger.Log("event", event.AcceptFailed, "err", err)
+			_ = a.Logger.Log(field.Event, event.AcceptFailed, field.Err, err)
 			wait(context.Background(), period)
 			continue
 		}
--- a/io/registry/keeper.go
+++ b/io/registry/keeper.go
@@ -9,6 +9,7 @@
 	"savoryfall/core/board"
 	"savoryfall/core/directory"
 	"savoryfall/core/event"
+	"savoryfall/core/field"
 	"savoryfall/core/keyed"
 )
 
@@ -108,7 +109,7 @@
 }
 
 func (k *Keeper) unreadable(r keyed.Record, err error) {
-	_ = k.logger.Log("event", event.EntryUnreadable, "endpoint", r.Key, "offset", r.Offset, "err", err)
+	_ = k.logger.Log(field.Event, event.EntryUnreadable, field.Endpoint, r.Key, field.Offset, r.Offset, field.Err, err)
 }
 
 // Read gives up entries that have not come back after an outage.
@@ -141,7 +142,7 @@
 		}
 		k.changes.Put(board.Change{Entry: e, Usable: true})
 		if !known {
-			_ = k.logger.Log("event", event.EndpointUsable, "endpoint", e.ID, "service", e.Service, "address", e.Address, "born", e.Born)
+			_ = k.logger.Log(field.Event, event.EndpointUsable, field.Endpoint, e.ID, field.Service, e.Service, field.Address, e.Address, field.Born, e.Born)
 		}
 	}
 	for id, e := range k.last {
@@ -150,7 +151,7 @@
 		}
 		e.Leaving = k.directory.Leaving(id)
 		k.changes.Put(board.Change{Entry: e})
-		_ = k.logger.Log("event", event.EndpointGone, "endpoint", id, "service", e.Service, "address", e.Address)
+		_ = k.logger.Log(field.Event, event.EndpointGone, field.Endpoint, id, field.Service, e.Service, field.Address, e.Address)
 	}
 	k.last = now
 	k.changed(usable)
--- a/io/stdout/log.go
+++ b/io/stdout/log.go
@@ -13,6 +13,7 @@
 
 	"savoryfall/core/background"
 	"savoryfall/core/event"
+	"savoryfall/core/field"
 )
 
 // Log is a logger with a bounded rate and queue. What does not fit is dropped and counted: a reader of the logs that
@@ -76,7 +77,7 @@
 // about is the event that the line tells of.
 func about(keyvals []any) (name event.Name) {
 	for i := 0; i+1 < len(keyvals); i += 2 {
-		if keyvals[i] == "event" {
+		if keyvals[i] == field.Event {
 			name, _ = keyvals[i+1].(event.Name)
 			return name
 		}
@@ -151,6 +152,6 @@
 	l.dropped = 0
 	l.mu.Unlock()
 	if n > 0 {
-		_ = l.Log("event", event.LinesDropped, "count", strconv.Itoa(n))
+		_ = l.Log(field.Event, event.LinesDropped, field.Count, strconv.Itoa(n))
 	}
 }
--- a/io/stdout/log_test.go
+++ b/io/stdout/log_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"savoryfall/core/event"
+	"savoryfall/core/field"
 	"savoryfall/io/stdout"
 )
 
@@ -37,9 +38,9 @@
 		var b buffer
 		l := stdout.New(&b)
 		assert.NilError(t, l.Start(context.Background()))
-		assert.NilError(t, l.Log("event", "x", "why", "two words"))
+		assert.NilError(t, l.Log(field.Event, "x", field.Err, "two words"))
 		assert.NilError(t, l.Stop(context.Background()))
-		assert.Equal(t, b.String(), "event=x why=\"two words\"\n")
+		assert.Equal(t, b.String(), "event=x err=\"two words\"\n")
 	})
 }
 
@@ -50,7 +51,7 @@
 		l := stdout.New(&b)
 		assert.NilError(t, l.Start(context.Background()))
 		for range 10000 {
-			assert.NilError(t, l.Log("event", "burst"))
+			assert.NilError(t, l.Log(field.Event, "burst"))
 		}
 		time.Sleep(6 * time.Second)
 		assert.NilError(t, l.Stop(context.Background()))
@@ -66,10 +67,10 @@
 		l := stdout.New(&b)
 		assert.NilError(t, l.Start(context.Background()))
 		for range 1000 {
-			assert.NilError(t, l.Log("ts", 1, "event", event.RequestServed))
+			assert.NilError(t, l.Log(field.Time, 1, field.Event, event.RequestServed))
 		}
 		for range 100 {
-			assert.NilError(t, l.Log("ts", 1, "event", event.RequestRefused))
+			assert.NilError(t, l.Log(field.Time, 1, field.Event, event.RequestRefused))
 		}
 		time.Sleep(time.Second)
 		assert.NilError(t, l.Stop(context.Background()))
@@ -94,7 +95,7 @@
 		assert.NilError(t, l.Start(context.Background()))
 		began := time.Now()
 		for range 2000 {
-			assert.NilError(t, l.Log("event", "x"))
+			assert.NilError(t, l.Log(field.Event, "x"))
 			time.Sleep(time.Millisecond)
 		}
 		assert.Equal(t, time.Since(began), 2*time.Second)
