logstory: explain says in words who ended a request's connection

What callers saw: nothing. Who explained a request without an answer got the line's ended, served, idleMs and readMs as they stand, and had to know what each means, which limit was in force, and that idle beside a send is the router's own fault.

The story of a request now has a few sentences under such a line: by whom its connection ended, with the limit in force when this router did it; what it had carried before; whether an endpoint had got the request. Lines without these fields, and all others, are printed as before. A test goes through every ending that a router writes.

--- a/core/logstory/log.go
+++ b/core/logstory/log.go
@@ -23,6 +23,8 @@
 	Fields map[field.Name]string
 	// Text is the line as it was written.
 	Text string
+	// Words are, in a story, what a line on a request says of the connection that it came on; empty where it says nothing.
+	Words []string
 }
 
 // Log is the lines of one or more routers, by time; the zero value has none.
@@ -90,7 +92,9 @@
 		if line.Fields[field.Request] != request {
 			continue
 		}
-		lines = append(lines, l.background(i)...)
+		before := l.background(i)
+		line.Words = words(line, before)
+		lines = append(lines, before...)
 		lines = append(lines, line)
 	}
 	return lines
--- a/io/command/logs.go
+++ b/io/command/logs.go
@@ -77,7 +77,7 @@
 		return fmt.Errorf("none of %d lines names request %s: it was served, or its line was dropped", l.Len(), args[0])
 	}
 	for _, line := range story {
-		_, err = fmt.Fprintln(s.out, line.Text)
+		err = printLine(s, line)
 		if err != nil {
 			return err
 		}
@@ -85,6 +85,17 @@
 	return nil
 }
 
+// printLine prints the line as it was written, and what it says in words.
+func printLine(s streams, line logstory.Line) (err error) {
+	_, err = fmt.Fprintln(s.out, line.Text)
+	for _, sentence := range line.Words {
+		if err == nil {
+			_, err = fmt.Fprintln(s.out, "  "+sentence)
+		}
+	}
+	return err
+}
+
 func reportLogs(s streams, args []string, span time.Duration, picture string) (err error) {
 	if span <= 0 {
 		return usageError{problem: "--span must be above 0"}
--- a/io/command/vocabulary_test.go
+++ b/io/command/vocabulary_test.go
@@ -13,8 +13,10 @@
 	"strings"
 	"testing"
 
+	"github.com/go-logfmt/logfmt"
 	"gotest.tools/v3/assert"
 
+	"savoryfall/core/logstory"
 	"savoryfall/io/clientconn"
 )
 
@@ -219,8 +221,8 @@
 		r.pairs(c, c.Args)
 	case selected(c.Fun, "log") == "With":
 		r.pairs(c, c.Args[1:])
-	case name == "append" && len(c.Args) > 1 && isText(c.Args[1]):
-		r.fault(c, "texts that are appended one by one")
+	case name == "append" && len(c.Args) > 2 && isText(c.Args[1]):
+		r.fault(c, "a key and its value that are appended")
 	case selected(c.Fun, "field") == "Name" && isText(c.Args[0]):
 		r.fault(c, "a field's name made of a text")
 	}
@@ -266,6 +268,53 @@
 	}
 }
 
+// pairsOf are the keys of a line with their values.
+func pairsOf(t *testing.T, line string) map[string]string {
+	pairs := map[string]string{}
+	d := logfmt.NewDecoder(strings.NewReader(line))
+	for d.ScanRecord() {
+		for d.ScanKeyval() {
+			pairs[string(d.Key())] = string(d.Value())
+		}
+	}
+	assert.NilError(t, d.Err())
+	return pairs
+}
+
+// The sessions on incidents are worth something only while their logs are such as a router writes.
+func TestIncidentsKeepToTheVocabulary(t *testing.T) {
+	files, err := filepath.Glob("testdata/session/incident*.txtar")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	fields, events := values(fieldNames(t)), values(eventNames(t))
+	const cut = "requestFail"
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		for line := range strings.Lines(string(text)) {
+			_, line, found := strings.Cut(line, "ts=")
+			if !found {
+				continue
+			}
+			pairs := pairsOf(t, "ts="+line)
+			for key := range pairs {
+				assert.Assert(t, slices.Contains(fields, key), "%s: %s in %s", file, key, line)
+			}
+			assert.Assert(t, pairs["event"] == cut || slices.Contains(events, pairs["event"]), "%s: %s", file, line)
+		}
+	}
+}
+
+// Whoever is told why a connection ended is told so in words, whatever a router writes there.
+func TestEachEndingHasWords(t *testing.T) {
+	for _, by := range clientconn.Endings() {
+		l := &logstory.Log{}
+		assert.NilError(t, l.Read(strings.NewReader("ts=2031-04-02T08:00:00Z vm=a event=requestRefused request=r ended="+string(by))))
+		words := l.Story("r")[0].Words
+		assert.Assert(t, len(words) > 1 && !strings.Contains(words[0], "ended: "), "%s: %v", by, words)
+	}
+}
+
 // The check itself finds what it is for.
 func TestLinesBesideTheVocabularyAreFound(t *testing.T) {
 	const source = `package x
