logstory: a story is of one process, and says when the one before ended without a word

What callers saw: nothing. Who explained a request that came just after its router had been lost and started again was shown the configuration and the endpoints of the process before, as if the request had been judged by them: a refusal with noConfiguration stood under a configuration in force.

The lines before a request were sought up to the log's beginning. They are now sought up to a second before the process's own start (it writes of its first reads before it says that it has started), or to the stop of the one before. A start is told with how long the process before had been silent when it did not say that it stopped. Ruled out: stopping at the start's own line, which would lose the first configuration.

--- a/core/logstory/log.go
+++ b/core/logstory/log.go
@@ -23,7 +23,8 @@
 	Fields map[field.Name]string
 	// Text is the line as it was written.
 	Text string
-	// Words are, in a story, what a line on a request says of the connection that it came on; empty where it says nothing.
+	// Words are, in a story, what the line says beyond its fields' names: of the connection that a request came on, and of the
+	// process before one that has started; empty where there is nothing to say.
 	Words []string
 }
 
@@ -100,7 +101,11 @@
 	return lines
 }
 
-// background are the latest lines of each kind, of the router of line i, before it.
+// startWithin is how long before its line that it has started a process may have written others.
+const startWithin = time.Second
+
+// background are the latest lines of each kind, of the process of line i, before it. What the process before on the same VM
+// believed is gone with it, and would make this one look as if it had known it.
 func (l *Log) background(i int) (lines []Line) {
 	of := l.lines[i]
 	chosen := map[string]bool{}
@@ -108,8 +113,12 @@
 		chosen[id] = id != ""
 	}
 	seen := map[string]bool{}
+	var since time.Time
 	for j := i - 1; j >= 0; j-- {
 		line := l.lines[j]
+		if line.VM == of.VM && (line.At.Before(since) || line.Event == event.Stopped) {
+			break
+		}
 		kind := string(line.Event) + line.Fields[field.Topic]
 		id := line.Fields[field.Endpoint]
 		if id != "" {
@@ -119,6 +128,10 @@
 			continue
 		}
 		seen[kind] = true
+		if line.Event == event.Started {
+			since = line.At.Add(-startWithin)
+			line.Words = l.wordsOnStart(j)
+		}
 		lines = append([]Line{line}, lines...)
 	}
 	return lines
--- a/core/logstory/log_test.go
+++ b/core/logstory/log_test.go
@@ -41,6 +41,38 @@
 	assert.Equal(t, len(l.Story("r9")), 0)
 }
 
+// A router's VM is lost and starts again; its first request comes before it has read anything. The story showed what the
+// process before had believed, a configuration and an endpoint, as if the request had been judged by it. It must show what
+// this process knew, also what it wrote just before it said that it had started, and that the one before ended without a
+// word; after an ordinary stop it says nothing of that.
+func TestStoryIsOfOneProcess(t *testing.T) {
+	const before = `ts=2026-05-28T10:00:00Z vm=a event=configurationInForce version=13 from=0
+ts=2026-05-28T10:00:00.1Z vm=a event=started
+ts=2026-05-28T10:00:03Z vm=a event=storeLost topic=configuration
+`
+	const after = `ts=2026-05-28T10:00:07.8Z vm=a event=hubFollowed hub=a
+ts=2026-05-28T10:00:08Z vm=a event=started
+ts=2026-05-28T10:00:08.1Z vm=a event=requestRefused request=r1 reason=noConfiguration
+`
+	told := func(text string) (events []string, words int) {
+		for _, line := range read(t, text).Story("r1") {
+			events = append(events, string(line.Event))
+			words += len(line.Words)
+		}
+		return events, words
+	}
+	want := []string{"hubFollowed", "started", "requestRefused"}
+	events, words := told(before + after)
+	assert.DeepEqual(t, events, want)
+	assert.Equal(t, words, 1)
+	events, words = told(before + "ts=2026-05-28T10:00:07.5Z vm=a event=stopped open=0\n" + after)
+	assert.DeepEqual(t, events, want)
+	assert.Equal(t, words, 0)
+	events, words = told(after)
+	assert.DeepEqual(t, events, want)
+	assert.Equal(t, words, 0)
+}
+
 // Spans without a failure are there too, so that a plot shows the time between.
 func TestReport(t *testing.T) {
 	buckets, causes := read(t, lines).Report(time.Second)
--- a/core/logstory/words.go
+++ b/core/logstory/words.go
@@ -41,6 +41,27 @@
 	return append(list, wordsOnSends(line, ended)...)
 }
 
+// wordsOnStart tell how the process before the one that line i has started ended, when it did so without a word.
+func (l *Log) wordsOnStart(i int) (list []string) {
+	started := l.lines[i]
+	for j := i - 1; j >= 0; j-- {
+		line := l.lines[j]
+		if line.VM != started.VM {
+			continue
+		}
+		if line.Event == event.Stopped {
+			return nil
+		}
+		if silent := started.At.Sub(line.At); silent > startWithin {
+			return []string{fmt.Sprintf(
+				"The process before it wrote its last line %.1f s earlier, and none that it stopped: it was killed, or its VM was lost.",
+				silent.Seconds(),
+			)}
+		}
+	}
+	return nil
+}
+
 // limitOf names the limit in force.
 func limitOf(limit field.Name, before []Line) string {
 	for i := len(before) - 1; i >= 0; i-- {
