entry, meter, command: metrics of attempts by service, places, calls, cores and memory

What callers saw: nothing. On-call engineers could not see on the metrics address which endpoint service is slow or fails, how full one is before it refuses, how often the store and the other routers are called, or what the process uses.

New, with a row on the operators' page each: attempts by service and verdict and for how long they held their place, the places of a service and those taken, calls at the store and between VMs, cores, and the operating system's figures of the process. The labels are services of the configuration and fixed words, whatever the number of accounts; a test holds every label to a list and every metric to a row. The runtime's own figures are left out: reading them stops the process for a moment.

There is no queue to show: a request that finds no place is refused at once, which the page says.

An attempt's end tells whether it was the first and how long the attempt took, since it may be ended twice.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -39,6 +39,13 @@
 	Abandoned
 )
 
+var verdicts = [...]string{
+	Served: "served", Refused: "refused", Failed: "failed", Broken: "broken", Silent: "silent", Unreachable: "unreachable",
+	Abandoned: "abandoned",
+}
+
+func (v Verdict) String() string { return verdicts[v] }
+
 // weights are how much a verdict counts as a failure. A refused connection or silence is sure to be met again by the
 // next request; a refusal or a single broken answer may be chance.
 var weights = map[Verdict]float64{Refused: 0.7, Failed: 1, Broken: 1, Silent: 2, Unreachable: 3}
@@ -120,25 +127,27 @@
 	return a.e.toRead(now)
 }
 
-// End ends the attempt; only the first call counts.
-func (a *Attempt) End(v Verdict, now time.Time) {
+// End ends the attempt, and tells how long it took; only the first call counts.
+func (a *Attempt) End(v Verdict, now time.Time) (took time.Duration, first bool) {
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
 	if a.ended {
-		return
+		return 0, false
 	}
+	took = now.Sub(a.began)
 	a.ended = true
 	a.e.running--
-	a.d.demand(a.q.Service).ended(a.q.Rank, now.Sub(a.began), now)
+	a.d.demand(a.q.Service).ended(a.q.Rank, took, now)
 	a.read()
 	if v == Abandoned {
-		return
+		return took, true
 	}
 	if v == Silent || v == Unreachable {
 		a.e.breaker.trip(now)
 	}
 	a.e.failures.add(weights[v], max(weights[v], 1), now)
 	if v == Served && len(a.q.Prompt) == 0 {
-		a.e.latency.add(float64(now.Sub(a.began))/float64(time.Millisecond), now)
+		a.e.latency.add(float64(took)/float64(time.Millisecond), now)
 	}
+	return took, true
 }
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -378,3 +378,16 @@
 	<-done
 	assert.DeepEqual(t, a.Endpoint(), before)
 }
+
+// An attempt may be ended by its watch and by the exchange it belongs to: who counts attempts counts the first end only.
+func TestAttemptTellsItsFirstEnd(t *testing.T) {
+	d, _ := fleet(1)
+	a := choose(t, d, dispatch.Query{Service: plain}, start)
+	took, first := a.End(dispatch.Broken, start.Add(7*time.Millisecond))
+	assert.Assert(t, first)
+	assert.Equal(t, took, 7*time.Millisecond)
+	_, first = a.End(dispatch.Abandoned, start.Add(9*time.Millisecond))
+	assert.Assert(t, !first)
+	assert.Equal(t, dispatch.Broken.String(), "broken")
+	assert.Equal(t, dispatch.Abandoned.String(), "abandoned")
+}
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -127,7 +128,7 @@
 
 func (vm *entryVM) buildStore() (err error) {
 	counted := meter.New(vm.set)
-	c := store.New(vm.settings.Store(), &http.Client{Transport: storeTransport(counted)})
+	c := store.New(vm.settings.Store(), &http.Client{Transport: counted.Calls(meter.KindLog, storeTransport(counted))})
 	vm.desired = desired.New(wiredesired.Decoder{}, &vm.lease, vm.configured, vm.logger)
 	configuration := follow.New(c.Topic(wiredesired.Topic), vm.desired, follow.Options{
 		Name: "configuration", Wait: configurationWait, Pause: configurationPause, Stale: staleAfter, Clock: bootclock.Now,
@@ -235,7 +236,9 @@
 	figures := mux.NewRouter()
 	figures.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		vm.set.WritePrometheus(w)
-		vm.retriesLeft(w)
+		vm.services(w)
+		// Of the operating system only: the runtime's own would stop the process for a moment.
+		metrics.WriteProcMetrics(w)
 	})
 	return vm.serve(nameMetrics, vm.settings.Metrics(), figures)
 }
@@ -252,6 +255,7 @@
 		}
 		return 0
 	})
+	vm.set.NewGauge("savoryfall_cores", func() float64 { return float64(runtime.GOMAXPROCS(0)) })
 	vm.set.NewGauge("savoryfall_routers", func() float64 { return float64(vm.routers.Load()) })
 	vm.measures()
 	vm.set.NewGauge("savoryfall_open_requests", func() float64 { return float64(vm.front.Open()) })
@@ -286,14 +290,21 @@
 	}
 }
 
-// retriesLeft shows this router's part of the retries at each service of the configuration.
-func (vm *entryVM) retriesLeft(w io.Writer) {
+// services shows this router's part of the retries, and the places, at each service of the configuration.
+func (vm *entryVM) services(w io.Writer) {
 	t := vm.desired.Current()
 	if t == nil {
 		return
 	}
 	for _, name := range t.Services() {
-		metrics.WriteGaugeFloat64(w, fmt.Sprintf("savoryfall_retries_left{service=%q}", name), vm.retries.Left(name, time.Now()))
+		now := time.Now()
+		taken, places := vm.dispatcher.Occupancy(name, now)
+		for metric, value := range map[string]float64{
+			"savoryfall_retries_left": vm.retries.Left(name, now),
+			"savoryfall_places":       float64(places), "savoryfall_places_taken": float64(taken),
+		} {
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf("%s{service=%q}", metric, name), value)
+		}
 	}
 }
 
--- a/io/command/entryvm_test.go
+++ b/io/command/entryvm_test.go
@@ -9,6 +9,9 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
+	"runtime"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -163,24 +166,61 @@
 	assert.Equal(t, booked, int64(1))
 }
 
+// metrics are what the VM serves on its metrics address.
+func (f *entryFleet) metrics(vm *entryVM) string {
+	resp, err := http.Get("http://" + vm.metricsAddress() + "/metrics")
+	assert.NilError(f.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(f.t, err)
+	return string(body)
+}
+
 // What on-call engineers look at is on the metrics address.
 func TestMetrics(t *testing.T) {
 	t.Parallel()
 	f := newEntryFleet(t, 1)
 	f.ask(f.vms[0], "POST", "/draft/x", "good", "m1")
 	f.get(f.vms[0], "/read/x", "bad")
-	resp, err := http.Get("http://" + f.vms[0].metricsAddress() + "/metrics")
-	assert.NilError(t, err)
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	assert.NilError(t, err)
+	body := f.metrics(f.vms[0])
 	for _, want := range []string{
 		`savoryfall_requests_total{kind="resumableStream",status="200",reason="served"} 1`,
 		`savoryfall_requests_total{kind="idempotent",outcome="notRun",reason="unknownKey"} 1`,
 		"savoryfall_first_event_seconds", "savoryfall_prompt_tokens_total 1510", "savoryfall_endpoints 7", "savoryfall_routers 1",
 		"savoryfall_configuration_version 1", `savoryfall_retries_left{service="plain"}`, `savoryfall_control_bytes_total{kind="log"`,
+		`savoryfall_attempts_total{service="models",verdict="served"} 1`, `savoryfall_attempt_seconds_count{service="models"} 1`,
+		`savoryfall_places{service="models"} 96`, `savoryfall_places_taken{service="models"} 0`,
+		`savoryfall_places{service="other"} `, fmt.Sprintf("savoryfall_cores %d\n", runtime.GOMAXPROCS(0)),
+		"process_cpu_seconds_total ", "process_resident_memory_bytes ",
 	} {
-		assert.Assert(t, strings.Contains(string(body), want), "%s in\n%s", want, body)
+		assert.Assert(t, strings.Contains(body, want), "%s in\n%s", want, body)
+	}
+}
+
+// Each metric of this project that a fleet serves, also between its routers, has its row on the operators' page, and none
+// has a label whose values grow with the accounts.
+func TestPageExplainsEachMetric(t *testing.T) {
+	t.Parallel()
+	f := newEntryFleet(t, 2)
+	f.await("a hub", func() bool { return f.vms[1].hub.Follows() == "vm0" })
+	f.ask(f.vms[1], "POST", "/draft/x", "good", "m1")
+	f.get(f.vms[1], "/read/x", "bad")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	body := f.metrics(f.vms[1])
+	for _, kind := range []string{"log", "peer"} {
+		assert.Assert(t, regexp.MustCompile(`savoryfall_control_calls_total\{kind="`+kind+`"\} [1-9]`).MatchString(body), body)
+	}
+	bounded := []string{"", "kind", "status", "outcome", "reason", "service", "verdict", "state", "by", "direction", "vmrange"}
+	parts := regexp.MustCompile(`(?m)^(savoryfall_\w+?)(?:_bucket|_sum|_count)?(?:\{(.*)\})? \S+$`)
+	rows := regexp.MustCompile("(?m)^\\| `savoryfall_.*$")
+	explained := strings.Join(rows.FindAllString(string(page), -1), "\n")
+	for _, m := range parts.FindAllStringSubmatch(body, -1) {
+		assert.Assert(t, regexp.MustCompile("`"+m[1]+"[`{]").MatchString(explained), "%s is not on the page", m[1])
+		for _, label := range strings.Split(m[2], ",") {
+			name, _, _ := strings.Cut(label, "=")
+			assert.Assert(t, slices.Contains(bounded, name), "%s of %s", name, m[0])
+		}
 	}
 }
 
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -116,7 +116,10 @@
 	if x.ctx.Err() != nil {
 		v = dispatch.Abandoned
 	}
-	a.End(v, time.Now())
+	took, first := a.End(v, time.Now())
+	if first {
+		x.front.Figures.attempt(x.service, v, took)
+	}
 }
 
 // failed is what an attempt without an answer says of the endpoint, and whether the request may have run.
--- a/io/entry/figures.go
+++ b/io/entry/figures.go
@@ -7,11 +7,12 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"savoryfall/core/ask"
+	"savoryfall/core/dispatch"
 	"savoryfall/core/routetable"
 )
 
-// Figures are the metrics of requests; their labels are kinds and reasons, which are few whatever the number of
-// accounts and routes.
+// Figures are the metrics of requests; their labels are kinds, reasons and endpoint services, which are few whatever the
+// number of accounts and routes.
 type Figures struct {
 	set *metrics.Set
 }
@@ -28,6 +29,12 @@
 	f.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_requests_total{kind=%q,outcome=%q,reason=%q}`, kind, p.Outcome, p.Reason)).Inc()
 }
 
+// attempt counts one at an endpoint of the service, and for how long it held its place there.
+func (f *Figures) attempt(service string, v dispatch.Verdict, took time.Duration) {
+	f.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_attempts_total{service=%q,verdict=%q}`, service, v)).Inc()
+	f.set.GetOrCreateHistogram(fmt.Sprintf(`savoryfall_attempt_seconds{service=%q}`, service)).Update(took.Seconds())
+}
+
 func (f *Figures) firstEvent(kind string, took time.Duration) {
 	f.set.GetOrCreateHistogram(fmt.Sprintf(`savoryfall_first_event_seconds{kind=%q}`, kind)).Update(took.Seconds())
 }
--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -114,6 +114,7 @@
 	if err != nil {
 		return err
 	}
+	a.Meter.Called(meter.KindPeer)
 	call := client.Go(serviceName+".Report", args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -61,6 +61,27 @@
 	return &http.Transport{DialContext: m.Dial(k), MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true}
 }
 
+// Called counts one call of the kind that this process has made.
+func (m *Meter) Called(k Kind) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_control_calls_total{kind=%q}`, string(k))).Inc()
+}
+
+// Calls is an HTTP transport that counts the calls made by it, whatever becomes of them.
+func (m *Meter) Calls(k Kind, next http.RoundTripper) http.RoundTripper {
+	return caller{meter: m, kind: k, next: next}
+}
+
+type caller struct {
+	meter *Meter
+	kind  Kind
+	next  http.RoundTripper
+}
+
+func (c caller) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.meter.Called(c.kind)
+	return c.next.RoundTrip(r)
+}
+
 // Conn counts what passes through c.
 func (m *Meter) Conn(k Kind, c net.Conn) net.Conn {
 	return &conn{Conn: c, sent: m.counter(k, "sent"), received: m.counter(k, "received")}
