clientconn: a listener that is closed twice is no error of the stop

What callers saw: nothing.

The drain closes the listener; http.Server closes it again when it is ended before its loop has noticed. Ruled out: another error hidden behind it (what was joined was this one only). Ignoring errors of the server's end would hide others.

Closing the set counts once. It suffices, since the server closes its listener by the set alone.

--- a/io/clientconn/set.go
+++ b/io/clientconn/set.go
@@ -29,6 +29,8 @@
 	idleBefore time.Duration
 	changed    time.Time
 	ended      map[Ending]uint64
+	once       sync.Once
+	closed     error
 }
 
 const (
@@ -61,8 +63,13 @@
 	return c, nil
 }
 
-// Close takes no more connections; those that are there stay.
-func (s *Set) Close() error { return s.listener.Close() }
+// Close takes no more connections; those that are there stay. Only the first call counts: a process that drains closes the
+// set itself, and http.Server closes it again when it ends before it has noticed. An error of that would be taken for one
+// of the stop.
+func (s *Set) Close() error {
+	s.once.Do(func() { s.closed = s.listener.Close() })
+	return s.closed
+}
 
 // Addr is where the set listens.
 func (s *Set) Addr() net.Addr { return s.listener.Addr() }
--- a/io/clientconn/set_test.go
+++ b/io/clientconn/set_test.go
@@ -416,3 +416,43 @@
 	c.endIf(ByStop, func() bool { return c.abandoned(now) })
 	return c.Ending() == ByStop
 }
+
+// tardy is a listener whose Accept tells of its end late, as to a goroutine that stands still.
+type tardy struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (l tardy) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.release
+	}
+	return c, err
+}
+
+// A router without clients is told to stop. It closes its listener, and then ends its server, whose own loop has not
+// noticed yet: the server closed the listener a second time, got an error, and the process ended with it although it had
+// stopped in order. The second close must be none.
+func TestListenerIsClosedOnce(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	slow := tardy{Listener: l, release: make(chan struct{})}
+	s := New(slow, func() Limits { return Limits{} })
+	h := &http.Server{Handler: http.NotFoundHandler()}
+	s.Attach(h)
+	ended := make(chan error)
+	go func() { ended <- h.Serve(s) }()
+	c, err := net.Dial("tcp4", l.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	assert.NilError(t, err)
+	_, err = c.Read(make([]byte, 1))
+	assert.NilError(t, err)
+	assert.NilError(t, s.Close())
+	// The server waits for its loop, so the loop goes on a moment later.
+	time.AfterFunc(50*time.Millisecond, func() { close(slow.release) })
+	assert.NilError(t, h.Close())
+	assert.Assert(t, errors.Is(<-ended, http.ErrServerClosed))
+	assert.NilError(t, c.Close())
+}
