clientconn: where the kernel cannot be asked, the waiting read decides

TestRequestReadInTheLastMomentIsAnswered failed once in 6 runs, 3.02 s after the signal: a request on a connection in memory was read and dropped. On such connections, and on any other that is no socket, a read may have taken bytes that nobody has noted yet when the connection is ended; on sockets the two are one step. Change: there the read is woken by a deadline. One that has bytes goes on, and its connection stays; one that has none ends it. What a read on an ended connection gives looks like net's own error, so that net/http does not try to answer it.

--- a/io/clientconn/conn.go
+++ b/io/clientconn/conn.go
@@ -45,6 +45,8 @@
 	// waiting tells that net/http waits for bytes. It does not when it has read more than the request before, or has not
 	// come to it yet.
 	waiting bool
+	// asked is why a read that waits is to end the connection, where the kernel cannot be asked for unread bytes.
+	asked Ending
 	// limit is for how long the connection may be idle by what was in force when it became so: its client goes by that,
 	// also when the limit has been lowered since.
 	limit time.Duration
@@ -160,8 +162,11 @@
 // took notes what a read brought. Bytes that come after this process has ended the connection go nowhere.
 func (c *Conn) took(n int, err error) (int, error) {
 	c.waiting = false
+	if c.asked != "" {
+		c.heed(n, err)
+	}
 	if c.ending.Ours() {
-		return 0, net.ErrClosed
+		return 0, c.readError(net.ErrClosed)
 	}
 	if n > 0 {
 		c.heard = time.Now()
@@ -176,6 +181,15 @@
 	return n, err
 }
 
+// heed ends the connection, as was asked for, unless the read has brought something.
+func (c *Conn) heed(n int, err error) {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		c.lost(c.asked)
+	}
+	c.asked = ""
+	_ = c.SetReadDeadline(time.Time{})
+}
+
 // lost notes the first end.
 func (c *Conn) lost(e Ending) {
 	if c.ending == "" {
@@ -214,7 +228,12 @@
 func (c *Conn) endIf(why Ending, may func() bool) {
 	c.mu.Lock()
 	ended := c.ending == "" && c.unused() && c.waiting && may() && !c.unread()
-	if ended {
+	switch {
+	case ended && c.raw == nil:
+		// Only the read itself knows whether it has bytes. It decides when this deadline wakes it.
+		ended, c.asked = false, why
+		_ = c.SetReadDeadline(longAgo)
+	case ended:
 		c.ending = why
 	}
 	c.mu.Unlock()
@@ -243,6 +262,9 @@
 	}
 }
 
+// longAgo as a deadline ends reads at once.
+var longAgo = time.Unix(1, 0)
+
 // cut ends the connection whatever it is used for.
 func (c *Conn) cut() {
 	c.mu.Lock()
