--- a/soak/variants_test.go
+++ b/soak/variants_test.go
@@ -36,7 +36,7 @@
 		"io/entry/server.go", "const leaveShare = 0.34", "const leaveShare = 0",
 	},
 	"loweredLimitEndsIdleConnections": {
-		"io/clientconn/set.go", "> max(idle, c.limit)+idleSlack", "> idle+idleSlack",
+		"io/clientconn/set.go", "> max(idle, c.limit)+idleSlack", "> s.limits().Idle+idleSlack",
 	},
 	"keyIsPassedOn": {
 		"platform/backend/backend.go", "\"Authorization\", headerInstance", "headerInstance",
