dispatch: hidden calls that other routers told of end as fast as own

What callers saw: in a surge of calls to a plain service, refusals `full` by routers that believed 19 of 48 places taken. Cause: calls that a server works on for nobody fade within the time of a call when this router was told of them, but not when another router was: then the highest word of 81 routers counted until the next one, 300 ms and twenty calls later. Ruled out: the sum over routers (the highest counts, as before). Change: they fade alike, from when they were heard of. Measured: TestHiddenCallsOfOthersEnd, failed before (allFull). Why it holds: what is told of others and what is told to this router decay by the same function of their age.

--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -69,15 +69,20 @@
 // seconds that were left midway.
 const hiddenHalf = time.Second
 
-// hiddenLeft is what is left of the hidden requests that this router was told of. Calls of a plain service end within
-// the time that they take: kept for a second, the few that an answer told of by chance were taken for a service that is
-// half full while it did a fifth of what it can.
+// hiddenLeft is what is left of the hidden requests that this router was told of.
 func (e *endpoint) hiddenLeft(now time.Time) float64 {
+	return e.hidden * e.hiddenPart(now.Sub(e.hiddenAt))
+}
+
+// hiddenPart is the part of the hidden requests that is left some time after they were told of. Calls of a plain service
+// end within the time that they take: kept for a second, the few that an answer told of by chance were taken for a service
+// that is half full while it did a fifth of what it can.
+func (e *endpoint) hiddenPart(after time.Duration) float64 {
 	half := float64(hiddenHalf)
 	if !e.latency.at.IsZero() {
 		half = min(half, e.latency.value*float64(time.Millisecond))
 	}
-	return e.hidden * math.Exp2(-float64(now.Sub(e.hiddenAt))/max(half, 1))
+	return math.Exp2(-float64(after) / max(half, 1))
 }
 
 // unaccounted is what is left of the hidden requests that this router, or another, was told of.
@@ -86,7 +91,7 @@
 	if now.Sub(e.heardOf) > othersAge {
 		return own
 	}
-	return max(own, float64(e.heard.Hidden))
+	return max(own, float64(e.heard.Hidden)*e.hiddenPart(now.Sub(e.heardOf)))
 }
 
 // told takes the load that an answer tells of. Against the hub's count, which is of requests that routers wait for, it
