dispatch: a refusal by an endpoint is not a call that held its place

What callers saw: in a surge more were let in than the servers could do, and turned away there. Cause: for how long a place is held is an average over all attempts, and those that a full server turned away at once counted as holds of no time. The more a service turned away, the sooner its places seemed to become free. Ruled out: attempts whose clients leave, and broken ones: they held their places. Change: attempts that were refused, or found nobody, do not count. Measured: TestRefusalsDoNotCountAsShortCalls, failed before (let in). Why it holds: only what took a place enters the average.

--- a/core/dispatch/demand.go
+++ b/core/dispatch/demand.go
@@ -18,6 +18,8 @@
 	fewRefused  = 0.1
 	// overAfter is after how long without a refusal a rank is no longer full, however many there were before.
 	overAfter = time.Second
+	// shortestHold is the least time for which a place counts as held.
+	shortestHold = time.Millisecond
 )
 
 // demand is what was asked of a service lately, by rank. The zero value has seen nothing.
@@ -110,11 +112,15 @@
 
 func (m *demand) began(rank int) { m.level(rank).running++ }
 
-func (m *demand) ended(rank int, held time.Duration, now time.Time) {
+func (m *demand) ended(rank int, v Verdict, held time.Duration, now time.Time) {
 	l := m.level(rank)
 	l.running--
-	l.held.add(held.Seconds(), now)
-	m.held.add(held.Seconds(), now)
+	if v == Refused || v == Unreachable {
+		return
+	}
+	s := max(held, shortestHold).Seconds()
+	l.held.add(s, now)
+	m.held.add(s, now)
 }
 
 // told is this router's part for the other routers, but the ranks of which there is nothing.
--- a/core/dispatch/surge_test.go
+++ b/core/dispatch/surge_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -10,6 +11,37 @@
 	"savoryfall/core/dispatch"
 )
 
+// Servers that are full turn calls away at once. These counted as calls that hold a place for no time at all, so that
+// every router took the service for one with room and let everybody in. Three times as many urgent calls come as can be
+// done: others must be turned away all the same.
+func TestRefusalsDoNotCountAsShortCalls(t *testing.T) {
+	d, _ := fleet(4)
+	now := start
+	for range 5 {
+		a := choose(t, d, dispatch.Query{Service: plain}, now)
+		now = now.Add(15 * time.Millisecond)
+		a.End(dispatch.Served, now)
+	}
+	for range 20 {
+		choose(t, d, dispatch.Query{Service: plain}, now).End(dispatch.Refused, now)
+	}
+	d.Others(urgentCalls(t, 4800, 40), board.Work{}, now)
+	a, why := d.Choose(dispatch.Query{Service: plain, Rank: 1}, now)
+	assert.Assert(t, a == nil)
+	assert.Equal(t, why, dispatch.ReasonReserved)
+}
+
+// urgentCalls are those of other routers: so many a second, and so many running, spread over four endpoints.
+func urgentCalls(t *testing.T, perSecond float64, running int) board.Work {
+	other, _ := fleet(4)
+	for range running {
+		choose(t, other, dispatch.Query{Service: plain}, start)
+	}
+	w := other.Work(start)
+	w.Demands[0].Came = float32(perSecond * 0.5 / math.Ln2)
+	return w
+}
+
 // Other routers told of calls that an endpoint works on though nobody waits for them. They count until they have ended,
 // some ten milliseconds, and not until the next word, when the endpoint has long been free.
 func TestHiddenCallsOfOthersEnd(t *testing.T) {
