dispatch: how long a call holds its place is not forgotten between calls

What callers saw: in a surge of calls that last 15 ms, urgent and other calls refused as `reserved` while servers idled. Cause: the time for which a place is held faded towards the 600 ms that are planned when nothing is known. A router that had a call every 100 ms took it for 40 ms, after half a second without one for 90 ms, and kept places for six times as many urgent calls as would come. Ranks that it had not seen itself held theirs for 600 ms in its plan. Ruled out: a longer half life (the fault comes later, in services that are asked rarely). Change: the time stays what it was last; a rank not seen holds places as long as the others of the service. Measured: TestHoldTimeIsNotForgotten, failed before (reserved). Why it holds: averages fade so that an endpoint that is avoided gets another chance; the time of a call is nobody's fault and is measured again by the next call.

--- a/core/dispatch/demand.go
+++ b/core/dispatch/demand.go
@@ -165,10 +165,11 @@
 func (m *demand) plan(rank int, now time.Time) (p plan) {
 	m.fade(now)
 	alone := now.Sub(m.heardAt) > othersAge
-	planned := min(m.held.or(foresight.Seconds(), now), foresight.Seconds())
+	usual := m.held.last(foresight.Seconds())
+	planned := min(usual, foresight.Seconds())
 	for i := range m.levels {
 		perSecond, running := m.levels[i].all(alone)
-		held := max(m.levels[i].held.or(foresight.Seconds(), now), planned)
+		held := max(m.levels[i].held.last(usual), planned)
 		p.released += running * planned / held
 		switch {
 		case i < min(rank, mostRanks-1):
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -185,6 +185,14 @@
 	return usual + (a.value-usual)*faded(now.Sub(a.at))
 }
 
+// last is the mean as it was when a value came last, for what time alone does not change.
+func (a *average) last(usual float64) float64 {
+	if a.at.IsZero() {
+		return usual
+	}
+	return a.value
+}
+
 // prefillRate learns how many prompt tokens an engine reads in a millisecond.
 type prefillRate struct{ learned average }
 
--- a/core/dispatch/surge_test.go
+++ b/core/dispatch/surge_test.go
@@ -11,6 +11,19 @@
 	"savoryfall/core/dispatch"
 )
 
+// A router does a call in 15 ms and has none for a while. Others have so many urgent ones that these take half of the
+// places at any time. The router forgot how long a call holds its place, planned for 600 ms, in which forty times as many
+// come, and turned away everybody else.
+func TestHoldTimeIsNotForgotten(t *testing.T) {
+	d, _ := fleet(4)
+	a := choose(t, d, dispatch.Query{Service: plain, Rank: 1}, start)
+	now := start.Add(15 * time.Millisecond)
+	a.End(dispatch.Served, now)
+	now = now.Add(500 * time.Millisecond)
+	d.Others(urgentCalls(t, 1600, 24), board.Work{}, now)
+	choose(t, d, dispatch.Query{Service: plain, Rank: 1}, now)
+}
+
 // Servers that are full turn calls away at once. These counted as calls that hold a place for no time at all, so that
 // every router took the service for one with room and let everybody in. Three times as many urgent calls come as can be
 // done: others must be turned away all the same.
