dispatch: the tests of a surge run beside each other

Cause: the package took 124 s under the race detector on two cores beside the soak, 18 s before these tests. Change: they run in parallel; what they draw and check is as before (same counts, printed with -v).

--- a/core/dispatch/surge_test.go
+++ b/core/dispatch/surge_test.go
@@ -205,8 +205,10 @@
 // most urgent among them, and began anew: a third of the calls met a server with over twice the mean. All must be spread
 // evenly meanwhile, and what is more than the servers can do is turned away by rank.
 func TestSurgeOfCallsIsSpread(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			const servers, slots = 4, 6
 			s := newSurge(t, seed, 81, plain, servers, slots)
 			call := func() (dispatch.Query, time.Duration) {
@@ -242,8 +244,10 @@
 // full yet, all of them to the same few, which held up to four times what they have places for, while the places that
 // became free elsewhere stayed empty.
 func TestSurgeOfStreamsIsSpread(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			const engines, slots = 90, 24
 			s := newSurge(t, seed, 81, models, engines, slots)
 			s.ask(800, 1, 2*time.Second, s.stream)
@@ -258,6 +262,7 @@
 // sends them where the document is warm and hears only some hundred milliseconds later that all others did so too: in the
 // first second the engines that hold one of them are sent more than twice the mean.
 func TestSurgeOfAFewDocumentsIsSpread(t *testing.T) {
+	t.Parallel()
 	s := newSurge(t, 0, 81, models, 90, 24)
 	s.hotDocuments = 8
 	s.ask(800, 1, 2*time.Second, s.stream)
