--- a/io/command/entryvm_test.go
+++ b/io/command/entryvm_test.go
@@ -180,6 +180,8 @@
 func TestMetrics(t *testing.T) {
 	t.Parallel()
 	f := newEntryFleet(t, 1)
+	// A router serves before it has read the list of routers.
+	f.await("the router has found itself on the list", func() bool { return f.vms[0].routers.Load() > 0 })
 	f.ask(f.vms[0], "POST", "/draft/x", "good", "m1")
 	f.get(f.vms[0], "/read/x", "bad")
 	body := f.metrics(f.vms[0])
