dispatch: engines that leave give what they hold

The engine still served. Change: an engine that has left the list is asked for what it holds for 3 s, unless nobody answered there, another process has its address, or it fails; one that comes back is known as before.

--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -32,11 +32,11 @@
 	}}))
 	for i := range n {
 		for _, e := range []directory.Entry{{Service: models, Slots: 32}, {Service: plain, Slots: 6}} {
-			e.ID, e.Address, e.FailureDomain = fmt.Sprint(e.Service, i), fmt.Sprintf("10.0.0.%d:1", i), "a"
+			e.ID, e.Address, e.FailureDomain = fmt.Sprint(e.Service, i), fmt.Sprintf("10.0.0.%d:%d", i, e.Slots), "a"
 			entries = append(entries, e)
 		}
 	}
-	d.Update(entries)
+	d.Update(entries, start)
 	return d, entries
 }
 
@@ -126,9 +126,9 @@
 	full, _ := fleet(3)
 	home := choose(t, full, q(0), start).Endpoint()
 	d, _ := fleet(3)
-	d.Update(slices.DeleteFunc(slices.Clone(entries), func(e directory.Entry) bool { return e.ID == home.ID }))
+	d.Update(slices.DeleteFunc(slices.Clone(entries), func(e directory.Entry) bool { return e.ID == home.ID }), start)
 	before := choose(t, d, q(1), start).Endpoint()
-	d.Update(entries)
+	d.Update(entries, start)
 	next := q(2)
 	next.Tried = []string{before.ID}
 	a := choose(t, d, next, start)
@@ -282,7 +282,7 @@
 	for i := range entries {
 		entries[i].Born = 7
 	}
-	d.Update(entries)
+	d.Update(entries, start)
 	a, _ = d.Choose(dispatch.Query{Service: plain}, start)
 	assert.Assert(t, a != nil)
 }
@@ -298,7 +298,7 @@
 	for i := range entries {
 		entries[i].Born = 9
 	}
-	d.Update(entries)
+	d.Update(entries, start)
 	assert.Assert(t, choose(t, d, q, start).Missing() > 2000)
 }
 
@@ -372,7 +372,7 @@
 		for i := range entries {
 			entries[i].Slots++
 		}
-		d.Update(entries)
+		d.Update(entries, start)
 	}()
 	assert.DeepEqual(t, a.Endpoint(), before)
 	<-done
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -23,9 +23,11 @@
 	demands       map[string]*demand
 	placed        []board.Read
 	byName        map[uint32]*endpoint
-	promptTokens  uint64
-	warmTokens    uint64
-	heardAt       time.Time
+	// left are the engines that are on the list no more, which may hold prompts that no other does.
+	left         []*endpoint
+	promptTokens uint64
+	warmTokens   uint64
+	heardAt      time.Time
 	// random is nil for the source of the process, which no two routers have alike.
 	random *rand.Rand
 }
@@ -52,12 +54,12 @@
 
 // Update takes the endpoints that may have new work. Those that stay keep what is known of them, unless their process
 // is another one.
-func (d *Dispatcher) Update(entries []directory.Entry) {
+func (d *Dispatcher) Update(entries []directory.Entry, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	by, pools := map[string]*endpoint{}, map[string][]*endpoint{}
 	for _, entry := range entries {
-		e := d.by[entry.ID]
+		e := d.known(entry.ID)
 		if e == nil || e.entry.Born != entry.Born || e.entry.Address != entry.Address {
 			e = newEndpoint(entry)
 		}
@@ -65,6 +67,7 @@
 		by[entry.ID] = e
 		pools[entry.Service] = append(pools[entry.Service], e)
 	}
+	d.leave(by, now)
 	d.by, d.pools = by, pools
 	d.byName = map[uint32]*endpoint{}
 	for _, e := range by {
@@ -72,6 +75,19 @@
 	}
 }
 
+// known is the endpoint of that id, also when the list had dropped it.
+func (d *Dispatcher) known(id string) (e *endpoint) {
+	if e = d.by[id]; e != nil {
+		return e
+	}
+	for _, e := range d.left {
+		if e.entry.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
 // Query is what decides where an attempt goes.
 type Query struct {
 	Service string
--- a/core/dispatch/donor.go
+++ b/core/dispatch/donor.go
@@ -1,5 +1,10 @@
 package dispatch
 
+import (
+	"slices"
+	"time"
+)
+
 const (
 	// worthFetching is from how many tokens on it pays to fetch parts from another endpoint: setting up a transfer takes
 	// some 8 ms, as long as reading 900 tokens, but it leaves the steps to the streams that run, which reading does not
@@ -21,11 +26,42 @@
 		held = c.known
 	}
 	most := held + worthFetching
+	consider := func(e *endpoint, holds int) {
+		if holds > most && !e.gone && e.failing(c.now) <= soundRate {
+			address, most = e.entry.Address, holds
+		}
+	}
 	for j, other := range c.pool {
-		if j == i || c.warm[j] <= most || other.gone || other.failing(c.now) > soundRate {
-			continue
+		if j != i {
+			consider(other, c.warm[j])
+		}
+	}
+	for _, e := range c.d.left {
+		if e.entry.Service == c.q.Service && c.now.Sub(e.leftAt) <= servesOn && !e.breaker.open(c.now) {
+			consider(e, e.cache.Warm(c.q.Prompt))
 		}
-		address, most = other.entry.Address, c.warm[j]
 	}
 	return address
 }
+
+// servesOn is for how long an engine that has left the list is asked for what it holds: it answers what it had, and
+// leaves some seconds after it said so.
+const servesOn = 3 * time.Second
+
+// leave keeps the endpoints that are on the list no more. When engines are replaced, nobody else holds many of the prompts
+// that they have read, and each would be read again. One whose address another has now is gone.
+func (d *Dispatcher) leave(listed map[string]*endpoint, now time.Time) {
+	addresses := map[string]bool{}
+	for _, e := range listed {
+		addresses[e.entry.Address] = true
+	}
+	for id, e := range d.by {
+		if listed[id] == nil {
+			e.leftAt = now
+			d.left = append(d.left, e)
+		}
+	}
+	d.left = slices.DeleteFunc(d.left, func(e *endpoint) bool {
+		return now.Sub(e.leftAt) > servesOn || addresses[e.entry.Address]
+	})
+}
--- /dev/null
+++ b/core/dispatch/donor_test.go
@@ -0,0 +1,78 @@
+package dispatch_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryfall/core/directory"
+	"savoryfall/core/dispatch"
+)
+
+// without is the list that names one endpoint no more.
+func without(entries []directory.Entry, id string) []directory.Entry {
+	return slices.DeleteFunc(slices.Clone(entries), func(e directory.Entry) bool { return e.ID == id })
+}
+
+// An engine that is replaced answers for some seconds after it has left the list, and nobody else holds what it has read:
+// its prompts are fetched from it, and read again only when it is gone.
+func TestPromptIsFetchedFromAnEngineThatLeaves(t *testing.T) {
+	for _, when := range []struct {
+		after time.Duration
+		fetch bool
+	}{{after: 0, fetch: true}, {after: 2500 * time.Millisecond, fetch: true}, {after: 4 * time.Second}} {
+		d, entries := fleet(4)
+		a := choose(t, d, dispatch.Query{Service: models, Prompt: document(1, 1)}, start)
+		a.Answered(dispatch.Load{}, start)
+		a.End(dispatch.Served, start)
+		left := a.Endpoint()
+		d.Update(without(entries, left.ID), start)
+		next := choose(t, d, dispatch.Query{Service: models, Prompt: document(1, 2)}, start.Add(when.after))
+		assert.Assert(t, next.Endpoint().ID != left.ID)
+		assert.Equal(t, next.Donor() == left.Address, when.fetch, "%s after it left", when.after)
+	}
+}
+
+// An engine that was lost leaves the list too. Nothing is fetched from where nobody answered, nor from an engine that
+// another process has replaced at its address.
+func TestNothingIsFetchedFromALostEngine(t *testing.T) {
+	for name, lose := range map[string]func(d *dispatch.Dispatcher, a *dispatch.Attempt){
+		"silent":   func(_ *dispatch.Dispatcher, a *dispatch.Attempt) { a.End(dispatch.Silent, start) },
+		"replaced": func(d *dispatch.Dispatcher, a *dispatch.Attempt) { d.Gone(a.Endpoint().ID) },
+	} {
+		d, entries := fleet(4)
+		a := choose(t, d, dispatch.Query{Service: models, Prompt: document(1, 1)}, start)
+		lose(d, a)
+		d.Update(without(entries, a.Endpoint().ID), start)
+		next := choose(t, d, dispatch.Query{Service: models, Prompt: document(1, 2)}, start)
+		assert.Equal(t, next.Donor(), "", name)
+	}
+}
+
+// An engine is dropped from the list by mistake and comes back. What it holds is known as before, and it is no donor to
+// itself.
+func TestEngineThatReturnsIsKnownAsBefore(t *testing.T) {
+	d, entries := fleet(4)
+	a := choose(t, d, dispatch.Query{Service: models, Prompt: document(1, 1)}, start)
+	a.End(dispatch.Served, start)
+	d.Update(without(entries, a.Endpoint().ID), start)
+	d.Update(entries, start)
+	next := choose(t, d, dispatch.Query{Service: models, Prompt: document(1, 2)}, start)
+	assert.Equal(t, next.Endpoint().ID, a.Endpoint().ID)
+	assert.Equal(t, next.Missing(), 300)
+	assert.Equal(t, next.Donor(), "")
+}
+
+// The address of an engine that has gone is given to another endpoint, which holds nothing of what the first had.
+func TestNothingIsFetchedFromAnAddressUsedAgain(t *testing.T) {
+	d, entries := fleet(4)
+	a := choose(t, d, dispatch.Query{Service: models, Prompt: document(1, 1)}, start)
+	a.End(dispatch.Served, start)
+	others := without(entries, a.Endpoint().ID)
+	d.Update(others, start)
+	d.Update(append(others, directory.Entry{ID: "new", Service: "other", Address: a.Endpoint().Address}), start)
+	next := choose(t, d, dispatch.Query{Service: models, Prompt: document(1, 2)}, start)
+	assert.Equal(t, next.Donor(), "")
+}
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -41,6 +41,8 @@
 	// heardAt is when the last bytes came.
 	heardAt time.Time
 	gone    bool
+	// leftAt is when the list named it no more.
+	leftAt time.Time
 }
 
 func newEndpoint(entry directory.Entry) *endpoint {
--- a/core/dispatch/surge_test.go
+++ b/core/dispatch/surge_test.go
@@ -68,7 +68,7 @@
 		d := dispatch.New("a")
 		d.Seed(seed*1000 + uint64(i))
 		d.Configure(table)
-		d.Update(entries)
+		d.Update(entries, start)
 		s.routers = append(s.routers, d)
 	}
 	return s
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -181,7 +181,7 @@
 const storeDial = 500 * time.Millisecond
 
 func (vm *entryVM) configured(t *routetable.Table)  { vm.dispatcher.Configure(t) }
-func (vm *entryVM) listed(usable []directory.Entry) { vm.dispatcher.Update(usable) }
+func (vm *entryVM) listed(usable []directory.Entry) { vm.dispatcher.Update(usable, time.Now()) }
 
 func (vm *entryVM) buildFront() (err error) {
 	tracer, err := vm.tracer()
--- a/io/entry/rig_test.go
+++ b/io/entry/rig_test.go
@@ -96,7 +96,7 @@
 	s.lease.Renew(s.clock())
 	d := dispatch.New("a")
 	d.Configure(table)
-	d.Update([]directory.Entry{{ID: "e1", Service: "plain", Address: "e1:1", FailureDomain: "a", Slots: 8}})
+	d.Update([]directory.Entry{{ID: "e1", Service: "plain", Address: "e1:1", FailureDomain: "a", Slots: 8}}, time.Now())
 	f := New(Parts{
 		Clients: clients{}, Endpoints: endpoints{}, Configuration: s, Lease: &s.lease, Dispatcher: d, Retries: &s.retries,
 		Pool: http1.NewPool(s.dial), Tracer: noop.NewTracerProvider().Tracer(""), Figures: NewFigures(metrics.NewSet()),
