registry: a hub's whole word ends a leaving endpoint

Three routers, the hub among them, were turned away by the store from 2.5 to 11.5 s. Cause, from the logs: the hub read the leaving mark 50 ms after it was acknowledged, and seven routers came back to that hub 30 ms later. Who comes is told all endpoints; the keeper took of that only the usable ones. What is missing from a whole list counts as lapsed, and for 2.3 s after a failed read as about to come back. So routers whose own reads had failed kept the leaving engine. Change: the endpoints that a hub names as gone end in a whole word as they do in a part. TestWholeWordOfAHubEndsALeavingEndpoint failed before.

--- a/io/registry/keeper.go
+++ b/io/registry/keeper.go
@@ -43,16 +43,13 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	if whole {
-		k.tell(k.directory.Replace(usable(changes), now))
-		return
-	}
-	changed := false
+	changed := whole && k.directory.Replace(usable(changes), now)
 	for _, c := range changes {
-		if c.Usable {
-			changed = k.directory.Put(c.Entry) || changed
-		} else {
+		switch {
+		case !c.Usable:
 			changed = k.directory.Drop(c.Entry, now) || changed
+		case !whole:
+			changed = k.directory.Put(c.Entry) || changed
 		}
 	}
 	k.tell(changed)
