hub: routers that start at the same instant have epochs of their own

Cause: a hub names its life by the time of its start in nanoseconds. Found by printing what each router took from which hub: a whole list never came after the change of hubs. Ruled out: entries that count as lapsed, the hub's reads (its line is 50 ms after the acknowledgement). Change: the epoch is made of the router's name and the time. TestHubsOfTheSameInstantAreToldApart failed before. The code before has the fault on every deployment whose VMs start together.

--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
 
 	"savoryfall/core/annotate"
@@ -102,12 +103,18 @@
 // New takes the address at once.
 func New(p Parts) (a *Agent, err error) {
 	defer annotate.Error(&err, "listen for routers on %s", p.Address)
-	a = &Agent{Parts: p, accepted: map[net.Conn]bool{}, news: make(chan struct{}), epoch: time.Now().UnixNano()}
+	a = &Agent{Parts: p, accepted: map[net.Conn]bool{}, news: make(chan struct{}), epoch: epochOf(p.Self.Name, time.Now())}
 	a.Members.Put(p.Self)
 	a.listener, err = net.Listen("tcp4", p.Address)
 	return a, err
 }
 
+// epochOf names this life of the router as a hub. The time alone is not enough: VMs that are started together may read the
+// same one, and what one of them has numbered would be taken for the other's.
+func epochOf(name string, now time.Time) int64 {
+	return int64(xxhash.Sum64String(name)) ^ now.UnixNano()
+}
+
 const (
 	// hold is how long the hub keeps a report when it has no news: a leaving endpoint is known everywhere within this
 	// and the hub's own reading.
