hub: routers are given the configuration and do not lead before they know the others

Each change of the configuration was read by all 73 routers, and each router led itself for its first 300 ms, so that it read both topics in a row. Change: a router that is told of a newer configuration waits 400 ms to be given it by the hub, up to 128 KB; a router does not lead before it has read the list of routers, or for 300 ms.

--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -79,6 +79,8 @@
 	// staleAfter is the age of what the hub tells from which on a router reads for itself: in time for a
 	// configuration to be in force two seconds after its acknowledgement. What a hub tells is 1.4 s old at most.
 	staleAfter = 1500 * time.Millisecond
+	// grace is how long a router waits to be told by the hub what it lacks: a few times what asking it takes.
+	grace = 400 * time.Millisecond
 	// leastRouters is how many routers share the retries at least: those that have just come are not known yet.
 	leastRouters = 4
 	// settingsLook is how often the settings file is looked at for a change that no signal told of.
@@ -131,12 +133,12 @@
 	c := store.New(vm.settings.Store(), &http.Client{Transport: counted.Calls(meter.KindLog, storeTransport(counted))})
 	vm.desired = desired.New(wiredesired.Decoder{}, &vm.lease, vm.configured, vm.logger)
 	configuration := follow.New(c.Topic(wiredesired.Topic), vm.desired, follow.Options{
-		Name: "configuration", Wait: configurationWait, Pause: configurationPause, Stale: staleAfter, Clock: bootclock.Now,
+		Name: "configuration", Wait: configurationWait, Pause: configurationPause, Grace: grace, Stale: staleAfter, Clock: bootclock.Now,
 	}, vm.logger)
 	vm.kernel.Register("configuration", configuration)
 	endpoints := registry.New(wireregistry.Decoder{}, vm.listed, vm.logger)
 	listed := follow.New(c.Topic(wireregistry.Topic), endpoints, follow.Options{
-		Name: "registry", Pause: registryPause, Stale: staleAfter, Clock: bootclock.Now,
+		Name: "registry", Pause: registryPause, Grace: grace, Stale: staleAfter, Clock: bootclock.Now,
 	}, vm.logger)
 	vm.kernel.Register("registry", listed)
 	vm.set.NewGauge("savoryfall_registry_age_seconds", func() float64 {
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -40,6 +40,8 @@
 	Wait time.Duration
 	// Pause is the least time between two reads: a topic that changes many times a second is read in batches.
 	Pause time.Duration
+	// Grace is how long a router that was told of something newer waits to be given it before it reads itself.
+	Grace time.Duration
 	// Stale is the age of what is known from which on a router reads for itself, although another one reads for it.
 	Stale time.Duration
 	// Clock is the time since boot, suspension included.
@@ -61,7 +63,9 @@
 	whole  bool
 	behind bool
 	lead   bool
-	known  time.Duration
+	// behindAt is when this router was told of something newer, by the clock.
+	behindAt time.Duration
+	known    time.Duration
 
 	failed int
 	lostAt time.Time
@@ -124,11 +128,14 @@
 }
 
 // Confirm notes that another router found the topic to end at the offset, by a read that was sent at the time since
-// boot. Where this router has not read that far, it goes and reads.
+// boot. Where this router has not read that far, it reads unless it is given what it lacks.
 func (f *Follower) Confirm(next int64, sent time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.whole || f.next < next {
+		if !f.behind {
+			f.behindAt = f.options.Clock()
+		}
 		f.behind = true
 		f.rouse()
 		return
@@ -183,9 +190,15 @@
 func (f *Follower) rest() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.lead || f.behind || !f.whole {
+	if f.lead {
+		return 0
+	}
+	if !f.whole {
 		return 0
 	}
+	if f.behind {
+		return f.behindAt + f.options.Grace - f.options.Clock()
+	}
 	return f.known + f.options.Stale - f.options.Clock()
 }
 
@@ -299,13 +312,16 @@
 	return f.failed
 }
 
-// Wants tells whether there is something newer that this router cannot read by itself.
+// Wants tells whether there is something newer that this router has not read.
 func (f *Follower) Wants() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.failed > 0 && (f.behind || !f.whole)
+	return f.behind || !f.whole
 }
 
+// Failing tells whether this router cannot read by itself.
+func (f *Follower) Failing() bool { return f.failures() > 0 }
+
 // Given takes the newest records from another router that has read up to the offset.
 func (f *Follower) Given(records []keyed.Record, next int64, sent time.Duration) {
 	f.mu.Lock()
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -32,6 +32,7 @@
 type Configured interface {
 	Followed
 	Wants() bool
+	Failing() bool
 	Given(records []keyed.Record, next int64, sent time.Duration)
 }
 
@@ -84,6 +85,7 @@
 	client   *rpc.Client
 	to       members.Member
 	news     chan struct{}
+	entered  chan struct{}
 	listed   int64
 	relistAt time.Time
 	hubName  string
@@ -103,7 +105,7 @@
 // New takes the address at once.
 func New(p Parts) (a *Agent, err error) {
 	defer annotate.Error(&err, "listen for routers on %s", p.Address)
-	a = &Agent{Parts: p, accepted: map[net.Conn]bool{}, news: make(chan struct{}), epoch: epochOf(p.Self.Name, time.Now())}
+	a = &Agent{Parts: p, accepted: map[net.Conn]bool{}, news: make(chan struct{}), entered: make(chan struct{}), epoch: epochOf(p.Self.Name, time.Now())}
 	a.Members.Put(p.Self)
 	a.listener, err = net.Listen("tcp4", p.Address)
 	return a, err
@@ -169,6 +171,7 @@
 		wait(ctx, storeWithin)
 	}
 	a.read(ctx)
+	close(a.entered)
 }
 
 func (a *Agent) within(ctx context.Context, do func(ctx context.Context) error) error {
@@ -204,6 +207,7 @@
 }
 
 func (a *Agent) run(ctx context.Context) {
+	a.awaitList(ctx)
 	for ctx.Err() == nil {
 		m, other := a.Members.Hub(a.Self.Name, time.Now())
 		if !other {
@@ -225,6 +229,21 @@
 	}
 }
 
+// awaitList waits until the list of routers has been read, or cannot be for some time. A router that knows nobody leads,
+// and so reads all the time what another reads for it.
+func (a *Agent) awaitList(ctx context.Context) {
+	t := time.NewTimer(listWithin)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-a.entered:
+	}
+}
+
+// listWithin is how long a router waits for the list of routers at its start.
+const listWithin = 300 * time.Millisecond
+
 // leastRound is the least time between two reports: news that come one by one are told together.
 const leastRound = 50 * time.Millisecond
 
--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -22,7 +22,7 @@
 	a.pending = append(a.pending, a.Loads.Placed()...)
 	args := &Report{
 		From: a.Self, Work: own, Reads: a.pending, Epoch: a.hubEpoch, Entries: a.entries, Heard: a.heard, Listed: a.members, Hold: hold,
-		Configuration: a.told, Wants: a.Configuration.Wants(),
+		Configuration: a.told, Wants: a.Configuration.Wants(), Failing: a.Configuration.Failing(),
 	}
 	var reply Reply
 	sent := a.Clock()
--- a/io/hub/message.go
+++ b/io/hub/message.go
@@ -18,10 +18,11 @@
 	Entries int64
 	Heard   int64
 	Listed  int64
-	// Configuration is the offset that was heard last of the configuration. Wants asks for the configuration itself,
-	// of a router that the store turns away.
+	// Configuration is the offset that was heard last of the configuration. Wants asks for the configuration itself;
+	// Failing tells that the store turns this router away.
 	Configuration int64
 	Wants         bool
+	Failing       bool
 	// Hold is how long the hub may wait for news before it answers.
 	Hold time.Duration
 }
--- a/io/hub/server.go
+++ b/io/hub/server.go
@@ -9,6 +9,7 @@
 
 	"savoryfall/core/event"
 	"savoryfall/core/field"
+	"savoryfall/core/keyed"
 	"savoryfall/io/meter"
 )
 
@@ -120,7 +121,7 @@
 	reply.Configuration = extent(a.Configuration, arrived)
 	reply.Registry = extent(a.Registry, arrived)
 	if args.Wants && reply.Configuration.Known {
-		reply.Given = a.Record()
+		reply.Given = a.given(args)
 	}
 	reply.Changes, reply.Entries = a.Endpoints.Changes().Since(since)
 	reply.Work, reply.Routers = a.board.Totals(time.Now())
@@ -133,6 +134,19 @@
 	}
 }
 
+// mostGiven bounds in bytes the configuration that is given to routers which can read it: beyond it a hundred of them at
+// once would fill the link of the hub's VM for longer than a configuration may take to be in force.
+const mostGiven = 128 << 10
+
+// given is the configuration for a router that wants it.
+func (a *Agent) given(args *Report) *keyed.Record {
+	r := a.Record()
+	if r != nil && len(r.Value) > mostGiven && !args.Failing {
+		return nil
+	}
+	return r
+}
+
 func extent(f Followed, arrived time.Duration) (e Extent) {
 	next, sent, ok := f.Known()
 	return Extent{Known: ok && sent > 0, Next: next, Age: arrived - sent}
