http1: a connection is kept for as long as the endpoint keeps it

Change: kept until a second before the endpoint would end it; four seconds only where it does not say.

--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -31,9 +31,9 @@
 	dialTimeout = 400 * time.Millisecond
 	// sendTimeout is when bytes that are not acknowledged end a connection: a cut leaves no other sign.
 	sendTimeout = 1500 * time.Millisecond
-	// idleMax is how long a connection is kept when the endpoint does not say, idleMargin how much sooner than the
+	// idleUsual is how long a connection is kept when the endpoint does not say, idleMargin how much sooner than the
 	// endpoint says: a request that crosses the endpoint's close is lost.
-	idleMax    = 4 * time.Second
+	idleUsual  = 4 * time.Second
 	idleMargin = time.Second
 	// idleAtMost bounds the idle connections to one endpoint.
 	idleAtMost = 32
@@ -139,12 +139,11 @@
 	return ok && err == nil
 }
 
-// put keeps a connection for keep, or as long as is usual when keep is 0.
-func (p *Pool) put(c *conn, keep time.Duration) {
-	if keep > 0 {
-		keep = min(keep-idleMargin, idleMax)
-	} else {
-		keep = idleMax
+// put keeps a connection for as long as the endpoint keeps it, or as long as is usual when that is 0.
+func (p *Pool) put(c *conn, told time.Duration) {
+	keep := idleUsual
+	if told > 0 {
+		keep = told - idleMargin
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
