--- a/io/fleet/members_test.go
+++ b/io/fleet/members_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -120,12 +121,30 @@
 	return all
 }
 
+// streamsOn starts streams until some run on the engine: on a busy machine all of them may end before that is looked at.
+func streamsOn(t *testing.T, f *fleet.Fleet, name string, n, tokens int) (all *sync.WaitGroup) {
+	t.Helper()
+	var ended atomic.Bool
+	ended.Store(true)
+	eventually(t, "work runs on "+name, func() bool {
+		if ended.Swap(false) {
+			wave := streams(t, f, n, tokens)
+			all = wave
+			go func() {
+				wave.Wait()
+				ended.Store(true)
+			}()
+		}
+		return f.Engine(name).Truth().Requests > 0
+	})
+	return all
+}
+
 // An engine is killed while streams run on it; their callers get the rest from another one, and the dead one is out of
 // use on every router.
 func TestKilledEngine(t *testing.T) {
 	f := start(t, fleet.Options{Routers: 3, Engines: 3})
-	all := streams(t, f, 12, 200)
-	eventually(t, "work runs on engine-01", func() bool { return f.Engine("engine-01").Truth().Requests > 0 })
+	all := streamsOn(t, f, "engine-01", 12, 200)
 	f.KillEngine("engine-01")
 	all.Wait()
 	eventually(t, "engine-01 is down everywhere", func() bool { return everywhere(t, f, health.Down) })
