dispatch: how slow an engine answers is not remembered

It compares the time to a first event with a fixed 35 ms and one rate of reading, so an engine that was busy for a moment was left by prompts that were warm there, which were then moved. Change: it goes. An engine that is slow keeps what it was sent for longer, and its load tells.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -92,8 +92,6 @@
 	if len(a.q.Prompt) == 0 {
 		return
 	}
-	expected := firstStep + float64(a.missing)/a.d.prefill.perMs()
-	e.slowness.add(float64(took)/float64(time.Millisecond)/expected, now)
 	a.d.prefill.saw(a.missing, took, now)
 }
 
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -34,10 +34,8 @@
 	hidden   float64
 	hiddenAt time.Time
 	cache    warmth.Cache
-	// slowness is how much longer answers take than this router expected, as a factor; latency is the time in
-	// milliseconds that a plain answer takes.
-	slowness average
-	latency  average
+	// latency is the time in milliseconds that a plain answer takes.
+	latency average
 	// heardAt is when the last bytes came.
 	heardAt time.Time
 	gone    bool
