dispatch: what does not tell engines apart is left out

Read again as a newcomer: the time to a first event was added to the cost of every engine alike, since it is no longer multiplied by slowness; the grace of the registry's follower was never used; known was a method here and a field there. No decision changes.

--- a/core/dispatch/contest.go
+++ b/core/dispatch/contest.go
@@ -268,7 +268,7 @@
 	}
 	excess := max(c.load(e)-nearMean*c.mean-nearMeanSlack, 0)
 	reading := (readingHarm*float64(c.missing(i)) + float64(e.toRead(c.now))) / c.d.prefill.perMs()
-	return ms + rankCost*c.rank(e) + excessCost*excess*excess + firstStep + reading
+	return ms + rankCost*c.rank(e) + excessCost*excess*excess + reading
 }
 
 // missing is how many tokens of the prompt the endpoint would have to read.
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -59,7 +59,7 @@
 	defer d.mu.Unlock()
 	by, pools := map[string]*endpoint{}, map[string][]*endpoint{}
 	for _, entry := range entries {
-		e := d.known(entry.ID)
+		e := d.find(entry.ID)
 		if e == nil || e.entry.Born != entry.Born || e.entry.Address != entry.Address {
 			e = newEndpoint(entry)
 		}
@@ -75,8 +75,8 @@
 	}
 }
 
-// known is the endpoint of that id, also when the list had dropped it.
-func (d *Dispatcher) known(id string) (e *endpoint) {
+// find is the endpoint of that id, also when the list had dropped it.
+func (d *Dispatcher) find(id string) (e *endpoint) {
 	if e = d.by[id]; e != nil {
 		return e
 	}
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -79,7 +79,7 @@
 	// staleAfter is the age of what the hub tells from which on a router reads for itself: in time for a
 	// configuration to be in force two seconds after its acknowledgement. What a hub tells is 1.4 s old at most.
 	staleAfter = 1500 * time.Millisecond
-	// grace is how long a router waits to be told by the hub what it lacks: a few times what asking it takes.
+	// grace is how long a router waits to be given a newer configuration by the hub: a few times what asking for it takes.
 	grace = 400 * time.Millisecond
 	// leastRouters is how many routers share the retries at least: those that have just come are not known yet.
 	leastRouters = 4
@@ -138,7 +138,7 @@
 	vm.kernel.Register("configuration", configuration)
 	endpoints := registry.New(wireregistry.Decoder{}, vm.listed, vm.logger)
 	listed := follow.New(c.Topic(wireregistry.Topic), endpoints, follow.Options{
-		Name: "registry", Pause: registryPause, Grace: grace, Stale: staleAfter, Clock: bootclock.Now,
+		Name: "registry", Pause: registryPause, Stale: staleAfter, Clock: bootclock.Now,
 	}, vm.logger)
 	vm.kernel.Register("registry", listed)
 	vm.set.NewGauge("savoryfall_registry_age_seconds", func() float64 {
