--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -126,7 +126,7 @@
 	full, _ := fleet(3)
 	home := choose(t, full, q(0), start).Endpoint()
 	d, _ := fleet(3)
-	d.Update(slices.DeleteFunc(slices.Clone(entries), func(e directory.Entry) bool { return e.ID == home.ID }), start)
+	d.Update(without(entries, home.ID), start)
 	before := choose(t, d, q(1), start).Endpoint()
 	d.Update(entries, start)
 	next := q(2)
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -168,7 +168,7 @@
 	for ctx.Err() == nil {
 		rest := f.rest()
 		if rest > 0 {
-			pause(ctx, rest, f.wake)
+			background.Pause(ctx, rest, f.wake)
 			continue
 		}
 		began := time.Now()
@@ -178,11 +178,11 @@
 		}
 		if err != nil {
 			// Nothing ends this pause sooner: what cannot be read is not read more often because it is wanted.
-			pause(ctx, f.lost(err), nil)
+			background.Pause(ctx, f.lost(err), nil)
 			continue
 		}
 		f.regained()
-		pause(ctx, f.options.Pause-time.Since(began), f.wake)
+		background.Pause(ctx, f.options.Pause-time.Since(began), f.wake)
 	}
 }
 
@@ -330,17 +330,3 @@
 	f.next, f.whole = max(f.next, next), true
 	f.read(sent)
 }
-
-// pause waits until the time is over or, where wake is given, until it is roused.
-func pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-wake:
-	case <-t.C:
-	}
-}
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -168,7 +168,7 @@
 			break
 		}
 		_ = a.Logger.Log(field.Event, event.NotListed, field.Err, err)
-		wait(ctx, storeWithin)
+		background.Pause(ctx, storeWithin, nil)
 	}
 	a.read(ctx)
 	close(a.entered)
@@ -207,7 +207,8 @@
 }
 
 func (a *Agent) run(ctx context.Context) {
-	a.awaitList(ctx)
+	// A router that knows nobody leads, and so reads all the time what another reads for it.
+	background.Pause(ctx, listWithin, a.entered)
 	for ctx.Err() == nil {
 		m, other := a.Members.Hub(a.Self.Name, time.Now())
 		if !other {
@@ -225,23 +226,11 @@
 			continue
 		}
 		a.lead(false, m.Name)
-		wait(ctx, time.Until(began.Add(leastRound)))
+		background.Pause(ctx, time.Until(began.Add(leastRound)), nil)
 	}
 }
 
-// awaitList waits until the list of routers has been read, or cannot be for some time. A router that knows nobody leads,
-// and so reads all the time what another reads for it.
-func (a *Agent) awaitList(ctx context.Context) {
-	t := time.NewTimer(listWithin)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-a.entered:
-	}
-}
-
-// listWithin is how long a router waits for the list of routers at its start.
+// listWithin is how long a router waits at its start for the list of routers to be read.
 const listWithin = 300 * time.Millisecond
 
 // leastRound is the least time between two reports: news that come one by one are told together.
@@ -261,7 +250,7 @@
 	if a.relistDue(now) {
 		a.read(ctx)
 	}
-	wait(ctx, period)
+	background.Pause(ctx, period, nil)
 }
 
 // heardOf is the number of the last read heard of the board of that epoch.
@@ -300,15 +289,6 @@
 	_ = a.Logger.Log(field.Event, event.HubFollowed, field.Hub, hub, field.Self, lead, field.Routers, a.Members.Len())
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Follows is the name of the router that reads the store for this one, which may be itself.
 func (a *Agent) Follows() string {
 	a.mu.Lock()
--- a/io/hub/server.go
+++ b/io/hub/server.go
@@ -7,6 +7,7 @@
 	"net/rpc"
 	"time"
 
+	"savoryfall/core/background"
 	"savoryfall/core/event"
 	"savoryfall/core/field"
 	"savoryfall/core/keyed"
@@ -29,7 +30,7 @@
 		}
 		if err != nil {
 			_ = a.Logger.Log(field.Event, event.AcceptFailed, field.Err, err)
-			wait(context.Background(), period)
+			background.Pause(context.Background(), period, nil)
 			continue
 		}
 		a.accept(server, raw)
