--- a/core/board/board.go
+++ b/core/board/board.go
@@ -53,6 +53,9 @@
 	reads   []Read
 	first   int64
 	seen    map[readKey]bool
+	// elsewhere is the work of the routers that report to other hubs, as the hub of this one told at a time.
+	elsewhere   Work
+	elsewhereAt time.Time
 }
 
 type report struct {
@@ -74,26 +77,51 @@
 	keptReads = 8192
 )
 
-// Take replaces what the router said before, and adds what it has placed since.
-func (b *Board) Take(router string, work Work, reads []Read, now time.Time) {
+// Take replaces what the router said before, adds what it has placed since, and returns what of that was not known.
+func (b *Board) Take(router string, work Work, reads []Read, now time.Time) (fresh []Read) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.routers == nil {
-		b.routers, b.seen = map[string]*report{}, map[readKey]bool{}
+		b.routers = map[string]*report{}
 	}
 	b.routers[router] = &report{at: now, work: work}
+	return b.note(reads)
+}
+
+// Hear adds what routers that report to other hubs have placed.
+func (b *Board) Hear(reads []Read) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.note(reads)
+}
+
+// HearTotal takes the work of all routers as the hub of this one told it, of which reported was told by this one.
+func (b *Board) HearTotal(total, reported Work, now time.Time) {
+	rest := total.less(reported)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.elsewhere, b.elsewhereAt = rest, now
+}
+
+func (b *Board) note(reads []Read) (fresh []Read) {
 	for _, r := range reads {
-		b.note(r)
+		if b.noteOne(r) {
+			fresh = append(fresh, r)
+		}
 	}
+	return fresh
 }
 
-func (b *Board) note(r Read) {
+func (b *Board) noteOne(r Read) (fresh bool) {
 	if len(r.Parts) == 0 {
-		return
+		return false
 	}
 	k := key(r)
 	if b.seen[k] {
-		return
+		return false
+	}
+	if b.seen == nil {
+		b.seen = map[readKey]bool{}
 	}
 	b.seen[k] = true
 	b.reads = append(b.reads, r)
@@ -105,6 +133,7 @@
 		b.reads = append([]Read(nil), b.reads[drop:]...)
 		b.first += int64(drop)
 	}
+	return true
 }
 
 func key(r Read) readKey { return readKey{endpoint: r.Endpoint, part: r.Parts[len(r.Parts)-1].ID} }
@@ -123,11 +152,34 @@
 	return append([]Read(nil), b.reads[n-b.first:]...), next
 }
 
-// Totals adds up what the routers said lately, by endpoint and by rank of a service, and counts them.
+// Totals adds up what all routers said lately, by endpoint and by rank of a service, and counts those that report here.
 func (b *Board) Totals(now time.Time) (work Work, routers int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var sum totals
+	sum, routers := b.sum(now)
+	if now.Sub(b.elsewhereAt) <= ReportAge {
+		sum.add(b.elsewhere)
+	}
+	return sum.work, routers
+}
+
+// Reported adds up what the routers that report here said lately, this one among them, and counts them.
+func (b *Board) Reported(now time.Time) (work Work, routers int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum, routers := b.sum(now)
+	return sum.work, routers
+}
+
+// Reporting tells whether the router has reported here lately.
+func (b *Board) Reporting(router string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.routers[router]
+	return r != nil && now.Sub(r.at) <= ReportAge
+}
+
+func (b *Board) sum(now time.Time) (sum totals, routers int) {
 	// Added up in the order of the map, the same reports would not always give the same totals.
 	for _, name := range slices.Sorted(maps.Keys(b.routers)) {
 		r := b.routers[name]
@@ -138,7 +190,7 @@
 		routers++
 		sum.add(r.work)
 	}
-	return sum.work, routers
+	return sum, routers
 }
 
 // totals adds up; the maps hold where in the work an endpoint or a rank stands.
@@ -186,3 +238,30 @@
 	l.All += o.All
 	l.Hidden = max(l.Hidden, o.Hidden)
 }
+
+// less is the work without a part of it. What is left is never below zero: the part may be newer than the whole. What an
+// endpoint says of itself is the same for all.
+func (w Work) less(part Work) (rest Work) {
+	loads := map[uint32]Load{}
+	for _, l := range part.Loads {
+		loads[l.Endpoint] = l
+	}
+	for _, l := range w.Loads {
+		p := loads[l.Endpoint]
+		rest.Loads = append(rest.Loads, Load{
+			Endpoint: l.Endpoint, Running: max(l.Running-p.Running, 0), Unread: max(l.Unread-p.Unread, 0),
+			Bad: max(l.Bad-p.Bad, 0), All: max(l.All-p.All, 0), Hidden: l.Hidden,
+		})
+	}
+	ranks := map[rankKey]Demand{}
+	for _, d := range part.Demands {
+		ranks[rankKey{service: d.Service, rank: d.Rank}] = d
+	}
+	for _, d := range w.Demands {
+		p := ranks[rankKey{service: d.Service, rank: d.Rank}]
+		rest.Demands = append(rest.Demands, Demand{
+			Service: d.Service, Rank: d.Rank, Came: max(d.Came-p.Came, 0), Running: max(d.Running-p.Running, 0),
+		})
+	}
+	return rest
+}
