hub: the list of routers is short, and a large fleet waits longer for its hubs

What callers saw: after all 295 VMs were killed at once, 335 requests of two seconds refused and 807 late, with routers ready 0.13 to 0.28 s after they started; on the small twin with 18 routers 0.09 s.

Cause: all read the list of routers at once, some 80 KB each, then entries and configuration where no hub had answered within 30 ms; the store's read bandwidth is shared by all.

Change: the list holds an address, a domain and how many routers a VM bears; patience for a hub grows by a millisecond for each router.

--- a/core/members/list.go
+++ b/core/members/list.go
@@ -19,9 +19,8 @@
 
 // known is a router with what this one has met of it.
 type known struct {
-	member   Member
-	capacity float64
-	hash     uint64
+	member Member
+	hash   uint64
 	// number is that of the change that brought what is known.
 	number int64
 	digest uint64
@@ -73,7 +72,7 @@
 	}
 	l.number++
 	l.digest -= k.digest
-	k.member, k.capacity, k.number, k.digest = m, m.capacity(), l.number, m.digest()
+	k.member, k.number, k.digest = m, l.number, m.digest()
 	l.digest += k.digest
 	return true
 }
@@ -82,8 +81,8 @@
 func (l *List) sort() {
 	sort.Slice(l.order, func(i, j int) bool {
 		a, b := l.order[i], l.order[j]
-		if a.capacity != b.capacity {
-			return a.capacity > b.capacity
+		if a.member.Bears != b.member.Bears {
+			return a.member.Bears > b.member.Bears
 		}
 		return a.hash > b.hash
 	})
--- a/core/members/member.go
+++ b/core/members/member.go
@@ -6,17 +6,23 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Member is a router as it lists itself.
+// Member is a router as it lists itself. What is written to the store is what others need to find a hub, and no more: all
+// routers that start together read the whole list.
 type Member struct {
-	Name          string `json:"name"`
+	Name          string `json:"-"`
 	Address       string `json:"address"`
-	FailureDomain string `json:"failureDomain,omitempty"`
+	FailureDomain string `json:"domain"`
 	// Started is when its process started, in Unix milliseconds; it only tells two processes of a name apart.
-	Started int64 `json:"started"`
-	// Cores, MemoryMB and LinkMbps are what the VM has; 0 for memory or link is not known.
-	Cores    float64 `json:"cores"`
-	MemoryMB float64 `json:"memoryMB,omitempty"`
-	LinkMbps float64 `json:"linkMbps,omitempty"`
+	Started int64 `json:"-"`
+	// Bears is how many routers its VM could serve as hub.
+	Bears int `json:"bears"`
+}
+
+// VM is what a VM has; 0 for memory or link is not known.
+type VM struct {
+	Cores    float64
+	MemoryMB float64
+	LinkMbps float64
 }
 
 // What a VM spends as hub: at most half of its processor and of the memory that serving leaves, and a quarter of its
@@ -34,24 +40,21 @@
 // mostFollowers bounds a hub on a VM of any size: its loss is felt by all who report to it.
 const mostFollowers = 64
 
-// capacity is how many routers the VM can serve as hub, by the least of what it has.
-func (m Member) capacity() float64 {
-	c := m.Cores * coresShare / followerCores
-	if m.MemoryMB > 0 {
-		c = min(c, max(0, m.MemoryMB-servingMB)*memoryShare/followerMB)
-	}
-	if m.LinkMbps > 0 {
-		c = min(c, m.LinkMbps*linkShare/followerMbps)
+// Bears is how many routers the VM could serve as hub, by the least of what it has.
+func (vm VM) Bears() int {
+	n := vm.Cores * coresShare / followerCores
+	if vm.MemoryMB > 0 {
+		n = min(n, max(0, vm.MemoryMB-servingMB)*memoryShare/followerMB)
 	}
-	if !(c >= 0) {
-		return 0
+	if vm.LinkMbps > 0 {
+		n = min(n, vm.LinkMbps*linkShare/followerMbps)
 	}
-	return c
+	return int(max(0, n))
 }
 
 // Followers is how many routers may report to this one at a time, at least one.
 func (m Member) Followers() int {
-	return int(max(1, min(m.capacity(), mostFollowers)))
+	return max(1, min(m.Bears, mostFollowers))
 }
 
 func (m Member) digest() uint64 { return xxhash.Sum64String(fmt.Sprintf("%+v", m)) }
--- a/core/members/place_test.go
+++ b/core/members/place_test.go
@@ -16,10 +16,10 @@
 func vm(i int) members.Member {
 	m := members.Member{
 		Name: fmt.Sprint("vm", i), Address: fmt.Sprint("10.0.0.", i), FailureDomain: fmt.Sprint("domain", i%6), Started: 1,
-		Cores: 0.2, MemoryMB: 184, LinkMbps: 20,
+		Bears: members.VM{Cores: 0.2, MemoryMB: 184, LinkMbps: 20}.Bears(),
 	}
 	if large(i) {
-		m.Cores, m.MemoryMB, m.LinkMbps = 0.8, 536, 200
+		m.Bears = members.VM{Cores: 0.8, MemoryMB: 536, LinkMbps: 200}.Bears()
 	}
 	return m
 }
@@ -137,10 +137,10 @@
 
 // Processor time is not all: a VM with much of it and a thin link, or little memory, is no better hub.
 func TestHubIsChosenByTheLeastOfWhatItsVMHas(t *testing.T) {
-	thin := members.Member{Name: "thin", Cores: 8, MemoryMB: 4096, LinkMbps: 2}
-	full := members.Member{Name: "full", Cores: 8, MemoryMB: 70, LinkMbps: 1000}
-	even := members.Member{Name: "even", Cores: 0.2, MemoryMB: 184, LinkMbps: 20}
-	odd := members.Member{Name: "odd", Cores: 0 / zero, MemoryMB: -1, LinkMbps: -1}
+	thin := members.Member{Name: "thin", Bears: members.VM{Cores: 8, MemoryMB: 4096, LinkMbps: 2}.Bears()}
+	full := members.Member{Name: "full", Bears: members.VM{Cores: 8, MemoryMB: 70, LinkMbps: 1000}.Bears()}
+	even := members.Member{Name: "even", Bears: members.VM{Cores: 0.2, MemoryMB: 184, LinkMbps: 20}.Bears()}
+	odd := members.Member{Name: "odd", Bears: members.VM{Cores: -1, MemoryMB: -1, LinkMbps: -1}.Bears()}
 	l := &members.List{}
 	l.Put(thin, full, even, odd)
 	for _, self := range []string{"thin", "full", "odd"} {
@@ -152,8 +152,6 @@
 	assert.Equal(t, odd.Followers(), 1)
 }
 
-var zero float64
-
 // A hub that is gone for good is tried ever more seldom and never waited for; one that comes back with a new process is followed
 // at once.
 func TestSilentHubIsTriedLessAndLess(t *testing.T) {
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -155,7 +155,8 @@
 	vm.hub, err = hub.New(hub.Parts{
 		Self: members.Member{
 			Name: vm.settings.VM().Name(), Address: vm.settings.Announced(), FailureDomain: vm.settings.VM().FailureDomain(),
-			Started: time.Now().UnixMilli(), Cores: vm.settings.Cores(), MemoryMB: vm.settings.MemoryMB(), LinkMbps: vm.settings.LinkMbps(),
+			Started: time.Now().UnixMilli(),
+			Bears:   members.VM{Cores: vm.settings.Cores(), MemoryMB: vm.settings.MemoryMB(), LinkMbps: vm.settings.LinkMbps()}.Bears(),
 		},
 		Address: vm.settings.Peers(),
 		Members: &members.List{}, Configuration: configuration, Record: vm.desired.Record, Registry: listed, Endpoints: endpoints,
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -109,8 +109,8 @@
 	stopped  bool
 	// reading tells whether this router reads the store: nobody does it for it, or its hub asked it to.
 	reading bool
-	// above tells that who reads for this router cannot.
-	above bool
+	// hubFails tells that who reads for the hub cannot.
+	hubFails bool
 	// pending and joined are reads and routers that were heard of here and that no hub has taken yet.
 	pending []board.Read
 	joined  []members.Member
@@ -184,7 +184,7 @@
 func (a *Agent) run(ctx context.Context) {
 	// A router that knows nobody leads, and so reads all the time what another reads for it.
 	background.Pause(ctx, listWithin, a.entered)
-	alone := time.AfterFunc(a.aid(), a.unaided)
+	alone := time.AfterFunc(a.patience(), a.unaided)
 	defer alone.Stop()
 	for failed := 0; ctx.Err() == nil; {
 		m, other := a.Members.Hub(a.Self.Name)
@@ -219,11 +219,14 @@
 	_ = a.Logger.Log(field.Event, event.HubLost, field.Hub, m.Name, field.Err, err)
 }
 
-func (a *Agent) aid() time.Duration {
+// patience is how long a starting router waits for a hub to tell it what the store holds. The more routers there are, the longer
+// they would wait for the store when all start at once and each read for itself. In a fleet's first start, before it has clients,
+// there is time for the hub to have read it.
+func (a *Agent) patience() time.Duration {
 	if a.Bootstrap {
-		return firstStart
+		return firstPatience
 	}
-	return aidWithin
+	return leastPatience + time.Duration(a.Members.Len())*routerPatience
 }
 
 // unaided lets the topics be read that no hub has told of yet.
@@ -236,11 +239,10 @@
 	// listWithin is how long a router waits at its start for the list of routers to be read.
 	listWithin = 600 * time.Millisecond
 	// enterTogether is how long the routers of a fleet that starts take to list themselves.
-	enterTogether = 400 * time.Millisecond
-	// aidWithin is how long a starting router waits for a hub to tell it what the store holds; in a fleet's first start,
-	// before it has clients, it waits for the hub to have read it.
-	aidWithin  = 30 * time.Millisecond
-	firstStart = time.Second
+	enterTogether  = 400 * time.Millisecond
+	leastPatience  = 30 * time.Millisecond
+	routerPatience = time.Millisecond
+	firstPatience  = time.Second
 	// leastRound is the least time between two reports: news that come one by one are told together.
 	leastRound = 50 * time.Millisecond
 	// hopFirst and hopMost bound the pause after the second hub in a row that did not answer, and after those that follow. The
@@ -277,9 +279,9 @@
 }
 
 // follow notes whose reports this router takes part in, whether it reads the store itself, and whether who reads for it cannot.
-func (a *Agent) follow(hub string, reading, above bool) {
+func (a *Agent) follow(hub string, reading, hubFails bool) {
 	a.mu.Lock()
-	a.above = above
+	a.hubFails = hubFails
 	changed, readingChanged := a.hubName != hub, a.reading != reading
 	a.hubName, a.reading = hub, reading
 	if changed && hub == a.Self.Name {
@@ -298,9 +300,9 @@
 // failing tells whether nobody that reads for this router can.
 func (a *Agent) failing() bool {
 	a.mu.Lock()
-	reading, above := a.reading, a.above
+	reading, hubFails := a.reading, a.hubFails
 	a.mu.Unlock()
-	return above || reading && (a.Configuration.Failing() || a.Registry.Failing())
+	return hubFails || reading && (a.Configuration.Failing() || a.Registry.Failing())
 }
 
 // Reads tells whether this router reads the store all the time, for others or because its hub cannot.
--- a/io/hub/agent_test.go
+++ b/io/hub/agent_test.go
@@ -184,7 +184,7 @@
 	var err error
 	r.agent, err = hub.New(hub.Parts{
 		Address: address,
-		Self:    members.Member{Name: name, Address: address, Started: 1, Cores: cores},
+		Self:    members.Member{Name: name, Address: address, Started: 1, Bears: members.VM{Cores: cores}.Bears()},
 		Members: &members.List{}, Configuration: &r.configuration, Registry: &r.registry,
 		Record:    func() *keyed.Record { return r.record },
 		Endpoints: &r.endpoints, Loads: &r.loads, Listing: hub.NewListing(l), Meter: meter.New(metrics.NewSet()),
--- a/io/hub/input_test.go
+++ b/io/hub/input_test.go
@@ -105,8 +105,7 @@
 // A hub serves as many as its VM bears. Who comes then is told so at once, and who reports already goes on.
 func TestFullHubSaysSo(t *testing.T) {
 	s, _ := made(t, "hub")
-	s.agent.Self.Cores = 0.2
-	s.agent.Self.LinkMbps = 0.8
+	s.agent.Self.Bears = 2
 	now := time.Now()
 	s.agent.board.Take("hub", board.Work{}, nil, now)
 	assert.Equal(t, s.agent.Self.Followers(), 2)
--- a/io/hub/listing.go
+++ b/io/hub/listing.go
@@ -40,7 +40,8 @@
 	}
 	for _, r := range p.Records {
 		var m members.Member
-		if json.Unmarshal(r.Value, &m) == nil && m.Name == r.Key && m.Address != "" {
+		if json.Unmarshal(r.Value, &m) == nil && m.Address != "" {
+			m.Name = r.Key
 			all = append(all, m)
 		}
 	}
