entry: a request waits for the configuration of a router that has just started

What callers saw: a router that starts refuses all until it is told the configuration, for some hundred milliseconds. Told to come back after 0.5 s, clients came back late, or for their last try to another router that knew none either.

Ruled out: a shorter Retry-After, which uses up the one retry sooner.

Change: within the first second of a process a request waits up to 250 ms; after that it is refused at once. The test failed before (503).

--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -41,6 +41,7 @@
 	x.ctx = ctx
 	p := x.decode()
 	if p == nil {
+		x.front.awaitStart(ctx)
 		p = x.admit()
 	}
 	if p == nil {
--- a/io/entry/front.go
+++ b/io/entry/front.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"savoryfall/core/ask"
+	"savoryfall/core/background"
 	"savoryfall/core/dispatch"
 	"savoryfall/core/freshness"
 	"savoryfall/core/retryshare"
@@ -56,6 +58,7 @@
 	Parts
 	phase atomic.Int32
 	open  atomic.Int64
+	began time.Time
 }
 
 // The phases of a front's life. While leaving, it still takes requests, because the balancer and open connections
@@ -67,7 +70,26 @@
 )
 
 // New makes a front.
-func New(p Parts) *Front { return &Front{Parts: p} }
+func New(p Parts) *Front { return &Front{Parts: p, began: time.Now()} }
+
+const (
+	// startTime is for how long a process counts as starting: it is told the configuration within some hundred milliseconds,
+	// or cannot be.
+	startTime = time.Second
+	// startWait is how long a request waits for that at most, startLook how often it looks.
+	startWait = 250 * time.Millisecond
+	startLook = 5 * time.Millisecond
+)
+
+// awaitStart lets a request wait for the configuration of a process that has just started. All routers that start again
+// together are asked before they know one; told to come back, clients came back late, or for their last try to another router
+// that knew none either.
+func (f *Front) awaitStart(ctx context.Context) {
+	until := time.Now().Add(startWait)
+	for f.Configuration.Current() == nil && time.Since(f.began) < startTime && time.Now().Before(until) && ctx.Err() == nil {
+		background.Pause(ctx, startLook, nil)
+	}
+}
 
 // Leave makes the front unready and asks clients to go elsewhere after each answer.
 func (f *Front) Leave() { f.phase.CompareAndSwap(serving, leaving) }
