hub: what a full hub has not taken is told to the next one

Read again: a hub that serves as many as it can answers before it takes anything, but the router that reported took its placed prompts and the routers that had joined for told. Others did not hear of them. The test failed before.

--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -71,10 +71,10 @@
 	if err != nil {
 		return err
 	}
-	a.delivered(args)
 	if reply.Full {
 		return errFull
 	}
+	a.delivered(args)
 	if a.stuck(&reply) || a.behind(&reply, &args.Offer, sent) {
 		return errBehind
 	}
--- a/io/hub/epoch_test.go
+++ b/io/hub/epoch_test.go
@@ -19,6 +19,7 @@
 type unread struct{ Configured }
 
 func (unread) Known() (next int64, sent time.Duration, ok bool) { return 0, 0, false }
+func (unread) Wants() bool                                      { return false }
 func (unread) Failing() bool                                    { return false }
 func (unread) Attend()                                          {}
 func (unread) Unaided()                                         {}
--- a/io/hub/input_test.go
+++ b/io/hub/input_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"math"
+	"net"
+	"net/rpc"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -120,6 +124,36 @@
 	assert.Assert(t, !reply.Full)
 }
 
+// What a router has heard of is told to the next hub when the first was full: it had taken nothing of it.
+func TestFullHubTakesNothing(t *testing.T) {
+	for _, full := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			s, _ := made(t, "hub")
+			a := s.agent
+			a.Loads, a.Configuration, a.Registry = idle{}, leading{leads: &atomic.Bool{}}, leading{leads: &atomic.Bool{}}
+			a.joined = []members.Member{{Name: "new", Address: "a"}}
+			server, client := rpc.NewServer(), &answering{Reply{Full: full}}
+			assert.NilError(t, server.RegisterName(serviceName, client))
+			here, there := net.Pipe()
+			go server.ServeConn(there)
+			a.client, a.to = rpc.NewClient(here), members.Member{Name: "next"}
+			err := a.report(t.Context(), a.to)
+			assert.Equal(t, err != nil, full)
+			assert.Equal(t, len(a.joined) > 0, full)
+			_ = a.client.Close()
+		})
+	}
+}
+
+// answering is a hub that always says the same.
+type answering struct{ reply Reply }
+
+// Report answers.
+func (h *answering) Report(_ *Report, reply *Reply) error {
+	*reply = h.reply
+	return nil
+}
+
 // A hub that knows only what is old, and of which nobody says that the store cannot be read, is stuck: its followers would wait for
 // ever for what it does not read.
 func TestStuckHubIsLeft(t *testing.T) {
