members: up to a hundred routers have one hub

Cause: 72 routers had two levels, which make what they know of each other a tenth of a second older.

Change: one hub for up to 100 routers where its VM bears them; what is told only when it changed keeps its cost down. The hubs of larger fleets are planned as before.

What 300 and 1,700 may have is unchanged.

--- a/core/members/member.go
+++ b/core/members/member.go
@@ -38,7 +38,7 @@
 )
 
 // mostFollowers bounds a hub on a VM of any size: its loss is felt by all who report to it.
-const mostFollowers = 64
+const mostFollowers = 100
 
 // Bears is how many routers the VM could serve as hub, by the least of what it has.
 func (vm VM) Bears() int {
--- a/core/members/place.go
+++ b/core/members/place.go
@@ -6,13 +6,15 @@
 )
 
 // oneHubMost is up to how many routers a single hub serves all, where its VM can: one level more makes what they know of
-// each other older.
-const oneHubMost = 64
+// each other older, so that more requests meet an engine that others have just filled.
+const oneHubMost = 100
 
-// plannedNum of plannedDen is the part of what a hub can serve that is planned for: hashing does not share evenly.
+// plannedNum of plannedDen is the part of what a hub can serve that is planned for, since hashing does not share evenly, and
+// plannedMost the most of it.
 const (
-	plannedNum = 2
-	plannedDen = 3
+	plannedNum  = 2
+	plannedDen  = 3
+	plannedMost = 42
 )
 
 // Hub is whom a router follows; ok is false when it is the one that follows nobody.
@@ -99,7 +101,7 @@
 			continue
 		}
 		hubs = append(hubs, k)
-		left -= k.member.Followers() * plannedNum / plannedDen
+		left -= min(k.member.Followers()*plannedNum/plannedDen, plannedMost)
 		if left <= 0 {
 			return hubs
 		}
