--- a/core/members/place.go
+++ b/core/members/place.go
@@ -6,7 +6,7 @@
 )
 
 // oneHubMost is up to how many routers a single hub serves all, where its VM can: one level more makes what they know of
-// each other older, so that more requests meet an engine that others have just filled.
+// each other older.
 const oneHubMost = 100
 
 // plannedNum of plannedDen is the part of what a hub can serve that is planned for, since hashing does not share evenly, and
