--- a/core/members/place.go
+++ b/core/members/place.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"savoryfall/core/scatter"
 )
 
 // oneHubMost is up to how many routers a single hub serves all, where its VM can: one level more makes what they know of
@@ -114,16 +116,9 @@
 func nearest(me *known, hubs []*known) (best *known) {
 	most := uint64(0)
 	for _, h := range hubs {
-		if score := mix(me.hash ^ h.hash); best == nil || score > most {
+		if score := scatter.Mix(me.hash ^ h.hash); best == nil || score > most {
 			best, most = h, score
 		}
 	}
 	return best
 }
-
-// mix spreads the bits of a hash (the finalizer of SplitMix64).
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
