drain, coldshare: drained failure domains get no work, cold endpoints a share

The record of the order was read and passed over.

An order is kept beside the configuration, whose topic it is in, and passes through hubs with it: a hub gives the records that are in force, and the configuration itself only to who lacks it. Given records are all that hold, so an order that ended unseen ends. The last order that can be read holds. In a drained domain nothing is chosen, fetched from or tried again; when that is over its endpoints count as cold for as long as a start takes, because what they say of it may come later than the order.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -18,6 +18,10 @@
 	FailureDomain string
 	Slots         int
 	Leaving       bool
+	// Cold is for how much longer the endpoint bears only few requests, counted from when it wrote that.
+	Cold time.Duration
+	// ColdUnknown tells that the entry does not say it so that it can be read: what it said before holds.
+	ColdUnknown bool
 }
 
 // Directory keeps the newest entry of each endpoint; the zero value is empty.
@@ -74,6 +78,9 @@
 	if e.Born == r.entry.Born && r.entry.Leaving {
 		e.Leaving = true
 	}
+	if e.ColdUnknown && e.Born == r.entry.Born {
+		e.Cold = r.entry.Cold
+	}
 	same := e
 	same.Sequence = r.entry.Sequence
 	changed = back || same != r.entry
--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -57,6 +57,9 @@
 	e.running++
 	e.sent, e.sentAt = e.sentLately(now)+1, now
 	e.breaker.try(now)
+	if c.coldPerSecond > 0 {
+		e.cold.note(now)
+	}
 	d.demand(q.Service).began(q.Rank)
 	a := &Attempt{d: d, e: e, entry: e.entry, q: q, began: now, missing: missing, unread: missing, donor: donor}
 	e.unread += missing
@@ -83,6 +86,10 @@
 	defer a.d.mu.Unlock()
 	e := a.e
 	e.heardAt = now
+	if e.breaker.strikes > 0 {
+		// Its process may be another one, which the list does not name yet.
+		e.cold.assume(a.d.coldFor(e), now)
+	}
 	e.breaker.reset()
 	if l.Known {
 		e.told(l, now)
--- a/core/dispatch/contest.go
+++ b/core/dispatch/contest.go
@@ -31,12 +31,17 @@
 	warm  []int
 	// known is what the home is known to hold, not believed.
 	known int
+	// coldPerSecond is how many requests an endpoint of the service bears while it is cold, 0 for any number.
+	coldPerSecond float64
 }
 
 func (d *Dispatcher) contest(q Query, pool []*endpoint, now time.Time) *contest {
-	c := &contest{d: d, q: q, pool: answering(pool, now), now: now}
+	c := &contest{d: d, q: q, pool: answering(d.undrained(pool), now), now: now}
 	pool = c.pool
 	c.slots, _, c.engine = d.capacity(q.Service)
+	if s := d.service(q.Service); s != nil {
+		c.coldPerSecond = s.ColdPerSecond
+	}
 	known := 0
 	for _, e := range pool {
 		c.others += e.ofOthers(now) / float64(len(pool))
@@ -206,7 +211,7 @@
 		if e.gone || slices.Contains(c.q.Tried, e.entry.ID) {
 			continue
 		}
-		if !anyway && c.over(e) {
+		if !anyway && c.over(e) || c.tooCold(e) {
 			why = ReasonFull
 			continue
 		}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"savoryfall/core/board"
+	"savoryfall/core/coldshare"
 	"savoryfall/core/directory"
 	"savoryfall/core/prompt"
 	"savoryfall/core/routetable"
@@ -30,6 +31,10 @@
 	heardAt      time.Time
 	// random is nil for the source of the process, which no two routers have alike.
 	random *rand.Rand
+	// drained are the failure domains whose endpoints get no new work.
+	drained   []string
+	fleet     coldshare.Fleet
+	coldBound coldshare.Bound
 }
 
 // New makes a dispatcher for a router of the failure domain.
@@ -63,6 +68,9 @@
 		if e == nil || e.entry.Born != entry.Born || e.entry.Address != entry.Address {
 			e = newEndpoint(entry)
 		}
+		if e.entry != entry {
+			e.cold.left(entry.Cold, now)
+		}
 		e.entry = entry
 		by[entry.ID] = e
 		pools[entry.Service] = append(pools[entry.Service], e)
@@ -118,11 +126,10 @@
 func (d *Dispatcher) Choose(q Query, now time.Time) (a *Attempt, why Reason) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	pool := d.pools[q.Service]
-	if len(pool) == 0 {
+	c := d.contest(q, d.pools[q.Service], now)
+	if len(c.pool) == 0 {
 		return nil, ReasonNone
 	}
-	c := d.contest(q, pool, now)
 	if len(q.Tried) > 0 {
 		// What was let in once goes on: it has used a place already, and its client has waited.
 		return c.decide()
@@ -168,7 +175,7 @@
 	defer d.mu.Unlock()
 	c := d.contest(Query{Service: service}, d.pools[service], now)
 	return slices.ContainsFunc(c.pool, func(e *endpoint) bool {
-		return e.entry.ID != id && !e.gone && !e.breaker.open(now) && !c.over(e)
+		return e.entry.ID != id && !e.gone && !e.breaker.open(now) && !c.over(e) && !c.tooCold(e)
 	})
 }
 
@@ -182,11 +189,16 @@
 	}
 }
 
-func (d *Dispatcher) capacity(service string) (slots, cache int, engine bool) {
+// service is that of the configuration, nil when it names none.
+func (d *Dispatcher) service(name string) *routetable.Service {
 	if d.table == nil {
-		return 0, 0, false
+		return nil
 	}
-	s := d.table.Service(service)
+	return d.table.Service(name)
+}
+
+func (d *Dispatcher) capacity(service string) (slots, cache int, engine bool) {
+	s := d.service(service)
 	if s == nil {
 		return 0, 0, false
 	}
--- a/core/dispatch/donor.go
+++ b/core/dispatch/donor.go
@@ -37,7 +37,7 @@
 		}
 	}
 	for _, e := range c.d.left {
-		if e.entry.Service == c.q.Service && c.now.Sub(e.leftAt) <= servesOn && !e.breaker.open(c.now) {
+		if e.entry.Service == c.q.Service && !c.d.isDrained(e) && c.now.Sub(e.leftAt) <= servesOn && !e.breaker.open(c.now) {
 			consider(e, e.cache.Warm(c.q.Prompt))
 		}
 	}
--- /dev/null
+++ b/core/dispatch/drain_test.go
@@ -0,0 +1,151 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryfall/core/coldshare"
+	"savoryfall/core/directory"
+	"savoryfall/core/dispatch"
+	"savoryfall/core/routetable"
+)
+
+// domains is a router before three engines in each of two failure domains, which bear 16 requests a second while cold.
+func domains(routers ...uint64) (d *dispatch.Dispatcher, entries []directory.Entry) {
+	d, entries = fleet(6)
+	d.Configure(routetable.New(routetable.Contents{Services: []routetable.Service{
+		{Name: models, Engine: true, Slots: 32, CacheTokens: 700000, ColdFor: 3 * time.Second, ColdPerSecond: 16}, {Name: plain},
+	}}))
+	for i := range entries {
+		if i >= 6 {
+			entries[i].FailureDomain = "b"
+		}
+	}
+	d.Update(entries, start)
+	d.SetColdBound(coldshare.Bound{Overrun: 1.5, Slack: 5})
+	if len(routers) > 0 {
+		d.SetFleet(coldshare.New(routers[0], routers))
+	}
+	return d, entries
+}
+
+// Guards against requests, tries again and transfers that use a drained domain.
+func TestDrainedDomainGetsNothing(t *testing.T) {
+	d, _ := domains(1)
+	for i := range uint64(100) {
+		a := choose(t, d, dispatch.Query{Service: models, Prompt: document(i%20, i)}, start)
+		a.Answered(dispatch.Load{}, start)
+		a.End(dispatch.Served, start)
+	}
+	d.Drain([]string{"b"}, start)
+	assert.Equal(t, d.InDomain("b"), 6)
+	for i := range uint64(100) {
+		q := dispatch.Query{Service: models, Prompt: document(i%20, i)}
+		a := choose(t, d, q, start)
+		assert.Equal(t, a.Endpoint().FailureDomain, "a")
+		assert.Assert(t, a.Donor() == "" || a.Donor() < "10.0.0.3", a.Donor())
+		a.End(dispatch.Broken, start)
+		q.Tried = []string{a.Endpoint().ID}
+		a = choose(t, d, q, start)
+		assert.Equal(t, a.Endpoint().FailureDomain, "a")
+		a.End(dispatch.Served, start)
+	}
+	d.Drain([]string{"a", "b"}, start)
+	a, why := d.Choose(dispatch.Query{Service: models}, start)
+	assert.Assert(t, a == nil)
+	assert.Equal(t, why, dispatch.ReasonNone)
+	assert.Assert(t, !d.Room(models, "", start))
+}
+
+// sendsAtB is the most of 900 requests, one a millisecond, that go to any endpoint of the failure domain b.
+func sendsAtB(d *dispatch.Dispatcher, now time.Time) (most int) {
+	at := map[string]int{}
+	for i := range uint64(900) {
+		a, _ := d.Choose(dispatch.Query{Service: models, Prompt: document(i, i)}, now.Add(time.Duration(i)*time.Millisecond))
+		if a == nil {
+			continue
+		}
+		if a.Endpoint().FailureDomain == "b" {
+			at[a.Endpoint().ID]++
+			most = max(most, at[a.Endpoint().ID])
+		}
+		a.End(dispatch.Served, now)
+	}
+	return most
+}
+
+// Guards against engines that fail because they are sent, when they come back, what a warm one is sent. One router alone may
+// send nine tenths of what an engine bears.
+func TestReturnOfADrainedDomainIsCold(t *testing.T) {
+	d, _ := domains(1)
+	now := start.Add(time.Minute)
+	d.Drain([]string{"b"}, now)
+	d.Drain(nil, now)
+	assert.Equal(t, sendsAtB(d, now), 26)
+	now = now.Add(4 * time.Second)
+	assert.Assert(t, sendsAtB(d, now) > 29)
+}
+
+// Guards against an engine that fails because it is sent more than it bears while its entry says that it is cold.
+func TestColdEngineIsSentItsShare(t *testing.T) {
+	for _, tt := range []struct {
+		routers []uint64
+		want    int
+	}{{[]uint64{1}, 26}, {[]uint64{1, 2}, 13}, {nil, 0}} {
+		d, entries := domains(tt.routers...)
+		for i := range entries {
+			if entries[i].FailureDomain == "b" {
+				entries[i].Born, entries[i].Cold = 7, 2*time.Second
+			}
+		}
+		d.Update(entries, start)
+		assert.Equal(t, sendsAtB(d, start), tt.want)
+		// It counts on from when it was heard, not anew with what others say.
+		entries[0].Sequence++
+		d.Update(entries, start.Add(time.Second))
+		assert.Assert(t, sendsAtB(d, start.Add(2100*time.Millisecond)) > 29)
+	}
+}
+
+// Guards against a router that refuses nobody when only cold engines are left, and has them fail.
+func TestOnlyColdEnginesAreLeft(t *testing.T) {
+	d, entries := domains(1)
+	for i := range entries {
+		entries[i].Born, entries[i].Cold = 7, 2*time.Second
+	}
+	d.Update(entries, start)
+	served := 0
+	for i := range uint64(500) {
+		a, why := d.Choose(dispatch.Query{Service: models}, start.Add(time.Duration(i)*time.Millisecond))
+		if a != nil {
+			served++
+			a.End(dispatch.Served, start)
+			continue
+		}
+		assert.Equal(t, why, dispatch.ReasonFull)
+	}
+	assert.Equal(t, served, 6*26)
+}
+
+// Guards against an engine that starts again under its id, is answered by, and is taken for the warm one that was lost.
+func TestEngineThatAnswersAgainCountsAsCold(t *testing.T) {
+	d, _ := domains(1)
+	now := start
+	for range 4 {
+		lose(t, d, "models4", dispatch.Unreachable, 20, now)
+		now = now.Add(600 * time.Millisecond)
+	}
+	now = now.Add(3 * time.Second)
+	sent := 0
+	for i := range uint64(900) {
+		a := choose(t, d, dispatch.Query{Service: models, Prompt: document(i, i)}, now.Add(time.Duration(i)*time.Millisecond))
+		if a.Endpoint().ID == "models4" {
+			sent++
+		}
+		a.Answered(dispatch.Load{}, now)
+		a.End(dispatch.Served, now)
+	}
+	assert.Assert(t, sent >= 10 && sent <= 26, "%d", sent)
+}
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -39,12 +39,13 @@
 	// heardAt is when the last bytes came.
 	heardAt time.Time
 	gone    bool
+	cold    coldness
 	// leftAt is when the list named it no more.
 	leftAt time.Time
 }
 
 func newEndpoint(entry directory.Entry) *endpoint {
-	return &endpoint{entry: entry, hash: xxhash.Sum64String(entry.ID)}
+	return &endpoint{hash: xxhash.Sum64String(entry.ID)}
 }
 
 // name is the endpoint's between routers.
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -93,6 +93,10 @@
 	Endpoint Name = "endpoint"
 	// Address is that of an endpoint, or of a listener.
 	Address Name = "address"
+	// Domain is a failure domain.
+	Domain Name = "domain"
+	// Listed is how many endpoints of it are known.
+	Listed Name = "listed"
 	// Born is when the endpoint's process started, as its entry says.
 	Born Name = "born"
 )
--- a/core/members/list.go
+++ b/core/members/list.go
@@ -4,8 +4,6 @@
 	"sort"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // List is the routers known, with which of them did not answer lately; the zero value is empty.
@@ -61,7 +59,7 @@
 func (l *List) put(m Member) (changed bool) {
 	k := l.by[m.Name]
 	if k == nil {
-		k = &known{hash: xxhash.Sum64String(m.Name)}
+		k = &known{hash: Hash(m.Name)}
 		l.by[m.Name] = k
 		l.order = append(l.order, k)
 	} else if k.member == m || m.Started < k.member.Started {
@@ -95,6 +93,16 @@
 	return len(l.by)
 }
 
+// Hashes are those of the names of all routers known.
+func (l *List) Hashes() (hashes []uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.order {
+		hashes = append(hashes, k.hash)
+	}
+	return hashes
+}
+
 // Has tells whether the router is known as it is, but for when its process started.
 func (l *List) Has(m Member) bool {
 	l.mu.Lock()
--- a/core/members/member.go
+++ b/core/members/member.go
@@ -57,4 +57,7 @@
 	return max(1, min(m.Bears, mostFollowers))
 }
 
+// Hash stands for a router's name where routers are ranked.
+func Hash(name string) uint64 { return xxhash.Sum64String(name) }
+
 func (m Member) digest() uint64 { return xxhash.Sum64String(fmt.Sprintf("%+v", m)) }
--- a/core/routetable/table.go
+++ b/core/routetable/table.go
@@ -57,6 +57,10 @@
 	Slots  int
 	// CacheTokens is how many tokens of prompts an engine keeps.
 	CacheTokens int
+	// ColdFor is how long an endpoint is cold after its start, ColdPerSecond how many requests it bears in that time, 0 for
+	// any number.
+	ColdFor       time.Duration
+	ColdPerSecond float64
 }
 
 // Account is a client account with the keys that show it.
--- a/core/settings/entry.go
+++ b/core/settings/entry.go
@@ -15,6 +15,7 @@
 	memoryMB  float64
 	linkMbps  float64
 	changes   time.Duration
+	cold      Cold
 	clients   string
 	readiness string
 	metrics   string
@@ -43,6 +44,18 @@
 // Window is the time over which both are counted.
 func (r Retries) Window() time.Duration { return r.window }
 
+// Cold is how far beyond their rate endpoints may be sent requests while they are cold, by all routers together.
+type Cold struct {
+	overrun float64
+	slack   float64
+}
+
+// Overrun is how many times its rate a cold endpoint may be sent.
+func (c Cold) Overrun() float64 { return c.overrun }
+
+// Slack is how many requests more it may be sent in a second.
+func (c Cold) Slack() float64 { return c.slack }
+
 // ParseEntry reads and checks a settings file; the error is a tomldoc.Faults with every fault.
 func ParseEntry(file string, data []byte) (s *Entry, err error) {
 	doc, err := tomldoc.Parse(file, data)
@@ -64,6 +77,7 @@
 		keyTerm:   t.Table("keys").Duration("withdrawnWithin", 5*time.Second, 500*time.Millisecond, time.Hour),
 		grace:     t.Table("stop").Duration("grace", 8*time.Second, time.Second, time.Hour),
 		retries:   readRetries(t.Table("retries")),
+		cold:      readCold(t.Table("cold")),
 		traces:    readTraces(t.Table("traces")),
 	}
 	const announced = "announced"
@@ -74,7 +88,17 @@
 
 func readChanges(t *tomldoc.Table) time.Duration {
 	const usual, least, most = 2 * time.Second, 500 * time.Millisecond, time.Minute
-	return min(t.Duration("configurationWithin", usual, least, most), t.Duration("leavingWithin", usual, least, most))
+	return min(
+		t.Duration("configurationWithin", usual, least, most), t.Duration("leavingWithin", usual, least, most),
+		t.Duration("drainedWithin", usualDrain, least, most),
+	)
+}
+
+// usualDrain is how long the drain of a failure domain may take to be in force, when the settings do not say.
+const usualDrain = 5 * time.Second
+
+func readCold(t *tomldoc.Table) Cold {
+	return Cold{overrun: t.Real("overrun", 1, 1, 1000), slack: t.Real("slack", 0, 0, 1e6)}
 }
 
 func readRetries(t *tomldoc.Table) (r Retries) {
@@ -99,8 +123,11 @@
 // LinkMbps is the bandwidth of the VM's link, 0 when it is not known.
 func (s *Entry) LinkMbps() float64 { return s.linkMbps }
 
-// ChangesWithin is how long a change at the store may take to be in force on every router: of the configuration, or of an
-// endpoint that leaves, whichever is shorter.
+// Cold bounds what endpoints that have just started are sent.
+func (s *Entry) Cold() Cold { return s.cold }
+
+// ChangesWithin is how long a change at the store may take to be in force on every router: of the configuration, of an
+// endpoint that leaves, or of a failure domain that is drained, whichever is shortest.
 func (s *Entry) ChangesWithin() time.Duration { return s.changes }
 
 // Clients is the address where clients are served.
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"savoryfall/core/annotate"
+	"savoryfall/core/coldshare"
 	"savoryfall/core/directory"
 	"savoryfall/core/dispatch"
 	"savoryfall/core/event"
@@ -32,6 +33,7 @@
 	"savoryfall/io/bootclock"
 	"savoryfall/io/clientconn"
 	"savoryfall/io/desired"
+	"savoryfall/io/draining"
 	"savoryfall/io/entry"
 	"savoryfall/io/follow"
 	"savoryfall/io/http1"
@@ -43,6 +45,7 @@
 	"savoryfall/io/tracing"
 	"savoryfall/platform/backend"
 	wiredesired "savoryfall/platform/desired"
+	"savoryfall/platform/evacuation"
 	"savoryfall/platform/front"
 	wireregistry "savoryfall/platform/registry"
 	"savoryfall/platform/store"
@@ -60,6 +63,7 @@
 	dispatcher *dispatch.Dispatcher
 	desired    *desired.Keeper
 	hub        *hub.Agent
+	drained    *draining.Keeper
 	routers    atomic.Int64
 	front      *entry.Front
 	clients    *entry.Server
@@ -112,15 +116,17 @@
 func (vm *entryVM) apply(cfg *settings.Entry) {
 	vm.grace = cfg.Grace()
 	vm.lease.SetTerm(cfg.KeyTerm() - keyMargin)
+	vm.dispatcher.SetColdBound(coldshare.Bound{Overrun: cfg.Cold().Overrun(), Slack: cfg.Cold().Slack()})
 	vm.limits.Store(&retryshare.Limits{
 		Ratio: cfg.Retries().Ratio(), Slack: cfg.Retries().Slack(), Window: cfg.Retries().Window(),
 	})
 	vm.share()
 }
 
-// counted takes the number of routers that share the retries.
-func (vm *entryVM) counted(routers int) {
-	vm.routers.Store(int64(routers))
+// counted takes the routers that share the retries and what cold endpoints bear, by the hashes of their names.
+func (vm *entryVM) counted(routers []uint64) {
+	vm.routers.Store(int64(len(routers)))
+	vm.dispatcher.SetFleet(coldshare.New(members.Hash(vm.settings.VM().Name()), routers))
 	vm.share()
 }
 
@@ -135,7 +141,8 @@
 	c := store.New(vm.settings.Store(), &http.Client{Transport: counted.Calls(meter.KindLog, storeTransport(counted))})
 	vm.desired = desired.New(wiredesired.Decoder{}, &vm.lease, vm.configured, vm.logger)
 	stale := time.Duration(staleShare * float64(vm.settings.ChangesWithin()))
-	configuration := follow.New(c.Topic(wiredesired.Topic), vm.desired, follow.Options{
+	vm.drained = draining.New(evacuation.Decoder{}, vm.dispatcher, vm.logger)
+	configuration := follow.New(c.Topic(wiredesired.Topic), follow.Sinks{vm.drained, vm.desired}, follow.Options{
 		Name: "configuration", Wait: configurationWait, Pause: configurationPause, Grace: grace, Stale: stale, First: firstWait,
 		Clock: bootclock.Now,
 	}, vm.logger)
@@ -159,7 +166,7 @@
 			Bears:   members.VM{Cores: vm.settings.Cores(), MemoryMB: vm.settings.MemoryMB(), LinkMbps: vm.settings.LinkMbps()}.Bears(),
 		},
 		Address: vm.settings.Peers(),
-		Members: &members.List{}, Configuration: configuration, Record: vm.desired.Record, Registry: listed, Endpoints: endpoints,
+		Members: &members.List{}, Configuration: configuration, Record: vm.desired.Record, Beside: vm.drained.Records, Registry: listed, Endpoints: endpoints,
 		Loads: vm.dispatcher, Listing: hub.NewListing(c.Topic(store.MembersTopic)), Bootstrap: vm.settings.Bootstrap(), Meter: counted,
 		Logger: vm.logger, Clock: bootclock.Now, Stale: stale, Counted: vm.counted,
 	})
--- /dev/null
+++ b/io/draining/doc.go
@@ -0,0 +1,2 @@
+// Package draining keeps what the store says of failure domains that are drained.
+package draining
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -351,11 +351,14 @@
 // Failing tells whether this router cannot read by itself.
 func (f *Follower) Failing() bool { return f.failures() > 0 }
 
-// Given takes the newest records from another router that has read up to the offset.
+// Given takes the newest record of every key from another router that has read up to the offset. What this router has read
+// itself beyond that is newer.
 func (f *Follower) Given(records []keyed.Record, next int64, sent time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.sink.Apply(records)
+	if !f.whole || next >= f.next {
+		f.sink.Replace(records)
+	}
 	f.next, f.whole = max(f.next, next), true
 	f.read(sent)
 }
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -68,7 +68,9 @@
 	Configuration Configured
 	Registry      Followed
 	// Record is the one that the configuration in force was read from.
-	Record    func() *keyed.Record
+	Record func() *keyed.Record
+	// Beside are the other records of its topic that are in force; nil when there are never any.
+	Beside    func() []keyed.Record
 	Endpoints Endpoints
 	Loads     Loads
 	Listing   Listing
@@ -82,8 +84,8 @@
 	Clock func() time.Duration
 	// Stale is the age of a hub's reads from which on it is no use, if others can read.
 	Stale time.Duration
-	// Counted hears how many routers there are.
-	Counted func(routers int)
+	// Counted hears which routers there are, by the hashes of their names.
+	Counted func(routers []uint64)
 }
 
 // Agent reports to the hub of this router, and serves as hub those that report to it.
--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"savoryfall/core/board"
+	"savoryfall/core/keyed"
 	"savoryfall/core/members"
 	"savoryfall/io/meter"
 )
@@ -56,7 +57,7 @@
 	args := &Report{
 		From: a.Self, Loads: columns(work.Loads), Demands: work.Demands, Epoch: a.heard.epoch, Numbers: a.heard.Numbers,
 		Digest: a.Members.Digest(), Configuration: a.heard.configuration.Next, Wants: a.Configuration.Wants(),
-		Failing: a.Configuration.Failing(), Offer: a.offer(), Hold: hold,
+		Failing: a.Configuration.Failing(), Holds: a.holds(), Offer: a.offer(), Hold: hold,
 	}
 	args.Reads, args.Joined = a.untold(fresh)
 	if routers > 1 {
@@ -81,6 +82,25 @@
 	return a.take(&reply, work, own, sent)
 }
 
+// notHeld is the offset of no record.
+const notHeld = -1
+
+// holds is the offset of the record of the configuration in force.
+func (a *Agent) holds() int64 {
+	if r := a.Record(); r != nil {
+		return r.Offset
+	}
+	return notHeld
+}
+
+// beside are the other records of the configuration's topic that are in force.
+func (a *Agent) beside() []keyed.Record {
+	if a.Beside == nil {
+		return nil
+	}
+	return a.Beside()
+}
+
 // mostPending bounds the reads that are kept while no hub takes them.
 const mostPending = 4096
 
--- a/io/hub/enter.go
+++ b/io/hub/enter.go
@@ -84,7 +84,7 @@
 		}
 	}
 	news = a.Members.Put(others...)
-	a.Counted(a.Members.Len())
+	a.Counted(a.Members.Hashes())
 	return news
 }
 
--- a/io/hub/input_test.go
+++ b/io/hub/input_test.go
@@ -130,6 +130,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			s, _ := made(t, "hub")
 			a := s.agent
+			a.Record = func() *keyed.Record { return nil }
 			a.Loads, a.Configuration, a.Registry = idle{}, leading{leads: &atomic.Bool{}}, leading{leads: &atomic.Bool{}}
 			a.joined = []members.Member{{Name: "new", Address: "a"}}
 			server, client := rpc.NewServer(), &answering{Reply{Full: full}}
--- a/io/hub/message.go
+++ b/io/hub/message.go
@@ -23,9 +23,11 @@
 	Digest uint64
 	// Configuration is the offset that was heard last of the configuration. Wants asks for the configuration itself;
 	// Failing tells that the store turns this router away.
+	// Holds is the offset of the record of the configuration in force here, notHeld when there is none.
 	Configuration int64
 	Wants         bool
 	Failing       bool
+	Holds         int64
 	// Offer is what this router knows of the store.
 	Offer Offer
 	// Hold is how long the hub may wait for news before it answers.
--- a/io/hub/offer.go
+++ b/io/hub/offer.go
@@ -5,7 +5,6 @@
 
 	"savoryfall/core/event"
 	"savoryfall/core/field"
-	"savoryfall/core/keyed"
 	"savoryfall/core/rota"
 )
 
@@ -21,7 +20,7 @@
 	}
 	if o.Configuration.Known && (!h.configuration.Known || o.Configuration.Next > h.configuration.Next) {
 		var err error
-		o.Given, err = a.packer.pack(a.Record())
+		o.Given, err = a.packer.pack(a.Record(), notHeld, a.beside())
 		if err != nil {
 			_ = a.Logger.Log(field.Event, event.ConfigurationUnreadable, field.Err, err)
 		}
@@ -58,12 +57,12 @@
 
 // unpack takes the configuration that another router has read up to the offset.
 func (a *Agent) unpack(p *Packed, next int64, sent time.Duration) {
-	r, err := p.record()
+	records, err := p.records(a.Record())
 	if err != nil {
 		_ = a.Logger.Log(field.Event, event.ConfigurationUnreadable, field.Offset, p.Offset, field.Err, err)
 		return
 	}
-	a.Configuration.Given([]keyed.Record{r}, next, sent)
+	a.Configuration.Given(records, next, sent)
 }
 
 // offerKind is what became of an offer.
--- a/io/hub/server.go
+++ b/io/hub/server.go
@@ -184,7 +184,7 @@
 
 // given is the configuration for a router that wants it.
 func (a *Agent) given(args *Report) (p *Packed, err error) {
-	p, err = a.packer.pack(a.Record())
+	p, err = a.packer.pack(a.Record(), args.Holds, a.beside())
 	if p != nil && len(p.Data) > mostGiven && !args.Failing {
 		return nil, nil
 	}
--- a/io/registry/keeper.go
+++ b/io/registry/keeper.go
@@ -28,6 +28,8 @@
 	mu        sync.Mutex
 	directory directory.Directory
 	last      map[string]directory.Entry
+	// unclear is when the process of each endpoint started that does not say how long it is cold.
+	unclear map[string]int64
 }
 
 // New makes a keeper that calls changed with the usable endpoints each time that they change.
@@ -75,6 +77,7 @@
 			k.unreadable(r, err)
 			continue
 		}
+		k.checkCold(r, e)
 		entries = append(entries, e)
 	}
 	k.tell(k.directory.Replace(entries, time.Now()))
@@ -102,9 +105,23 @@
 		k.unreadable(r, err)
 		return k.directory.Remove(r.Key, now)
 	}
+	k.checkCold(r, e)
 	return k.directory.Put(e)
 }
 
+// checkCold logs, once for each process, that an entry does not say for how long its endpoint is cold.
+func (k *Keeper) checkCold(r keyed.Record, e directory.Entry) {
+	born, known := k.unclear[e.ID]
+	if !e.ColdUnknown || known && born == e.Born {
+		return
+	}
+	if k.unclear == nil {
+		k.unclear = map[string]int64{}
+	}
+	k.unclear[e.ID] = e.Born
+	_ = k.logger.Log(field.Event, event.EntryColdUnreadable, field.Endpoint, e.ID, field.Born, e.Born, field.Offset, r.Offset)
+}
+
 func (k *Keeper) unreadable(r keyed.Record, err error) {
 	_ = k.logger.Log(field.Event, event.EntryUnreadable, field.Endpoint, r.Key, field.Offset, r.Offset, field.Err, err)
 }
