dispatch: only as many prompts avoid engines that fail as the others can take

Cause: every router kept all prompts away from engines that fail, so that two fifths of them were to take everything, and tries again went to these too; views are some hundred milliseconds late. Change: which part of the prompts keeps away follows from how many engines fail, so that the others get 1.5 of their even share; up to a third of them failing all do, as before. The bound is on the mean of all that are there, those included that leave or are drained.

--- a/core/dispatch/contest.go
+++ b/core/dispatch/contest.go
@@ -16,7 +16,8 @@
 	now    time.Time
 	engine bool
 	slots  int
-	mean   float64
+	// mean is that of the load of the endpoints, all that of those too that get no new work and are still there.
+	mean, all float64
 	// others is the mean of what other routers have at an endpoint.
 	others float64
 	// sent is the mean of what this router sent to an endpoint lately, unheard how many requests others sent since they
@@ -31,11 +32,16 @@
 	warm  []int
 	// known is what the home is known to hold, not believed.
 	known int
+	// fails is the share of attempts that failed lately at each endpoint, avoided the part of the prompts that keep away from
+	// those that fail.
+	fails   []float64
+	avoided float64
 	// coldPerSecond is how many requests an endpoint of the service bears while it is cold, 0 for any number.
 	coldPerSecond float64
 }
 
 func (d *Dispatcher) contest(q Query, pool []*endpoint, now time.Time) *contest {
+	resting := d.resting(q.Service, pool, now)
 	c := &contest{d: d, q: q, pool: answering(d.undrained(pool), now), now: now}
 	pool = c.pool
 	c.slots, _, c.engine = d.capacity(q.Service)
@@ -56,9 +62,8 @@
 		c.latency = usualLatency
 	}
 	c.judgeOthers()
-	for _, e := range pool {
-		c.mean += c.load(e) / float64(len(pool))
-	}
+	c.addUp(resting)
+	c.judgeFailures()
 	if len(q.Prompt) > 0 {
 		c.home = c.rankFirst()
 		c.measureWarmth()
@@ -66,6 +71,19 @@
 	return c
 }
 
+// addUp takes the means of what the endpoints have.
+func (c *contest) addUp(resting []*endpoint) {
+	sum := 0.0
+	for _, e := range c.pool {
+		sum += c.load(e)
+	}
+	c.mean = sum / float64(max(len(c.pool), 1))
+	for _, e := range resting {
+		sum += e.load(c.now)
+	}
+	c.all = sum / float64(max(len(c.pool)+len(resting), 1))
+}
+
 // load is how many requests the endpoint is believed to have now. Of those of other routers that have ended since they
 // were told of it knows only that others came in their place somewhere: they count as spread evenly. When a plain
 // service's calls, which end many times before the next word of them, counted as they were told, all routers sent to the
@@ -167,9 +185,10 @@
 	leastShare = 0.6
 )
 
-// full tells whether an endpoint is left out while others are not.
+// full tells whether an endpoint is left out while others are not. The users' bound is on the mean of all that are there: while
+// many get no new work it comes near to what the others have on average, and below that nothing is gained.
 func (c *contest) full(e *endpoint) bool {
-	room := evenBound*c.mean + evenSlack - c.mean
+	room := max(evenBound*c.all, c.mean) + evenSlack - c.mean
 	if c.engine && len(c.q.Prompt) > 0 {
 		room *= leastShare + (1-leastShare)*fraction(scatter.Mix(c.q.Prompt.Key())^e.hash)
 	}
@@ -262,7 +281,7 @@
 
 func (c *contest) cost(i int) (ms float64) {
 	e := c.pool[i]
-	ms = failureCost * e.failing(c.now)
+	ms = failureCost * c.avoidance(i)
 	if e.entry.FailureDomain != c.d.failureDomain {
 		ms += farCost
 	}
--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -43,3 +43,21 @@
 	}
 	return slices.DeleteFunc(slices.Clone(pool), d.isDrained)
 }
+
+// resting are the endpoints of the service that get no new work and are still there: those of drained failure domains among the
+// listed, and those that have left the list lately. While many are, the mean of all is far below that of the ones in use.
+func (d *Dispatcher) resting(service string, listed []*endpoint, now time.Time) (some []*endpoint) {
+	if len(d.drained) > 0 {
+		for _, e := range listed {
+			if d.isDrained(e) {
+				some = append(some, e)
+			}
+		}
+	}
+	for _, e := range d.left {
+		if e.entry.Service == service && now.Sub(e.leftAt) <= servesOn {
+			some = append(some, e)
+		}
+	}
+	return some
+}
--- a/core/dispatch/surge_test.go
+++ b/core/dispatch/surge_test.go
@@ -22,6 +22,7 @@
 	random  *rand.Rand
 	service string
 	servers []*server
+	listed  []directory.Entry
 	byID    map[string]*server
 	n       uint64
 	// reached and over count the requests that met a server, and of these the ones beyond the users' bound, by second.
@@ -38,11 +39,17 @@
 	waiting      []job
 	// reads is until when the server reads prompts, one after the other.
 	reads time.Time
+	// loses counts the requests of which the server loses the answer to every third.
+	loses bool
+	ended int
+	// lost are the requests whose answers it has lost.
+	lost []job
 }
 
 // job is one request at a server: when it begins to answer, zero once it has, and when it ends.
 type job struct {
 	attempt     *dispatch.Attempt
+	q           dispatch.Query
 	work        time.Duration
 	first, ends time.Time
 }
@@ -61,6 +68,7 @@
 			ID: v.id, Address: fmt.Sprintf("10.0.0.%d:1", i), Service: service, Slots: slots, FailureDomain: "a",
 		})
 	}
+	s.listed = entries
 	table := routetable.New(routetable.Contents{Services: []routetable.Service{
 		{Name: models, Engine: true, Slots: slots, CacheTokens: 300000}, {Name: plain},
 	}})
@@ -83,6 +91,7 @@
 			v.step(s.now)
 		}
 		s.report()
+		s.again()
 		q, work := request()
 		q.Service, q.Account = s.service, "hot"
 		if u := s.random.Float64() * (0.9 + 0.1*hot); u < 0.9 {
@@ -99,6 +108,17 @@
 	}
 }
 
+// again tries the requests whose answers were lost once more elsewhere.
+func (s *surge) again() {
+	for _, v := range s.servers {
+		for _, j := range v.lost {
+			j.q.Tried = []string{v.id}
+			s.send(j.q, j.work)
+		}
+		v.lost = nil
+	}
+}
+
 // send tries a second endpoint when the first turns the request away.
 func (s *surge) send(q dispatch.Query, work time.Duration) bool {
 	d := s.routers[s.random.IntN(len(s.routers))]
@@ -109,7 +129,7 @@
 		}
 		v := s.byID[a.Endpoint().ID]
 		s.meet(v)
-		if v.take(job{attempt: a, work: work}, s.now) {
+		if v.take(job{attempt: a, q: q, work: work}, s.now) {
 			return true
 		}
 		a.End(dispatch.Refused, s.now)
@@ -190,7 +210,11 @@
 		}
 		j := v.running[next]
 		v.running = append(v.running[:next], v.running[next+1:]...)
-		j.attempt.End(dispatch.Served, j.ends)
+		how := v.verdict()
+		j.attempt.End(how, j.ends)
+		if how == dispatch.Broken && len(j.q.Tried) == 0 {
+			v.lost = append(v.lost, j)
+		}
 		if len(v.waiting) > 0 {
 			w := v.waiting[0]
 			v.waiting = v.waiting[1:]
@@ -199,6 +223,15 @@
 	}
 }
 
+// verdict is how the next attempt ends.
+func (v *server) verdict() dispatch.Verdict {
+	v.ended++
+	if v.loses && v.ended%3 == 0 {
+		return dispatch.Broken
+	}
+	return dispatch.Served
+}
+
 // Callers of a plain service that does their calls in 15 ms come six times as often as usual, a little more than four
 // servers can do, one account far more than the others. Eighty routers hear of each other's calls when these have long
 // ended. They all sent to the server that had been least loaded, then found all full, turned away half of the calls, the
