--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -143,7 +143,7 @@
 	took = now.Sub(a.began)
 	a.ended = true
 	a.e.running--
-	a.d.demand(a.q.Service).ended(a.q, v, took, now)
+	a.d.demand(a.q.Service).ended(a.q.Rank, v, took, now)
 	a.read()
 	if v == Abandoned {
 		return took, true
--- a/core/dispatch/avoid.go
+++ b/core/dispatch/avoid.go
@@ -30,7 +30,7 @@
 		return
 	}
 	part := (mostAvoided - 1) * float64(len(c.pool)-suspect) / float64(suspect)
-	once := c.d.demand(c.q.Service).oncePart()
+	once := c.d.demand(c.q.Service).once
 	switch {
 	case part >= 1:
 	case c.q.Once:
--- a/core/dispatch/demand.go
+++ b/core/dispatch/demand.go
@@ -30,8 +30,8 @@
 	heardAt time.Time
 	// held is for how many seconds a request holds its place, whatever its rank.
 	held average
-	// place is for how many seconds requests held their places, once those that cannot be tried again; both fade.
-	place, once float64
+	// once is the part of the requests that cannot be tried again.
+	once float64
 }
 
 // mostRanks bounds the ranks that are told apart: some priorities of routes times some of accounts.
@@ -86,6 +86,16 @@
 	l.judge(now)
 }
 
+// onceWeight is how much the newest request counts for the part that cannot be tried again.
+const onceWeight = 0.02
+
+func (m *demand) sawOnce(once bool) {
+	m.once *= 1 - onceWeight
+	if once {
+		m.once += onceWeight
+	}
+}
+
 func (m *demand) turnedAway(rank int, now time.Time) {
 	m.fade(now)
 	m.level(rank).refused++
@@ -114,8 +124,8 @@
 
 func (m *demand) began(rank int) { m.level(rank).running++ }
 
-func (m *demand) ended(q Query, v Verdict, held time.Duration, now time.Time) {
-	l := m.level(q.Rank)
+func (m *demand) ended(rank int, v Verdict, held time.Duration, now time.Time) {
+	l := m.level(rank)
 	l.running--
 	if v == Refused || v == Unreachable {
 		return
@@ -123,21 +133,6 @@
 	s := max(held, shortestHold).Seconds()
 	l.held.add(s, now)
 	m.held.add(s, now)
-	m.place, m.once = m.place*placeKept+s, m.once*placeKept
-	if q.Once {
-		m.once += s
-	}
-}
-
-// placeKept is what is left of the seconds of earlier requests with each that ends: some fifty count.
-const placeKept = 0.98
-
-// oncePart is the part of the load that requests make which cannot be tried again.
-func (m *demand) oncePart() float64 {
-	if m.place == 0 {
-		return 0
-	}
-	return m.once / m.place
 }
 
 // told is this router's part for the other routers, but the ranks of which there is nothing.
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -138,6 +138,7 @@
 	}
 	m := d.demand(q.Service)
 	m.saw(q.Rank, q.Account, now)
+	m.sawOnce(q.Once)
 	why, full := c.turnsAway()
 	if !full {
 		a, why = c.decide()
