--- a/core/dispatch/avoid.go
+++ b/core/dispatch/avoid.go
@@ -15,7 +15,7 @@
 
 // judgeFailures takes how often attempts fail at each endpoint, and which part of the prompts may keep away from those that fail.
 // While few fail all do. When most fail, the others would be sent several times their share before any router sees them fill,
-// beyond the users' bound: only as many prompts leave as the others can take, first those that cannot be tried again.
+// beyond the users' bound: only as many prompts leave as the others can take.
 func (c *contest) judgeFailures() {
 	c.fails = make([]float64, len(c.pool))
 	suspect := 0
@@ -26,17 +26,8 @@
 		}
 	}
 	c.avoided = 1
-	if suspect == 0 {
-		return
-	}
-	part := (mostAvoided - 1) * float64(len(c.pool)-suspect) / float64(suspect)
-	once := c.d.demand(c.q.Service).once
-	switch {
-	case part >= 1:
-	case c.q.Once:
-		c.avoided = min(1, part/max(once, part))
-	default:
-		c.avoided = max(0, (part-once)/(1-once))
+	if suspect > 0 {
+		c.avoided = min(1, (mostAvoided-1)*float64(len(c.pool)-suspect)/float64(suspect))
 	}
 }
 
--- a/core/dispatch/demand.go
+++ b/core/dispatch/demand.go
@@ -30,8 +30,6 @@
 	heardAt time.Time
 	// held is for how many seconds a request holds its place, whatever its rank.
 	held average
-	// once is the part of the requests that cannot be tried again.
-	once float64
 }
 
 // mostRanks bounds the ranks that are told apart: some priorities of routes times some of accounts.
@@ -86,16 +84,6 @@
 	l.judge(now)
 }
 
-// onceWeight is how much the newest request counts for the part that cannot be tried again.
-const onceWeight = 0.02
-
-func (m *demand) sawOnce(once bool) {
-	m.once *= 1 - onceWeight
-	if once {
-		m.once += onceWeight
-	}
-}
-
 func (m *demand) turnedAway(rank int, now time.Time) {
 	m.fade(now)
 	m.level(rank).refused++
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -104,8 +104,6 @@
 	Rank int
 	// Account is whose request it is, empty for anybody's.
 	Account string
-	// Once tells that the request cannot be tried again after a failure.
-	Once bool
 	// Tried are the endpoints that this request must not go to again.
 	Tried []string
 }
@@ -138,7 +136,6 @@
 	}
 	m := d.demand(q.Service)
 	m.saw(q.Rank, q.Account, now)
-	m.sawOnce(q.Once)
 	why, full := c.turnsAway()
 	if !full {
 		a, why = c.decide()
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -38,7 +38,6 @@
 func (x *exchange) choose() (a *attempt, p *ask.Problem) {
 	d, why := x.front.Dispatcher.Choose(dispatch.Query{
 		Service: x.service, Prompt: x.ask.Prompt, Rank: x.rank(), Account: x.accountName(), Tried: x.tried,
-		Once: !x.route.Kind.Repeatable() || x.route.MaxAttempts < 2,
 	}, time.Now())
 	switch {
 	case d != nil:
