--- a/io/command/entryvm_test.go
+++ b/io/command/entryvm_test.go
@@ -29,14 +29,14 @@
 
 // entryFleet is entry VMs, servers and a store, in one process and on loopback.
 type entryFleet struct {
-	t       *testing.T
+	t       testing.TB
 	store   store.Service
 	url     string
 	servers map[string]*server.Server
 	vms     []*entryVM
 }
 
-func newEntryFleet(t *testing.T, vms int) *entryFleet {
+func newEntryFleet(t testing.TB, vms int) *entryFleet {
 	f := &entryFleet{t: t, servers: map[string]*server.Server{}}
 	h := httptest.NewServer(&f.store)
 	t.Cleanup(h.Close)
