dispatch: engines of a drained domain give what they hold for half the bound

Change: engines of a drained domain are named as sources for half of the time that a drain may take to be in force, 2.5 s here, and never longer than those that have left the list (3 s). Nothing is sent to them; the other engine fetches.

--- a/core/dispatch/contest.go
+++ b/core/dispatch/contest.go
@@ -10,12 +10,14 @@
 
 // contest compares the endpoints of a pool for one request.
 type contest struct {
-	d      *Dispatcher
-	q      Query
-	pool   []*endpoint
-	now    time.Time
-	engine bool
-	slots  int
+	d *Dispatcher
+	q Query
+	// pool are the endpoints that may be chosen, resting those that get no new work and are still there.
+	pool    []*endpoint
+	resting []*endpoint
+	now     time.Time
+	engine  bool
+	slots   int
 	// loads are how many requests each endpoint is believed to have now.
 	loads []float64
 	// mean is that of the load of the endpoints, all that of those too that get no new work and are still there.
@@ -43,8 +45,7 @@
 }
 
 func (d *Dispatcher) contest(q Query, pool []*endpoint, now time.Time) *contest {
-	resting := d.resting(q.Service, pool, now)
-	c := &contest{d: d, q: q, pool: answering(d.undrained(pool), now), now: now}
+	c := &contest{d: d, q: q, pool: answering(d.undrained(pool), now), resting: d.resting(q.Service, pool, now), now: now}
 	pool = c.pool
 	c.slots, _, c.engine = d.capacity(q.Service)
 	if s := d.service(q.Service); s != nil {
@@ -64,7 +65,7 @@
 		c.latency = usualLatency
 	}
 	c.judgeOthers()
-	c.addUp(resting)
+	c.addUp()
 	c.judgeFailures()
 	if len(q.Prompt) > 0 {
 		c.home = c.rankFirst()
@@ -74,7 +75,7 @@
 }
 
 // addUp takes what the endpoints have, and the means of it.
-func (c *contest) addUp(resting []*endpoint) {
+func (c *contest) addUp() {
 	sum := 0.0
 	c.loads = make([]float64, len(c.pool))
 	for i, e := range c.pool {
@@ -82,10 +83,10 @@
 		sum += c.loads[i]
 	}
 	c.mean = sum / float64(max(len(c.pool), 1))
-	for _, e := range resting {
+	for _, e := range c.resting {
 		sum += e.load(c.now)
 	}
-	c.all = sum / float64(max(len(c.pool)+len(resting), 1))
+	c.all = sum / float64(max(len(c.pool)+len(c.resting), 1))
 }
 
 // load is how many requests the endpoint is believed to have now. Of those of other routers that have ended since they
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -33,13 +33,15 @@
 	random *rand.Rand
 	// drained are the failure domains whose endpoints get no new work.
 	drained   []string
+	drainedAt map[string]time.Time
+	drainTerm time.Duration
 	fleet     coldshare.Fleet
 	coldBound coldshare.Bound
 }
 
 // New makes a dispatcher for a router of the failure domain.
 func New(failureDomain string) *Dispatcher {
-	return &Dispatcher{failureDomain: failureDomain, by: map[string]*endpoint{}, pools: map[string][]*endpoint{}}
+	return &Dispatcher{failureDomain: failureDomain, drainedAt: map[string]time.Time{}, by: map[string]*endpoint{}, pools: map[string][]*endpoint{}}
 }
 
 // Seed makes all that is left to chance from now on the same in every run. Without it the routers of a fleet draw
--- a/core/dispatch/donor.go
+++ b/core/dispatch/donor.go
@@ -36,8 +36,8 @@
 			consider(other, c.warm[j])
 		}
 	}
-	for _, e := range c.d.left {
-		if e.entry.Service == c.q.Service && !c.d.isDrained(e) && c.now.Sub(e.leftAt) <= servesOn && !e.breaker.open(c.now) {
+	for _, e := range c.resting {
+		if c.d.givesStill(e, c.now) && !e.breaker.open(c.now) {
 			consider(e, e.cache.Warm(c.q.Prompt))
 		}
 	}
--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -16,6 +16,11 @@
 			e.cold.assume(d.coldFor(e), now)
 		}
 	}
+	for _, domain := range domains {
+		if !slices.Contains(d.drained, domain) {
+			d.drainedAt[domain] = now
+		}
+	}
 	d.drained = slices.Clone(domains)
 }
 
@@ -44,6 +49,19 @@
 	return slices.DeleteFunc(slices.Clone(pool), d.isDrained)
 }
 
+// SetDrainTerm takes for how long the engines of a drained failure domain still give what they hold. Nobody else has most of it,
+// and it would be read again; an operator who drains a domain expects it to be left alone soon.
+func (d *Dispatcher) SetDrainTerm(term time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.drainTerm = term
+}
+
+// givesStill tells whether an endpoint that gets no new work may be asked for what it holds.
+func (d *Dispatcher) givesStill(e *endpoint, now time.Time) bool {
+	return !d.isDrained(e) || now.Sub(d.drainedAt[e.entry.FailureDomain]) <= min(d.drainTerm, servesOn)
+}
+
 // resting are the endpoints of the service that get no new work and are still there: those of drained failure domains among the
 // listed, and those that have left the list lately. While many are, the mean of all is far below that of the ones in use.
 func (d *Dispatcher) resting(service string, listed []*endpoint, now time.Time) (some []*endpoint) {
--- a/core/dispatch/drain_test.go
+++ b/core/dispatch/drain_test.go
@@ -39,7 +39,8 @@
 		a.Answered(dispatch.Load{}, start)
 		a.End(dispatch.Served, start)
 	}
-	d.Drain([]string{"b"}, start)
+	d.SetDrainTerm(time.Second)
+	d.Drain([]string{"b"}, start.Add(-2*time.Second))
 	assert.Equal(t, d.InDomain("b"), 6)
 	for i := range uint64(100) {
 		q := dispatch.Query{Service: models, Prompt: document(i%20, i)}
@@ -59,6 +60,29 @@
 	assert.Assert(t, !d.Room(models, "", start))
 }
 
+// Guards against prompts that are read again because only engines of a domain that was just drained hold them.
+func TestDrainedEnginesGiveWhatTheyHold(t *testing.T) {
+	d, _ := domains(1)
+	held := map[uint64]string{}
+	for i := range uint64(40) {
+		a := choose(t, d, dispatch.Query{Service: models, Prompt: document(i, i)}, start)
+		if a.Endpoint().FailureDomain == "b" {
+			held[i] = a.Endpoint().Address
+		}
+		a.Answered(dispatch.Load{}, start)
+		a.End(dispatch.Served, start)
+	}
+	assert.Assert(t, len(held) > 5)
+	d.SetDrainTerm(2500 * time.Millisecond)
+	d.Drain([]string{"b"}, start)
+	for i, address := range held {
+		a := choose(t, d, dispatch.Query{Service: models, Prompt: document(i, i+100)}, start.Add(time.Second))
+		assert.Equal(t, a.Endpoint().FailureDomain, "a")
+		assert.Equal(t, a.Donor(), address)
+		a.End(dispatch.Served, start)
+	}
+}
+
 // sendsAtB is the most of 900 requests, one a millisecond, that go to any endpoint of the failure domain b.
 func sendsAtB(d *dispatch.Dispatcher, now time.Time) (most int) {
 	at := map[string]int{}
--- a/core/settings/entry.go
+++ b/core/settings/entry.go
@@ -15,6 +15,7 @@
 	memoryMB  float64
 	linkMbps  float64
 	changes   time.Duration
+	drained   time.Duration
 	cold      Cold
 	clients   string
 	readiness string
@@ -82,6 +83,7 @@
 	}
 	const announced = "announced"
 	s.changes = readChanges(t.Table("store"))
+	s.drained = readDrained(t.Table("store"))
 	s.announced = checkAddress(t.Table("peers"), announced, t.Table("peers").Text(announced, s.peers))
 	return s, doc.Err()
 }
@@ -90,12 +92,13 @@
 	const usual, least, most = 2 * time.Second, 500 * time.Millisecond, time.Minute
 	return min(
 		t.Duration("configurationWithin", usual, least, most), t.Duration("leavingWithin", usual, least, most),
-		t.Duration("drainedWithin", usualDrain, least, most),
+		readDrained(t),
 	)
 }
 
-// usualDrain is how long the drain of a failure domain may take to be in force, when the settings do not say.
-const usualDrain = 5 * time.Second
+func readDrained(t *tomldoc.Table) time.Duration {
+	return t.Duration("drainedWithin", 5*time.Second, 500*time.Millisecond, time.Minute)
+}
 
 func readCold(t *tomldoc.Table) Cold {
 	return Cold{overrun: t.Real("overrun", 1, 1, 1000), slack: t.Real("slack", 0, 0, 1e6)}
@@ -126,6 +129,9 @@
 // Cold bounds what endpoints that have just started are sent.
 func (s *Entry) Cold() Cold { return s.cold }
 
+// DrainedWithin is how long the drain of a failure domain may take to be in force on every router.
+func (s *Entry) DrainedWithin() time.Duration { return s.drained }
+
 // ChangesWithin is how long a change at the store may take to be in force on every router: of the configuration, of an
 // endpoint that leaves, or of a failure domain that is drained, whichever is shortest.
 func (s *Entry) ChangesWithin() time.Duration { return s.changes }
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -117,6 +117,7 @@
 	vm.grace = cfg.Grace()
 	vm.lease.SetTerm(cfg.KeyTerm() - keyMargin)
 	vm.dispatcher.SetColdBound(coldshare.Bound{Overrun: cfg.Cold().Overrun(), Slack: cfg.Cold().Slack()})
+	vm.dispatcher.SetDrainTerm(cfg.DrainedWithin() / 2)
 	vm.limits.Store(&retryshare.Limits{
 		Ratio: cfg.Retries().Ratio(), Slack: cfg.Retries().Slack(), Window: cfg.Retries().Window(),
 	})
