--- a/io/hub/turned_test.go
+++ b/io/hub/turned_test.go
@@ -10,6 +10,7 @@
 // Guards against a configuration that most routers hear of late because the store turns their hub away, and the first routers that
 // are asked to read for it too.
 func TestTurnedAwayHubIsToldInTime(t *testing.T) {
+	t.Parallel()
 	// In most draws somebody who is asked first can read; of these not.
 	for _, seed := range []uint64{15, 23, 43, 54} {
 		synctest.Test(t, func(t *testing.T) {
