command, hub: a test waits for what it needs, one set-up for a store that turns most away

TestDrainedDomainGetsNoNewWork slept 1.5 s and then took the drain, and the endpoint that is left, for known: on a busy machine it could fail without a fault. The store that refuses the large VMs and two thirds of the others was set up twice, line by line.

--- a/io/command/entryvm_test.go
+++ b/io/command/entryvm_test.go
@@ -292,7 +292,11 @@
 	f.serve("far", server.Options{Service: "plain", Slots: 64, Zone: "b"})
 	f.store.Put("keyed.op", "evacuate/nowhere", []byte("{}"))
 	f.store.Put("keyed.op", "evacuate/a", []byte("{}"))
-	time.Sleep(1500 * time.Millisecond)
+	f.await("the drain is in force and the far server known", func() bool {
+		return !slices.ContainsFunc(f.vms, func(vm *entryVM) bool {
+			return len(vm.drained.Records()) < 2 || vm.dispatcher.InDomain("b") == 0
+		})
+	})
 	near := func() (runs int64) {
 		for _, id := range []string{"p0", "p1", "p2"} {
 			runs += f.servers[id].Runs()
--- a/io/hub/drain_test.go
+++ b/io/hub/drain_test.go
@@ -1,7 +1,6 @@
 package hub_test
 
 import (
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,11 +85,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(t, n)
 			defer f.stop()
-			f.store.refuse(func(router string) bool {
-				n := 0
-				_, _ = fmt.Sscanf(router, "vm%d", &n)
-				return n < largeVMs || n%3 > 0
-			})
+			f.turnMostAway()
 			time.Sleep(4 * time.Second)
 			ordered := f.drain(evacuateA, true)
 			time.Sleep(bound)
--- a/io/hub/fleet_test.go
+++ b/io/hub/fleet_test.go
@@ -1,7 +1,6 @@
 package hub_test
 
 import (
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,11 +80,7 @@
 		f := newFleet(t, 120)
 		defer f.stop()
 		f.store.called()
-		f.store.refuse(func(router string) bool {
-			n := 0
-			_, _ = fmt.Sscanf(router, "vm%d", &n)
-			return n < largeVMs || n%3 > 0
-		})
+		f.turnMostAway()
 		time.Sleep(4 * time.Second)
 		f.store.put(configurationTopic, "config", "2")
 		f.list(0, true)
--- a/io/hub/rig_test.go
+++ b/io/hub/rig_test.go
@@ -162,6 +162,15 @@
 	time.Sleep(time.Second)
 }
 
+// turnMostAway has the store refuse the large VMs, the first hub among them, and two thirds of all others.
+func (f *fleet) turnMostAway() {
+	f.store.refuse(func(router string) bool {
+		n := 0
+		_, _ = fmt.Sscanf(router, "vm%d", &n)
+		return n < largeVMs || n%3 > 0
+	})
+}
+
 // known checks that every router knows the newest version and which endpoints are usable, by reads no older than the age.
 func (f *fleet) known(version string, usable int, age time.Duration) {
 	f.t.Helper()
