dispatch, registry, endpointapi: an endpoint that answers that it is leaving gets no new requests

Nothing decoded the header.

The mark is read from every answer that belongs to the request, also from a refusal and from the header of a stream. The dispatcher leaves the endpoint out at once, also if no other is left. The directory keeps the mark for the process, so that neither an older entry, nor a hub's list, nor a process that was removed and comes back ends it; a successor with a later start is not affected. It is kept for ten minutes after the process was removed (chosen; the hub's data are refused long before that age). An answer of another instance (421) marks nothing.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -49,6 +49,9 @@
 	// tombstoneRetention is how long a removed process stays known. It must exceed the time that any heartbeat can
 	// be in transit.
 	tombstoneRetention = 30 * time.Second
+	// leavingRetention is how long a removed process that was leaving stays known. It must exceed the age of any list
+	// of endpoints that may still be received, such as that of a hub which was cut off from the store.
+	leavingRetention = 10 * time.Minute
 )
 
 // Put stores an entry and returns whether the set of usable endpoints changed. Heartbeats of an earlier process,
@@ -144,6 +147,27 @@
 	return true
 }
 
+// MarkLeaving records that a process of an endpoint has announced that it is leaving, and returns whether the set of
+// usable endpoints changed. The mark holds for the rest of the process's life, whatever its entries say.
+func (d *Directory) MarkLeaving(e Entry, now time.Time) (changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.records == nil {
+		d.records = map[string]*record{}
+	}
+	r := d.records[e.ID]
+	if r == nil {
+		e.Leaving = true
+		d.records[e.ID] = &record{entry: e, removed: true, removedAt: now}
+		return false
+	}
+	if r.entry.Born != e.Born || r.entry.Leaving {
+		return false
+	}
+	r.entry.Leaving = true
+	return !r.removed
+}
+
 // Leaving returns whether the endpoint has announced that it is leaving, which holds for the rest of its process's
 // life.
 func (d *Directory) Leaving(id string) bool {
@@ -183,7 +207,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, r := range d.records {
-		if r.removed && now.Sub(r.removedAt) > tombstoneRetention {
+		if r.expired(now) {
 			delete(d.records, id)
 		}
 		if now.Before(d.graceUntil) || r.removed || r.vanishedAt.IsZero() {
@@ -195,6 +219,15 @@
 	return changed
 }
 
+// expired returns whether a removed process need not be known any longer.
+func (r *record) expired(now time.Time) bool {
+	retention := tombstoneRetention
+	if r.entry.Leaving {
+		retention = leavingRetention
+	}
+	return r.removed && now.Sub(r.removedAt) > retention
+}
+
 // Usable returns the endpoints that may be given new requests, sorted by ID.
 func (d *Directory) Usable() (entries []Entry) {
 	d.mu.Lock()
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -160,3 +160,34 @@
 		}
 	})
 }
+
+// Guards against an entry or a list that is older than an endpoint's own word that it is leaving.
+func TestMarkInAnswerOutlastsOlderEntries(t *testing.T) {
+	var d directory.Directory
+	d.Put(entry("a", 1, 5))
+	d.Put(entry("b", 1, 5))
+	assert.Assert(t, d.MarkLeaving(entry("a", 1, 5), start))
+	assert.Assert(t, !d.MarkLeaving(entry("a", 1, 5), start))
+	assert.Equal(t, usableIDs(&d), "b")
+	assert.Assert(t, !d.Put(entry("a", 1, 6)))
+	d.Replace([]directory.Entry{entry("a", 1, 7), entry("b", 1, 7)}, start)
+	assert.Equal(t, usableIDs(&d), "b")
+	d.Remove("a", start)
+	d.ExpireVanished(start.Add(time.Minute))
+	d.Put(entry("a", 1, 9))
+	assert.Equal(t, usableIDs(&d), "b")
+	assert.Assert(t, d.Put(entry("a", 2, 1)))
+	assert.Equal(t, usableIDs(&d), "ab")
+}
+
+// Guards against a mark that is lost because the directory does not list the process when it arrives, and against one
+// of an earlier process that keeps its successor out.
+func TestMarkOfUnlistedProcess(t *testing.T) {
+	var d directory.Directory
+	assert.Assert(t, !d.MarkLeaving(entry("a", 1, 5), start))
+	assert.Assert(t, !d.Put(entry("a", 1, 6)))
+	assert.Equal(t, usableIDs(&d), "")
+	d.Put(entry("a", 2, 1))
+	assert.Assert(t, !d.MarkLeaving(entry("a", 1, 6), start))
+	assert.Equal(t, usableIDs(&d), "a")
+}
--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -41,14 +41,6 @@
 	return slices.Contains(d.drained, e.entry.FailureDomain)
 }
 
-// withoutDrained leaves out the endpoints of drained failure domains.
-func (d *Dispatcher) withoutDrained(pool []*endpoint) (kept []*endpoint) {
-	if len(d.drained) == 0 {
-		return pool
-	}
-	return slices.DeleteFunc(slices.Clone(pool), d.isDrained)
-}
-
 // SetDrainFetchTerm sets for how long cached parts are still fetched from the engines of a drained failure domain. Most
 // of them are cached nowhere else, and would be read again; an operator who drains a domain expects its traffic to end
 // soon.
@@ -63,15 +55,13 @@
 	return !d.isDrained(e) || now.Sub(d.drainedAt[e.entry.FailureDomain]) <= min(d.drainFetchTerm, departureGrace)
 }
 
-// draining returns the endpoints of the service that get no new work but still run: listed ones in drained failure
-// domains, and those that recently left the directory. While there are many, the mean load of all is far below that of
-// the endpoints in use.
+// draining returns the endpoints of the service that get no new work but still run: listed ones that are withdrawn, and
+// those that recently left the directory. While there are many, the mean load of all is far below that of the endpoints
+// in use.
 func (d *Dispatcher) draining(service string, listed []*endpoint, now time.Time) (endpoints []*endpoint) {
-	if len(d.drained) > 0 {
-		for _, e := range listed {
-			if d.isDrained(e) {
-				endpoints = append(endpoints, e)
-			}
+	for _, e := range listed {
+		if d.isWithdrawn(e) {
+			endpoints = append(endpoints, e)
 		}
 	}
 	for _, e := range d.departed {
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -40,7 +40,9 @@
 	// lastBytesAt is when the endpoint last sent any bytes.
 	lastBytesAt time.Time
 	replaced    bool
-	cold        warmup
+	// leaving is set once an answer has said that the endpoint's process is about to stop.
+	leaving bool
+	cold    warmup
 	// departedAt is when the directory stopped listing the endpoint.
 	departedAt time.Time
 }
--- a/core/dispatch/scoring.go
+++ b/core/dispatch/scoring.go
@@ -48,7 +48,7 @@
 }
 
 func (d *Dispatcher) scoring(q Query, pool []*endpoint, now time.Time) *scoring {
-	c := &scoring{d: d, q: q, pool: withoutSilent(d.withoutDrained(pool), now), draining: d.draining(q.Service, pool, now), now: now}
+	c := &scoring{d: d, q: q, pool: withoutSilent(d.withoutWithdrawn(pool), now), draining: d.draining(q.Service, pool, now), now: now}
 	pool = c.pool
 	c.slots, _, c.engine = d.serviceCapacity(q.Service)
 	if s := d.service(q.Service); s != nil {
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -11,6 +11,7 @@
 	DomainBack              Name = "domainBack"
 	DomainDrained           Name = "domainDrained"
 	EndpointGone            Name = "endpointGone"
+	EndpointLeaving         Name = "endpointLeaving"
 	EndpointUsable          Name = "endpointUsable"
 	EntryColdUnreadable     Name = "entryColdUnreadable"
 	EntryUnreadable         Name = "entryUnreadable"
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -99,6 +99,10 @@
 	Listed Name = "listed"
 	// Born is the start time of the endpoint's process, from its registry entry.
 	Born Name = "born"
+	// Leaving tells whether the endpoint's process has announced that it is leaving.
+	Leaving Name = "leaving"
+	// Source is where a change was learned from: the registry, the hub, or an endpoint's answer.
+	Source Name = "source"
 )
 
 // Fields of the other routers.
--- a/core/request/endpointrequest.go
+++ b/core/request/endpointrequest.go
@@ -33,6 +33,8 @@
 	WrongInstance bool
 	// ContentEncoded means that the body has a content encoding, so that it is not as the endpoint produced it.
 	ContentEncoded bool
+	// Leaving means that the process that answered is about to stop and must get no new requests.
+	Leaving bool
 	// Running and Waiting are the endpoint's load. They are valid only if HasLoad is set.
 	Running, Waiting int
 	HasLoad          bool
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -61,6 +61,7 @@
 	retries       retrylimit.Limiter
 	limits        atomic.Pointer[retrylimit.Limits]
 	dispatcher    *dispatch.Dispatcher
+	endpoints     *registry.Tracker
 	configTracker *storeconfig.Tracker
 	hub           *hub.Agent
 	drainTracker  *draining.Tracker
@@ -154,8 +155,8 @@
 		Clock: bootclock.Now,
 	}, vm.logger)
 	vm.manager.Register("configuration", configurationFollower)
-	endpointRegistry := registry.New(wireregistry.Decoder{}, vm.setEndpoints, vm.logger)
-	registryFollower := follow.New(storeClient.Topic(wireregistry.Topic), endpointRegistry, follow.Options{
+	vm.endpoints = registry.New(wireregistry.Decoder{}, vm.setEndpoints, vm.logger)
+	registryFollower := follow.New(storeClient.Topic(wireregistry.Topic), vm.endpoints, follow.Options{
 		Name: "registry", MinInterval: registryMinInterval, MaxAge: staleAfter, StartupWait: startupWait, Clock: bootclock.Now,
 	}, vm.logger)
 	vm.manager.Register("registry", registryFollower)
@@ -174,7 +175,7 @@
 		},
 		ListenAddress: vm.settings.PeerAddress(),
 		Members:       &members.List{}, Configuration: configurationFollower, CurrentRecord: vm.configTracker.Record,
-		OtherRecords: vm.drainTracker.Records, Registry: registryFollower, Endpoints: endpointRegistry,
+		OtherRecords: vm.drainTracker.Records, Registry: registryFollower, Endpoints: vm.endpoints,
 		Loads: vm.dispatcher, RouterList: hub.NewRouterList(storeClient.Topic(store.RoutersTopic)), Bootstrap: vm.settings.Bootstrap(), Meter: meter,
 		Logger: vm.logger, Clock: bootclock.Now, StaleAfter: staleAfter, OnRoutersChanged: vm.setRouters,
 	})
@@ -213,7 +214,7 @@
 	}
 	vm.handler = entry.New(entry.Config{
 		ClientProtocol: clientapi.Codec{}, EndpointProtocol: endpointapi.Codec{}, Configuration: vm.configTracker, Lease: &vm.lease,
-		Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: &http1.Pool{}, Tracer: tracer,
+		Endpoints: vm.endpoints, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: &http1.Pool{}, Tracer: tracer,
 		Metrics: entry.NewMetrics(vm.metricSet), Logger: vm.logger, Clock: bootclock.Now,
 	})
 	vm.clientServer, err = entry.NewServer(vm.settings.ClientAddress(), vm.handler)
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -11,6 +11,8 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"savoryfall/core/dispatch"
+	"savoryfall/core/event"
+	"savoryfall/core/field"
 	"savoryfall/core/request"
 	"savoryfall/core/retryafter"
 	"savoryfall/io/http1"
@@ -77,9 +79,24 @@
 		return err
 	}
 	a.reply = x.handler.EndpointProtocol.Decode(a.response.Status, a.response.Header)
+	x.recordWithdrawal(a)
 	return nil
 }
 
+// recordWithdrawal records that the endpoint wants no further requests. Another instance at the endpoint's address
+// speaks for itself only.
+func (x *exchange) recordWithdrawal(a *attempt) {
+	if a.reply.WrongInstance {
+		return
+	}
+	e := a.Endpoint()
+	if a.reply.Leaving && a.MarkLeaving() {
+		_ = x.handler.Logger.Log(field.Event, event.EndpointLeaving, field.Endpoint, e.ID, field.Service, e.Service, field.Born, e.Born,
+			field.Source, "answer", field.Request, x.request.ID, field.Status, a.response.Status)
+		x.handler.Endpoints.MarkLeaving(e)
+	}
+}
+
 func (x *exchange) endpointRequest(a *attempt, lastEvent string) (s request.EndpointRequest) {
 	s = request.EndpointRequest{
 		ID: x.request.ID, Endpoint: a.Endpoint().ID, Remaining: time.Until(x.deadline), LastEventID: lastEvent, FetchFrom: a.FetchSource(),
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"savoryfall/core/background"
+	"savoryfall/core/directory"
 	"savoryfall/core/dispatch"
 	"savoryfall/core/freshness"
 	"savoryfall/core/request"
@@ -37,12 +38,19 @@
 	Current() *routetable.Table
 }
 
+// Endpoints are the known endpoints, of which those that are leaving get no new requests.
+type Endpoints interface {
+	// MarkLeaving records that the process with this entry has answered that it is leaving.
+	MarkLeaving(e directory.Entry)
+}
+
 // Config are the dependencies of a Handler.
 type Config struct {
 	ClientProtocol   ClientProtocol
 	EndpointProtocol EndpointProtocol
 	Configuration    Configuration
 	Lease            *freshness.Lease
+	Endpoints        Endpoints
 	Dispatcher       *dispatch.Dispatcher
 	Retries          *retrylimit.Limiter
 	Pool             *http1.Pool
--- a/io/registry/tracker.go
+++ b/io/registry/tracker.go
@@ -55,7 +55,15 @@
 			changed = t.directory.Put(c.Entry) || changed
 		}
 	}
-	t.publish(changed)
+	t.publish(changed, sourceHub)
+}
+
+// MarkLeaving records that a process has answered that it is leaving. Its entry may show that much later, and not at
+// all while the store is away.
+func (t *Tracker) MarkLeaving(e directory.Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.publish(t.directory.MarkLeaving(e, time.Now()), sourceAnswer)
 }
 
 func usableEntries(changes []fleetload.Change) (entries []directory.Entry) {
@@ -81,7 +89,7 @@
 		t.logColdUnknown(r, e)
 		entries = append(entries, e)
 	}
-	t.publish(t.directory.Replace(entries, time.Now()))
+	t.publish(t.directory.Replace(entries, time.Now()), sourceRegistry)
 }
 
 // Apply applies the records that endpoints have written since the last read.
@@ -92,7 +100,7 @@
 	for _, r := range records {
 		changed = t.apply(r) || changed
 	}
-	t.publish(changed)
+	t.publish(changed, sourceRegistry)
 }
 
 func (t *Tracker) apply(r compactedlog.Record) (changed bool) {
@@ -131,7 +139,7 @@
 func (t *Tracker) Read(time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.publish(t.directory.ExpireVanished(time.Now()))
+	t.publish(t.directory.ExpireVanished(time.Now()), sourceRegistry)
 }
 
 // Failed keeps vanished entries for a while, since endpoints cannot renew them during an outage.
@@ -141,8 +149,18 @@
 	t.directory.ReadFailed(time.Now())
 }
 
+// source is where a change of the endpoints was learned from.
+type source string
+
+// The sources of changes.
+const (
+	sourceRegistry source = "registry"
+	sourceHub      source = "hub"
+	sourceAnswer   source = "answer"
+)
+
 // publish passes on the usable endpoints, and records and logs those that were added, changed or removed.
-func (t *Tracker) publish(changed bool) {
+func (t *Tracker) publish(changed bool, from source) {
 	if !changed {
 		return
 	}
@@ -166,7 +184,8 @@
 		}
 		e.Leaving = t.directory.Leaving(id)
 		t.changes.Add(fleetload.Change{Entry: e})
-		_ = t.logger.Log(field.Event, event.EndpointGone, field.Endpoint, id, field.Service, e.Service, field.Address, e.Address)
+		_ = t.logger.Log(field.Event, event.EndpointGone, field.Endpoint, id, field.Service, e.Service, field.Address, e.Address, field.Born, e.Born,
+			field.Leaving, e.Leaving, field.Source, from)
 	}
 	t.published = current
 	t.changed(usable)
