directory: a leaving mark that comes after the removal of its process counts

Same class as the drain mark of an answer: RemoveProcess returned early for a process that was removed already, so that the mark was lost and the next heartbeat made the endpoint usable. TestLeavingMarkOfRemovedProcessCounts failed before (usable "a" instead of none).

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -139,11 +139,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.records[e.ID]
-	if r == nil || r.removed || r.entry.Born != e.Born {
+	if r == nil || r.entry.Born != e.Born {
 		return false
 	}
-	r.removed, r.removedAt = true, now
 	r.entry.Leaving = r.entry.Leaving || e.Leaving
+	if r.removed {
+		return false
+	}
+	r.removed, r.removedAt = true, now
 	return true
 }
 
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -191,3 +191,13 @@
 	assert.Assert(t, !d.MarkLeaving(entry("a", 1, 6), start))
 	assert.Equal(t, usableIDs(&d), "a")
 }
+
+// Guards against an endpoint whose next heartbeat makes it usable again because its leaving mark came after its removal.
+func TestLeavingMarkOfRemovedProcessCounts(t *testing.T) {
+	var d directory.Directory
+	d.Put(entry("a", 1, 5))
+	assert.Assert(t, d.Remove("a", start))
+	assert.Assert(t, !d.RemoveProcess(leaving(entry("a", 1, 5)), start))
+	d.Put(entry("a", 1, 6))
+	assert.Equal(t, usableIDs(&d), "")
+}
