dispatch, endpointapi: an endpoint that refuses and asks for a pause gets no requests until its end

Nothing decoded the header.

The pause is read from a refusal with 503, in seconds with fractions. If all endpoints of a service pause, requests are refused at once until the first pause ends.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -17,6 +17,8 @@
 	unreadTokens  int
 	fetchSource   string
 	ended         bool
+	// limited is set while the attempt counts as unanswered at an endpoint that has just ended a pause.
+	limited bool
 }
 
 // Load is the load that an endpoint reports in an answer.
@@ -63,6 +65,7 @@
 	d.demand(q.Service).began(q.Rank)
 	a := &Attempt{d: d, e: e, entry: e.entry, q: q, began: now, missingTokens: missingTokens, unreadTokens: missingTokens, fetchSource: fetchSource}
 	e.unreadTokens += missingTokens
+	a.countUnanswered()
 	if c.engine && len(q.Prompt) > 0 {
 		d.promptTokens += uint64(c.totalTokens)
 		d.cachedTokens += uint64(c.totalTokens - missingTokens)
@@ -92,6 +95,8 @@
 		e.cold.assume(a.d.coldFor(e), now)
 	}
 	e.breaker.reset()
+	a.answered()
+	e.pause.grow(now)
 	if l.Known {
 		e.recordLoad(l, now)
 	}
@@ -145,6 +150,10 @@
 	took = now.Sub(a.began)
 	a.ended = true
 	a.e.running--
+	a.answered()
+	if v == Refused {
+		a.e.pause.shrink()
+	}
 	a.d.demand(a.q.Service).ended(a.q.Rank, v, took, now)
 	a.finishReading()
 	if v == Abandoned {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -119,8 +119,10 @@
 	ReasonCached     Reason = "warm"
 	ReasonLowestCost Reason = "cost"
 	ReasonNoEndpoint Reason = "noEndpoint"
-	ReasonAllTried   Reason = "allTried"
-	ReasonAllFull    Reason = "allFull"
+	// ReasonPaused means that all endpoints have asked for no requests for some time.
+	ReasonPaused   Reason = "paused"
+	ReasonAllTried Reason = "allTried"
+	ReasonAllFull  Reason = "allFull"
 	// ReasonReserved means that the remaining capacity is reserved for more urgent requests.
 	ReasonReserved Reason = "reserved"
 )
@@ -131,7 +133,7 @@
 	defer d.mu.Unlock()
 	c := d.scoring(q, d.pools[q.Service], now)
 	if len(c.pool) == 0 {
-		return nil, ReasonNoEndpoint
+		return nil, d.emptyPoolReason(q.Service, now)
 	}
 	if len(q.Tried) > 0 {
 		// A retry may take reserved capacity: the request has used capacity already, and its client has waited.
@@ -149,6 +151,14 @@
 	return a, reason
 }
 
+// emptyPoolReason returns why no endpoint of the service may get work.
+func (d *Dispatcher) emptyPoolReason(service string, now time.Time) Reason {
+	if slices.ContainsFunc(d.pools[service], func(e *endpoint) bool { return !e.leaving && e.pause.active(now) }) {
+		return ReasonPaused
+	}
+	return ReasonNoEndpoint
+}
+
 func (c *scoring) beginCheapest() (a *Attempt, reason Reason) {
 	best, reason := c.best()
 	if best == nil {
@@ -179,7 +189,7 @@
 	defer d.mu.Unlock()
 	c := d.scoring(Query{Service: service}, d.pools[service], now)
 	return slices.ContainsFunc(c.pool, func(e *endpoint) bool {
-		return e.entry.ID != id && !e.replaced && !e.breaker.isOpen(now) && !c.saturated(e) && !c.coldLimitReached(e)
+		return e.entry.ID != id && !e.replaced && !e.breaker.isOpen(now) && !c.saturated(e) && !c.coldLimitReached(e) && !e.pause.limited()
 	})
 }
 
--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -55,15 +55,9 @@
 	return !d.isDrained(e) || now.Sub(d.drainedAt[e.entry.FailureDomain]) <= min(d.drainFetchTerm, departureGrace)
 }
 
-// draining returns the endpoints of the service that get no new work but still run: listed ones that are withdrawn, and
-// those that recently left the directory. While there are many, the mean load of all is far below that of the endpoints
-// in use.
-func (d *Dispatcher) draining(service string, listed []*endpoint, now time.Time) (endpoints []*endpoint) {
-	for _, e := range listed {
-		if d.isWithdrawn(e) {
-			endpoints = append(endpoints, e)
-		}
-	}
+// departing returns the endpoints of the service that recently left the directory. They still run, and while there are
+// many, the mean load of all is far below that of the endpoints in use.
+func (d *Dispatcher) departing(service string, now time.Time) (endpoints []*endpoint) {
 	for _, e := range d.departed {
 		if e.entry.Service == service && now.Sub(e.departedAt) <= departureGrace {
 			endpoints = append(endpoints, e)
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -42,7 +42,9 @@
 	replaced    bool
 	// leaving is set once an answer has said that the endpoint's process is about to stop.
 	leaving bool
-	cold    warmup
+	// pause is nil if the endpoint has never asked for one.
+	pause *pause
+	cold  warmup
 	// departedAt is when the directory stopped listing the endpoint.
 	departedAt time.Time
 }
--- a/core/dispatch/fetch.go
+++ b/core/dispatch/fetch.go
@@ -50,8 +50,8 @@
 const departureGrace = 3 * time.Second
 
 // retainDeparted keeps the endpoints that have left the directory. When engines are replaced, many of the prompts that
-// they have read are cached nowhere else, and would be read again. An endpoint whose address is in use again is
-// dropped.
+// they have read are cached nowhere else, and would be read again. One that has asked for a pause is kept until its end: it
+// may be listed again before. An endpoint whose address is in use again is dropped.
 func (d *Dispatcher) retainDeparted(listed map[string]*endpoint, now time.Time) {
 	addresses := map[string]bool{}
 	for _, e := range listed {
@@ -64,6 +64,6 @@
 		}
 	}
 	d.departed = slices.DeleteFunc(d.departed, func(e *endpoint) bool {
-		return now.Sub(e.departedAt) > departureGrace || addresses[e.entry.Address]
+		return now.Sub(e.departedAt) > departureGrace && !e.pause.active(now) || addresses[e.entry.Address]
 	})
 }
--- a/core/dispatch/metrics.go
+++ b/core/dispatch/metrics.go
@@ -15,6 +15,8 @@
 	Endpoints, Failing int
 	// Silent is how many of them get no requests because they did not answer.
 	Silent int
+	// Paused is how many endpoints get no requests because they asked for a pause.
+	Paused int
 	// FullFor is the longest time for which a rank of any service has had its requests refused.
 	FullFor time.Duration
 	// LoadReportAge is the time since the hub last reported the other routers' loads.
@@ -39,6 +41,9 @@
 			if e.breaker.isOpen(now) {
 				m.Silent++
 			}
+			if e.pause.active(now) {
+				m.Paused++
+			}
 		}
 	}
 	for _, asked := range d.demands {
--- a/core/dispatch/scoring.go
+++ b/core/dispatch/scoring.go
@@ -48,7 +48,8 @@
 }
 
 func (d *Dispatcher) scoring(q Query, pool []*endpoint, now time.Time) *scoring {
-	c := &scoring{d: d, q: q, pool: withoutSilent(d.withoutWithdrawn(pool), now), draining: d.draining(q.Service, pool, now), now: now}
+	accepting, withdrawn := d.split(pool, now)
+	c := &scoring{d: d, q: q, pool: withoutSilent(accepting, now), draining: append(withdrawn, d.departing(q.Service, now)...), now: now}
 	pool = c.pool
 	c.slots, _, c.engine = d.serviceCapacity(q.Service)
 	if s := d.service(q.Service); s != nil {
@@ -238,7 +239,7 @@
 		if e.replaced || slices.Contains(c.q.Tried, e.entry.ID) {
 			continue
 		}
-		if !ignoreSaturation && c.saturated(e) || c.coldLimitReached(e) {
+		if !ignoreSaturation && c.saturated(e) || c.coldLimitReached(e) || e.pause.limited() {
 			reason = ReasonAllFull
 			continue
 		}
--- a/core/dispatch/withdraw.go
+++ b/core/dispatch/withdraw.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // MarkLeaving records that the endpoint's process has answered that it is leaving, and returns whether this is new. The
 // endpoint gets no further requests, whatever the directory lists, until another process takes its place.
@@ -12,15 +15,25 @@
 	return first
 }
 
-// isWithdrawn reports whether the endpoint must get no new work: its process is leaving, or its failure domain is
-// drained.
-func (d *Dispatcher) isWithdrawn(e *endpoint) bool { return e.leaving || d.isDrained(e) }
+// isWithdrawn reports whether the endpoint must get no new work: its process is leaving or has asked for a pause, or its
+// failure domain is drained.
+func (d *Dispatcher) isWithdrawn(e *endpoint, now time.Time) bool {
+	return e.leaving || e.pause != nil && e.pause.active(now) || len(d.drained) > 0 && d.isDrained(e)
+}
 
-// withoutWithdrawn leaves out the endpoints that must get no new work. Unlike silent ones they are left out even if no
-// other is left.
-func (d *Dispatcher) withoutWithdrawn(pool []*endpoint) (kept []*endpoint) {
-	if !slices.ContainsFunc(pool, d.isWithdrawn) {
-		return pool
+// split separates the endpoints that may get new work from those that must not. Unlike silent endpoints these are left
+// out even if no other is left.
+func (d *Dispatcher) split(pool []*endpoint, now time.Time) (accepting, withdrawn []*endpoint) {
+	isWithdrawn := func(e *endpoint) bool { return d.isWithdrawn(e, now) }
+	if !slices.ContainsFunc(pool, isWithdrawn) {
+		return pool, nil
+	}
+	for _, e := range pool {
+		if isWithdrawn(e) {
+			withdrawn = append(withdrawn, e)
+		} else {
+			accepting = append(accepting, e)
+		}
 	}
-	return slices.DeleteFunc(slices.Clone(pool), d.isWithdrawn)
+	return accepting, withdrawn
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -12,6 +12,8 @@
 	DomainDrained           Name = "domainDrained"
 	EndpointGone            Name = "endpointGone"
 	EndpointLeaving         Name = "endpointLeaving"
+	EndpointPaused          Name = "endpointPaused"
+	EndpointResumed         Name = "endpointResumed"
 	EndpointUsable          Name = "endpointUsable"
 	EntryColdUnreadable     Name = "entryColdUnreadable"
 	EntryUnreadable         Name = "entryUnreadable"
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -101,6 +101,10 @@
 	Born Name = "born"
 	// Leaving tells whether the endpoint's process has announced that it is leaving.
 	Leaving Name = "leaving"
+	// PauseMs is for how long an endpoint asked for no requests.
+	PauseMs Name = "pauseMs"
+	// Refusals is the number of requests that the endpoint refused in a pause.
+	Refusals Name = "refusals"
 	// Source is where a change was learned from: the registry, the hub, or an endpoint's answer.
 	Source Name = "source"
 )
--- a/core/request/problem.go
+++ b/core/request/problem.go
@@ -21,6 +21,7 @@
 	StaleKeys        Reason = "staleKeys"
 	Stopping         Reason = "stopping"
 	NoEndpoint       Reason = "noEndpoint"
+	Paused           Reason = "paused"
 	Full             Reason = "full"
 	Reserved         Reason = "reserved"
 	Refused          Reason = "refused"
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -307,6 +307,7 @@
 		"savoryfall_endpoints":                func(m dispatch.Metrics) float64 { return float64(m.Endpoints) },
 		"savoryfall_endpoints_failing":        func(m dispatch.Metrics) float64 { return float64(m.Failing) },
 		"savoryfall_endpoints_silent":         func(m dispatch.Metrics) float64 { return float64(m.Silent) },
+		"savoryfall_endpoints_paused":         func(m dispatch.Metrics) float64 { return float64(m.Paused) },
 		"savoryfall_full_for_seconds":         func(m dispatch.Metrics) float64 { return m.FullFor.Seconds() },
 		"savoryfall_load_view_age_seconds":    func(m dispatch.Metrics) float64 { return m.LoadReportAge.Seconds() },
 	} {
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -46,6 +46,8 @@
 	case d != nil:
 		ctx, cancel := context.WithCancel(x.ctx)
 		return &attempt{Attempt: d, ctx: ctx, cancel: cancel}, nil
+	case reason == dispatch.ReasonPaused:
+		return nil, request.NotRun(request.Paused, x.retryAfterPause())
 	case reason == dispatch.ReasonAllFull:
 		return nil, request.NotRun(request.Full, x.retryAfterFull())
 	case reason == dispatch.ReasonReserved:
@@ -61,6 +63,11 @@
 	return retryafter.Delay(full, x.route.ResponseGoal, x.deadline.Sub(now), rand.Float64())
 }
 
+// retryAfterPause returns how long the client should wait while no endpoint of the service accepts requests.
+func (x *exchange) retryAfterPause() time.Duration {
+	return max(x.handler.Dispatcher.PausedFor(x.service, time.Now()), retrySoon)
+}
+
 // send sends the request and waits for the header of the response until the given time.
 func (x *exchange) send(a *attempt, until time.Time, lastEvent string) (err error) {
 	e := a.Endpoint()
@@ -95,6 +102,10 @@
 			field.Source, "answer", field.Request, x.request.ID, field.Status, a.response.Status)
 		x.handler.Endpoints.MarkLeaving(e)
 	}
+	if a.reply.Pause > 0 && a.Pause(a.reply.Pause, time.Now()) {
+		_ = x.handler.Logger.Log(field.Event, event.EndpointPaused, field.Endpoint, e.ID, field.Service, e.Service, field.Born, e.Born,
+			field.PauseMs, a.reply.Pause.Milliseconds(), field.Source, "answer", field.Request, x.request.ID, field.Status, a.response.Status)
+	}
 }
 
 func (x *exchange) endpointRequest(a *attempt, lastEvent string) (s request.EndpointRequest) {
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -12,6 +12,8 @@
 	"savoryfall/core/background"
 	"savoryfall/core/directory"
 	"savoryfall/core/dispatch"
+	"savoryfall/core/event"
+	"savoryfall/core/field"
 	"savoryfall/core/freshness"
 	"savoryfall/core/request"
 	"savoryfall/core/retrylimit"
@@ -90,6 +92,14 @@
 	startupPollPeriod = 5 * time.Millisecond
 )
 
+// logEndedPauses logs the endpoints that may get requests again after a pause.
+func (h *Handler) logEndedPauses(now time.Time) {
+	for _, p := range h.Dispatcher.EndedPauses(now) {
+		_ = h.Logger.Log(field.Event, event.EndpointResumed, field.Endpoint, p.Endpoint.ID, field.Service, p.Endpoint.Service, field.Born, p.Endpoint.Born,
+			field.AfterMs, p.Duration.Milliseconds(), field.Refusals, p.Refusals)
+	}
+}
+
 // awaitConfiguration delays a request while a process that has just started has no configuration. Routers that restart
 // together receive requests before any of them has one. Clients that were told to retry were then served late, or used
 // their last attempt on another router that had no configuration either.
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -91,7 +91,7 @@
 	}
 	_, _ = a.response.ReadAll(maxResponseBytes)
 	x.finishAttempt(a, dispatch.Refused)
-	return request.NotRun(request.Refused, retrySoon)
+	return request.NotRun(request.Refused, x.retryAfterPause())
 }
 
 // fromEndpoint reports whether the response was made by the endpoint itself.
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -82,6 +82,7 @@
 // take too long to send a header.
 func (s *Server) sweep(now time.Time) {
 	s.handler.Pool.Sweep(now)
+	s.handler.logEndedPauses(now)
 	s.conns.Sweep(now)
 }
 
