dispatch, http1, entry: a request is not sent to an endpoint that withdrew after the choice

Requests were then sent to endpoints that had meanwhile said that they leave, asked for a pause, left the registry, or whose failure domain was drained. http1 now asks right before it writes; a request that is held back counts as not sent and goes to another endpoint. Only after an event by which an endpoint may have withdrawn does the question take the dispatcher's lock.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -19,6 +19,8 @@
 	ended         bool
 	// limited is set while the attempt counts as unanswered at an endpoint that has just ended a pause.
 	limited bool
+	// withdrawals is the dispatcher's count when the endpoint was chosen.
+	withdrawals uint64
 }
 
 // Load is the load that an endpoint reports in an answer.
@@ -30,7 +32,8 @@
 // Verdict is how an attempt ended.
 type Verdict int
 
-// The verdicts. Abandoned is no evidence about the endpoint: the client left, or the router stopped.
+// The verdicts. The last two are no evidence about the endpoint: the client left or the router stopped, or the request
+// was not sent because the endpoint had been withdrawn.
 const (
 	Served Verdict = iota
 	Refused
@@ -39,11 +42,12 @@
 	Silent
 	Unreachable
 	Abandoned
+	Withdrawn
 )
 
 var verdictNames = [...]string{
 	Served: "served", Refused: "refused", Failed: "failed", Broken: "broken", Silent: "silent", Unreachable: "unreachable",
-	Abandoned: "abandoned",
+	Abandoned: "abandoned", Withdrawn: "withdrawn",
 }
 
 func (v Verdict) String() string { return verdictNames[v] }
@@ -63,7 +67,7 @@
 		e.cold.countRequest(now)
 	}
 	d.demand(q.Service).began(q.Rank)
-	a := &Attempt{d: d, e: e, entry: e.entry, q: q, began: now, missingTokens: missingTokens, unreadTokens: missingTokens, fetchSource: fetchSource}
+	a := &Attempt{d: d, e: e, entry: e.entry, q: q, began: now, missingTokens: missingTokens, unreadTokens: missingTokens, fetchSource: fetchSource, withdrawals: d.withdrawals.Load()}
 	e.unreadTokens += missingTokens
 	a.countUnanswered()
 	if c.engine && len(q.Prompt) > 0 {
@@ -156,7 +160,7 @@
 	}
 	a.d.demand(a.q.Service).ended(a.q.Rank, v, took, now)
 	a.finishReading()
-	if v == Abandoned {
+	if v == Abandoned || v == Withdrawn {
 		return took, true
 	}
 	if v == Silent || v == Unreachable {
--- a/core/dispatch/demand.go
+++ b/core/dispatch/demand.go
@@ -117,7 +117,7 @@
 func (m *demand) ended(rank int, v Verdict, holdTime time.Duration, now time.Time) {
 	l := m.level(rank)
 	l.running--
-	if v == Refused || v == Unreachable {
+	if v == Refused || v == Unreachable || v == Withdrawn {
 		return
 	}
 	s := max(holdTime, minHoldTime).Seconds()
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"savoryfall/core/coldlimit"
@@ -38,6 +39,9 @@
 	drainFetchTerm time.Duration
 	fleet          coldlimit.Fleet
 	coldBound      coldlimit.Bound
+	// withdrawals counts the events by which an endpoint may have been withdrawn, so that requests which are about to be
+	// sent need the lock only after one.
+	withdrawals atomic.Uint64
 }
 
 // New returns a dispatcher for a router of the failure domain.
@@ -79,6 +83,7 @@
 		pools[entry.Service] = append(pools[entry.Service], e)
 	}
 	d.retainDeparted(byID, now)
+	d.withdrawals.Add(1)
 	d.byID, d.pools = byID, pools
 	d.byShortHash = map[uint32]*endpoint{}
 	for _, e := range byID {
--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -22,6 +22,7 @@
 		}
 	}
 	d.drained = slices.Clone(domains)
+	d.withdrawals.Add(1)
 }
 
 // CountInDomain returns how many listed endpoints are in the failure domain.
--- a/core/dispatch/pause.go
+++ b/core/dispatch/pause.go
@@ -74,6 +74,7 @@
 	if a.e.pause == nil {
 		a.e.pause = &pause{}
 	}
+	a.d.withdrawals.Add(1)
 	jitter := min(time.Duration(pauseJitterShare*float64(asked)), maxPauseJitter)
 	return a.e.pause.extend(now.Add(asked+time.Duration(a.d.randomFloat()*float64(jitter))), now)
 }
--- a/core/dispatch/withdraw.go
+++ b/core/dispatch/withdraw.go
@@ -12,9 +12,21 @@
 	defer a.d.mu.Unlock()
 	first = !a.e.leaving
 	a.e.leaving = true
+	a.d.withdrawals.Add(1)
 	return first
 }
 
+// Withdrawn reports whether the endpoint has been withdrawn or removed since it was chosen, so that the request must not
+// be sent to it any more. Opening a connection takes time, and a VM may be suspended between the choice and the send.
+func (a *Attempt) Withdrawn(now time.Time) bool {
+	if a.d.withdrawals.Load() == a.withdrawals {
+		return false
+	}
+	a.d.mu.Lock()
+	defer a.d.mu.Unlock()
+	return a.d.byID[a.entry.ID] != a.e || a.d.isWithdrawn(a.e, now)
+}
+
 // isWithdrawn reports whether the endpoint must get no new work: its process is leaving or has asked for a pause, or its
 // failure domain is drained.
 func (d *Dispatcher) isWithdrawn(e *endpoint, now time.Time) bool {
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -80,6 +80,7 @@
 	a.response, err = x.handler.Pool.Do(ctx, http1.Request{
 		Address: e.Address, Method: x.request.Method, Target: x.request.Target, Host: x.request.Host, Header: h,
 		Body: x.body, HasBody: x.r.ContentLength != 0 || len(x.body) > 0, Deadline: until,
+		Permit:  func() error { return checkWithdrawn(a) },
 		Matches: func(h http.Header) bool { return x.handler.EndpointProtocol.MatchesRequest(h, x.request.ID) },
 	})
 	if err != nil {
@@ -90,6 +91,16 @@
 	return nil
 }
 
+// errWithdrawn is returned if the endpoint was withdrawn after it was chosen.
+var errWithdrawn = errors.New("the endpoint gets no new requests any more")
+
+func checkWithdrawn(a *attempt) error {
+	if a.Withdrawn(time.Now()) {
+		return errWithdrawn
+	}
+	return nil
+}
+
 // recordWithdrawal records that the endpoint wants no further requests. Another instance at the endpoint's address
 // speaks for itself only.
 func (x *exchange) recordWithdrawal(a *attempt) {
@@ -156,6 +167,8 @@
 func classifyError(err error) (v dispatch.Verdict, ran bool) {
 	var f *http1.AttemptError
 	switch {
+	case errors.Is(err, errWithdrawn):
+		return dispatch.Withdrawn, false
 	case !errors.As(err, &f):
 		return dispatch.Broken, true
 	case !f.MaybeSent:
--- a/io/http1/exchange.go
+++ b/io/http1/exchange.go
@@ -25,6 +25,8 @@
 	HasBody bool
 	// Deadline is the deadline for the complete response. Response.SetDeadline changes it.
 	Deadline time.Time
+	// Permit is called right before the request is written. If it returns an error, nothing is sent.
+	Permit func() error
 	// Matches reports whether a response with this header belongs to the request. Others are skipped.
 	Matches func(h http.Header) bool
 }
@@ -77,6 +79,11 @@
 	if err != nil {
 		return nil, &AttemptError{Err: err, Timeout: isTimeout(err)}
 	}
+	err = r.Permit()
+	if err != nil {
+		_ = c.Close()
+		return nil, &AttemptError{Err: err}
+	}
 	_ = c.SetDeadline(r.Deadline)
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
 	writeResult := writeRequest(c, r)
