io/hub: failing tests of a store that comes back from an older copy

Routers that follow another skip configurations until the offsets pass those of before, and a reader whose offset exists again skips what lies before it. The store of these tests now answers an offset that it does not have with an error, as the platform does, and the sink of the tests goes by version, as the real one does, not by offset.

--- a/io/hub/fakestore_test.go
+++ b/io/hub/fakestore_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,10 +22,12 @@
 	mu          sync.Mutex
 	topics      map[string][]compactedlog.Record
 	firstOffset map[string]int64
-	refused     func(router string) bool
-	calls       int
-	lastSent    time.Time
-	newsCh      chan struct{}
+	// generation rises with each restore.
+	generation int64
+	refused    func(router string) bool
+	calls      int
+	lastSent   time.Time
+	newsCh     chan struct{}
 }
 
 func newFakeStore() *fakeStore {
@@ -46,6 +50,28 @@
 	s.refused = refused
 }
 
+// restore replaces the store's contents by a copy that lacks the last records of each topic. The newest record of each
+// key among them is written again, as the operator and the endpoints do.
+func (s *fakeStore) restore(lost map[string]int) {
+	s.mu.Lock()
+	s.generation++
+	newest := map[string]map[string]string{}
+	for topic, n := range lost {
+		newest[topic] = map[string]string{}
+		end := len(s.topics[topic])
+		for _, r := range s.topics[topic][end-n:] {
+			newest[topic][r.Key] = string(r.Value)
+		}
+		s.topics[topic] = slices.Clone(s.topics[topic][:end-n])
+	}
+	s.mu.Unlock()
+	for topic, values := range newest {
+		for _, key := range slices.Sorted(maps.Keys(values)) {
+			s.put(topic, key, values[key])
+		}
+	}
+}
+
 // compact drops the history: only the newest record of each key can still be read.
 func (s *fakeStore) compact() {
 	s.mu.Lock()
@@ -134,7 +160,7 @@
 		records, firstOffset, newsCh := s.topics[s.name], s.firstOffset[s.name], s.newsCh
 		s.recordRead(sent)
 		s.mu.Unlock()
-		if from < firstOffset && from < int64(len(records)) {
+		if from < firstOffset && from < int64(len(records)) || from > int64(len(records)) {
 			return p, compactedlog.TrimmedError{Requested: from, First: firstOffset}
 		}
 		left := wait - time.Since(sent)
--- a/io/hub/fleetharness_test.go
+++ b/io/hub/fleetharness_test.go
@@ -239,7 +239,7 @@
 	return e, json.Unmarshal(r.Value, &e)
 }
 
-// configurationSink keeps the newest configuration record.
+// configurationSink keeps the configuration record with the highest version.
 type configurationSink struct {
 	mu     sync.Mutex
 	newest *compactedlog.Record
@@ -254,12 +254,17 @@
 		if r.Key != "config" {
 			continue
 		}
-		if c.newest == nil || r.Offset > c.newest.Offset {
+		if c.newest == nil || versionOf(r) > versionOf(*c.newest) {
 			c.newest = &r
 		}
 	}
 }
 
+func versionOf(r compactedlog.Record) (n int) {
+	_, _ = fmt.Sscan(string(r.Value), &n)
+	return n
+}
+
 func (c *configurationSink) Read(time.Duration) {}
 func (c *configurationSink) Failed(error)       {}
 
--- /dev/null
+++ b/io/hub/restore_test.go
@@ -0,0 +1,91 @@
+package hub_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// storeOutage is how long the store is away before it comes back from a copy.
+const storeOutage = 2700 * time.Millisecond
+
+// restore makes the store unavailable for a while, and then brings it back without the last records of the topics.
+func (f *fleet) restore(lost map[string]int) {
+	f.store.refuse(func(string) bool { return true })
+	time.Sleep(storeOutage)
+	f.store.restore(lost)
+	f.store.refuse(nil)
+}
+
+// putConfigurations writes the versions, one every interval.
+func (f *fleet) putConfigurations(first, last int, interval time.Duration) {
+	for v := first; v <= last; v++ {
+		f.store.put(configurationTopic, "config", fmt.Sprint(v))
+		time.Sleep(interval)
+	}
+}
+
+// Guards against routers that take a configuration for known because its offset was in use before the store was restored.
+func TestConfigurationsAfterRestoreReachAllRouters(t *testing.T) {
+	for _, n := range []int{6, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, n)
+			defer f.stop()
+			f.putConfigurations(2, 9, 200*time.Millisecond)
+			time.Sleep(time.Second)
+			f.assertKnown("9", endpointCount, 2*time.Second)
+			f.restore(map[string]int{configurationTopic: 5})
+			time.Sleep(2 * time.Second)
+			for v := 10; v <= 14; v++ {
+				f.store.put(configurationTopic, "config", fmt.Sprint(v))
+				time.Sleep(1500 * time.Millisecond)
+				f.assertKnown(fmt.Sprint(v), endpointCount, 2*time.Second)
+			}
+		})
+	}
+}
+
+// Guards against records that a reader skips because its offset exists again when it next reads the restored store.
+func TestRecordsAtOffsetsGivenOutAgainAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6)
+		defer f.stop()
+		f.putConfigurations(2, 9, 200*time.Millisecond)
+		f.putEndpoint(0, true)
+		time.Sleep(time.Second)
+		f.store.refuse(func(string) bool { return true })
+		time.Sleep(storeOutage)
+		f.store.restore(map[string]int{configurationTopic: 3, registryTopic: 1})
+		f.putConfigurations(10, 11, 0)
+		for e := 1; e <= 3; e++ {
+			f.putEndpoint(e, true)
+		}
+		// The log is longer again than the routers know it, and what they have not read lies before their offset.
+		for range 4 {
+			f.store.put(configurationTopic, "other", "x")
+			f.putEndpoint(4, false)
+		}
+		f.store.refuse(nil)
+		time.Sleep(2 * time.Second)
+		f.assertKnown("11", endpointCount-4, 2*time.Second)
+	})
+}
+
+// Guards against endpoints that leave unseen after a restore.
+func TestEndpointsThatLeaveAfterRestoreAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6)
+		defer f.stop()
+		f.putEndpoint(0, true)
+		f.putEndpoint(1, true)
+		time.Sleep(time.Second)
+		f.assertKnown("1", endpointCount-2, 2*time.Second)
+		f.restore(map[string]int{registryTopic: 2})
+		time.Sleep(2 * time.Second)
+		f.assertKnown("1", endpointCount-2, 2*time.Second)
+		f.putEndpoint(2, true)
+		time.Sleep(2 * time.Second)
+		f.assertKnown("1", endpointCount-3, 2*time.Second)
+	})
+}
