follow, hub, store: offsets are compared within one generation of the store's log only

Callers were served by configurations that were out of date: when the store came back from an older copy, the router that reads it for the others went on at the lower offset, and its five followers, which keep the highest offset they have seen, took themselves to be up to date, and renewed their lease, until the offsets had passed those of before. A reader whose offset exists again when it next reads skipped what lies before it, without a sign.

A position in the store's log is now a generation and an offset. A reader that sees a later one reads the newest record of every key again; pages and hubs of an earlier one confirm nothing. The hub's messages carry the generation beside each offset; the record that a router holds is named by both, so that another of the same offset is sent. Routers of an earlier release send none, which counts as the lowest: a new router reads the store itself rather than trust their offsets.

--- a/core/compactedlog/record.go
+++ b/core/compactedlog/record.go
@@ -1,6 +1,25 @@
 package compactedlog
 
-import "fmt"
+import (
+	"cmp"
+	"fmt"
+)
+
+// Position is a place in a log. The generation rises when the log comes back from an older copy: the records after the
+// copy are lost, and their offsets are given to other records. Offsets of different generations do not compare.
+type Position struct {
+	Generation int64
+	Offset     int64
+}
+
+// Compare returns -1, 0 or +1 as p is before, equal to or after q. Any position of a later generation is after those of
+// earlier ones.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Generation, q.Generation), cmp.Compare(p.Offset, q.Offset))
+}
+
+// Before reports whether p is before q.
+func (p Position) Before(q Position) bool { return p.Compare(q) < 0 }
 
 // Record is one write to the log: a key and its new value, or the removal of the key.
 type Record struct {
@@ -8,14 +27,24 @@
 	Value   []byte
 	Offset  int64
 	Removed bool
+	// Generation is that of the log when the record was read, 0 if unknown.
+	Generation int64
 }
 
+// Position returns where the record was read.
+func (r Record) Position() Position { return Position{Generation: r.Generation, Offset: r.Offset} }
+
 // Page is the result of one read: the records, and the offset to continue from.
 type Page struct {
 	Records []Record
 	Next    int64
+	// Generation is that of the log when the read was answered, 0 if unknown.
+	Generation int64
 }
 
+// End returns the position to continue from.
+func (p Page) End() Position { return Position{Generation: p.Generation, Offset: p.Next} }
+
 // TrimmedError reports that the records from offset Requested on are no longer kept. The newest value of each key can
 // still be read.
 type TrimmedError struct{ Requested, First int64 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -35,4 +35,5 @@
 	Stopping                Name = "stopping"
 	StoreLost               Name = "storeLost"
 	StoreRegained           Name = "storeRegained"
+	StoreRestored           Name = "storeRestored"
 )
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -79,6 +79,8 @@
 	Want Name = "want"
 	// First is the first offset that the store still keeps.
 	First Name = "first"
+	// Generation is the generation of the store's log, which rises when the store comes back from an older copy.
+	Generation Name = "generation"
 	// Failures is the number of failed reads.
 	Failures Name = "failures"
 	// AfterMs is how long the store was unavailable.
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -19,6 +19,9 @@
 type Topic interface {
 	Newest(ctx context.Context) (p compactedlog.Page, err error)
 	Since(ctx context.Context, from int64, wait time.Duration) (p compactedlog.Page, err error)
+	// Generation returns the highest generation of the log that any answer of the store has shown to this router, 0 if
+	// none has.
+	Generation() int64
 }
 
 // Sink receives the records that were read.
@@ -63,11 +66,12 @@
 	goroutines background.Group
 	wake       chan struct{}
 
-	mu         sync.Mutex
-	nextOffset int64
-	synced     bool
-	behind     bool
-	leader     bool
+	mu sync.Mutex
+	// position is up to where the topic is known.
+	position compactedlog.Position
+	synced   bool
+	behind   bool
+	leader   bool
 	// behindSince is the clock time at which this router learned of newer records.
 	behindSince time.Duration
 	confirmedAt time.Duration
@@ -154,20 +158,20 @@
 	}
 }
 
-// Position returns the offset up to which the topic is known, and the time of the read that last showed that there
+// Position returns the position up to which the topic is known, and the time of the read that last showed that there
 // was nothing newer; ok is false if the topic has not been read yet.
-func (f *Follower) Position() (nextOffset int64, sent time.Duration, ok bool) {
+func (f *Follower) Position() (end compactedlog.Position, sent time.Duration, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.nextOffset, f.confirmedAt, f.synced
+	return f.position, f.confirmedAt, f.synced
 }
 
-// ConfirmEnd records that another router found the end of the topic at nextOffset, with a read sent at the given time
-// since boot. If this router is behind that offset, it reads the missing records unless it receives them in time.
-func (f *Follower) ConfirmEnd(nextOffset int64, sent time.Duration) {
+// ConfirmEnd records that another router found the end of the topic there, with a read sent at the given time since
+// boot. If this router is behind that position, it reads the missing records unless it receives them in time.
+func (f *Follower) ConfirmEnd(end compactedlog.Position, sent time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.synced || f.nextOffset < nextOffset {
+	if !f.synced || f.position.Before(end) {
 		if !f.behind {
 			f.behindSince = f.options.Clock()
 		}
@@ -175,17 +179,41 @@
 		f.signal()
 		return
 	}
+	if f.outdated(end) {
+		return
+	}
 	f.confirmRead(sent)
 }
 
-// AdvanceTo records that another router has sent all changes up to nextOffset.
-func (f *Follower) AdvanceTo(nextOffset int64, sent time.Duration) {
+// AdvanceTo records that another router has sent all changes up to the position.
+func (f *Follower) AdvanceTo(end compactedlog.Position, sent time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.nextOffset, f.synced = max(f.nextOffset, nextOffset), true
+	if f.outdated(end) {
+		return
+	}
+	f.moveTo(end)
 	f.confirmRead(sent)
 }
 
+// outdated reports whether a position belongs to an earlier generation of the log than the newest one known. What was
+// read up to there says nothing about the log as it is now.
+func (f *Follower) outdated(p compactedlog.Position) bool {
+	return p.Generation < max(f.position.Generation, f.topic.Generation())
+}
+
+// moveTo advances the position. A later generation may well have lower offsets.
+func (f *Follower) moveTo(end compactedlog.Position) {
+	if f.synced && end.Generation > f.position.Generation {
+		_ = f.logger.Log(field.Event, event.StoreRestored, field.Topic, f.options.Name, field.Generation, end.Generation, field.From, f.position.Generation,
+			field.Want, f.position.Offset, field.Offset, end.Offset)
+	}
+	if !f.synced || f.position.Before(end) {
+		f.position = end
+	}
+	f.synced = true
+}
+
 func (f *Follower) confirmRead(sent time.Duration) {
 	f.behind = false
 	f.confirmedAt = max(f.confirmedAt, sent)
@@ -233,26 +261,33 @@
 	if !f.synced {
 		return f.startupDeadline - now
 	}
+	if f.outdated(f.position) {
+		return 0
+	}
 	if f.behind {
 		return f.behindSince + f.options.Grace - now
 	}
 	return max(f.confirmedAt, f.hubAnsweredAt) + f.options.MaxAge - now
 }
 
-// readOnce makes one read. If records have been trimmed unread, it starts over from the newest value of each key.
+// readOnce makes one read. If records have been trimmed unread, or the log is of another generation, it starts over from
+// the newest value of each key.
 func (f *Follower) readOnce(ctx context.Context) (err error) {
 	sent := f.options.Clock()
 	f.mu.Lock()
-	from, synced := f.nextOffset, f.synced
+	from, synced := f.position, f.synced && !f.outdated(f.position)
 	f.mu.Unlock()
 	var p compactedlog.Page
 	if synced {
-		p, err = f.readSince(ctx, from)
+		p, err = f.readSince(ctx, from.Offset)
 	} else {
 		p, err = f.readNewest(ctx)
 	}
 	var trimmed compactedlog.TrimmedError
 	if errors.As(err, &trimmed) {
+		if f.restored() {
+			return f.readOnce(ctx)
+		}
 		_ = f.logger.Log(field.Event, event.RecordsTrimmed, field.Topic, f.options.Name, field.Want, trimmed.Requested, field.First, trimmed.First)
 		f.mu.Lock()
 		f.synced = false
@@ -265,25 +300,34 @@
 	if err != nil {
 		return err
 	}
+	if synced && p.Generation > from.Generation {
+		return f.readOnce(ctx)
+	}
 	f.applyPage(p, from, synced, sent)
 	return nil
 }
 
+// restored reports whether the log has come back from an older copy since the topic was read.
+func (f *Follower) restored() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.synced && f.outdated(f.position)
+}
+
 // applyPage passes a page to the sink, unless this router has received newer records during the read: older
-// records would undo them.
-func (f *Follower) applyPage(p compactedlog.Page, from int64, synced bool, sent time.Duration) {
+// records would undo them. A page of an earlier generation was answered before the log came back, and shows nothing.
+func (f *Follower) applyPage(p compactedlog.Page, from compactedlog.Position, synced bool, sent time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if synced && f.nextOffset != from {
+	if f.synced && f.position != from || f.outdated(p.End()) {
 		return
 	}
 	if synced {
 		f.sink.Apply(p.Records)
-		f.nextOffset = max(f.nextOffset, p.Next)
 	} else {
 		f.sink.Replace(p.Records)
-		f.nextOffset, f.synced = p.Next, true
 	}
+	f.moveTo(p.End())
 	f.confirmRead(sent)
 }
 
@@ -337,14 +381,14 @@
 
 func (f *Follower) recordSuccess() {
 	f.mu.Lock()
-	failures, nextOffset := f.failures, f.nextOffset
+	failures, end := f.failures, f.position
 	f.failures = 0
 	f.mu.Unlock()
 	if failures == 0 {
 		return
 	}
 	_ = f.logger.Log(field.Event, event.StoreRegained, field.Topic, f.options.Name, field.Failures, failures,
-		field.AfterMs, time.Since(f.failedSince).Milliseconds(), field.Offset, nextOffset)
+		field.AfterMs, time.Since(f.failedSince).Milliseconds(), field.Offset, end.Offset)
 }
 
 func (f *Follower) failureCount() int {
@@ -363,14 +407,17 @@
 // Failing returns whether this router's own reads fail.
 func (f *Follower) Failing() bool { return f.failureCount() > 0 }
 
-// ApplySnapshot applies the newest record of every key, from another router that has read up to nextOffset. The records
+// ApplySnapshot applies the newest record of every key, from another router that has read up to the position. The records
 // are ignored if this router has read further itself.
-func (f *Follower) ApplySnapshot(records []compactedlog.Record, nextOffset int64, sent time.Duration) {
+func (f *Follower) ApplySnapshot(records []compactedlog.Record, end compactedlog.Position, sent time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.synced || nextOffset >= f.nextOffset {
+	if f.outdated(end) {
+		return
+	}
+	if !f.synced || !end.Before(f.position) {
 		f.sink.Replace(records)
 	}
-	f.nextOffset, f.synced = max(f.nextOffset, nextOffset), true
+	f.moveTo(end)
 	f.confirmRead(sent)
 }
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,6 +25,10 @@
 	reads       int
 	newestReads int
 	appended    chan struct{}
+	// generation is that of the log, seen the highest that was answered.
+	generation, seen int64
+	// answer, if set, changes each page before it is returned.
+	answer func(p *compactedlog.Page)
 }
 
 // grace is how long the followers wait to receive newer records.
@@ -31,6 +36,28 @@
 
 func newFakeTopic() *fakeTopic { return &fakeTopic{appended: make(chan struct{})} }
 
+// at returns the position of an offset in a log that was never restored.
+func at(offset int64) compactedlog.Position { return compactedlog.Position{Offset: offset} }
+
+func (t *fakeTopic) Generation() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.seen
+}
+
+// restore replaces the records by others, as a store that comes back from an older copy does.
+func (t *fakeTopic) restore(keys ...string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.generation++
+	t.records = nil
+	for i, key := range keys {
+		t.records = append(t.records, compactedlog.Record{Key: key, Offset: int64(i)})
+	}
+	close(t.appended)
+	t.appended = make(chan struct{})
+}
+
 func (t *fakeTopic) addRecord(key string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -82,8 +109,16 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.seen = max(t.seen, t.generation)
+	if t.generation > 0 && from > int64(len(t.records)) {
+		return p, compactedlog.TrimmedError{Requested: from}
+	}
 	from = min(from, int64(len(t.records)))
-	return compactedlog.Page{Records: t.records[from:], Next: int64(len(t.records))}, nil
+	p = compactedlog.Page{Records: t.records[from:], Next: int64(len(t.records)), Generation: t.generation}
+	if t.answer != nil {
+		t.answer(&p)
+	}
+	return p, nil
 }
 
 type fakeSink struct {
@@ -176,7 +211,7 @@
 		tp.takeReadCount()
 		for range 20 {
 			time.Sleep(300 * time.Millisecond)
-			f.ConfirmEnd(1, now()-500*time.Millisecond)
+			f.ConfirmEnd(at(1), now()-500*time.Millisecond)
 		}
 		assert.Equal(t, tp.takeReadCount(), 0)
 		tp.addRecord("b")
@@ -194,7 +229,7 @@
 		tp.addRecord("b")
 		for range 8 {
 			assert.Equal(t, s.allKeys(), "a")
-			f.ConfirmEnd(2, now())
+			f.ConfirmEnd(at(2), now())
 			assert.Assert(t, s.age(now()) > 0)
 			time.Sleep(grace / 8)
 		}
@@ -210,11 +245,11 @@
 		time.Sleep(10 * time.Millisecond)
 		tp.addRecord("b")
 		tp.takeReadCount()
-		f.ConfirmEnd(2, now())
+		f.ConfirmEnd(at(2), now())
 		assert.Assert(t, f.Behind())
 		assert.Assert(t, !f.Failing())
 		time.Sleep(grace / 2)
-		f.ApplySnapshot([]compactedlog.Record{{Key: "a"}, {Key: "b", Offset: 1}}, 2, now())
+		f.ApplySnapshot([]compactedlog.Record{{Key: "a"}, {Key: "b", Offset: 1}}, at(2), now())
 		time.Sleep(grace)
 		assert.Equal(t, tp.takeReadCount(), 0)
 		assert.Equal(t, s.allKeys(), "ab")
@@ -225,8 +260,8 @@
 func TestOlderSnapshotIsIgnored(t *testing.T) {
 	withFollower(t, func(f *follow.Follower, tp *fakeTopic, s *fakeSink, now func() time.Duration) {
 		time.Sleep(10 * time.Millisecond)
-		f.ApplySnapshot([]compactedlog.Record{{Key: "a"}, {Key: "b", Offset: 1}}, 2, now())
-		f.ApplySnapshot([]compactedlog.Record{{Key: "a"}}, 1, now())
+		f.ApplySnapshot([]compactedlog.Record{{Key: "a"}, {Key: "b", Offset: 1}}, at(2), now())
+		f.ApplySnapshot([]compactedlog.Record{{Key: "a"}}, at(1), now())
 		assert.Equal(t, s.allKeys(), "ab")
 	})
 }
@@ -242,12 +277,12 @@
 		tp.takeReadCount()
 		for range 900 {
 			time.Sleep(10 * time.Millisecond)
-			f.ConfirmEnd(2, now())
+			f.ConfirmEnd(at(2), now())
 		}
 		assert.Assert(t, tp.takeReadCount() < 20)
 		assert.Assert(t, s.age(now()) > 8*time.Second)
 		assert.Assert(t, f.Behind())
-		f.ApplySnapshot([]compactedlog.Record{{Key: "a"}, {Key: "b", Offset: 1}}, 2, now())
+		f.ApplySnapshot([]compactedlog.Record{{Key: "a"}, {Key: "b", Offset: 1}}, at(2), now())
 		assert.Assert(t, !f.Behind())
 		assert.Equal(t, s.allKeys(), "ab")
 		assert.Assert(t, s.age(now()) == 0)
@@ -259,12 +294,12 @@
 	withFollower(t, func(f *follow.Follower, tp *fakeTopic, s *fakeSink, now func() time.Duration) {
 		f.SetLeader(true)
 		time.Sleep(10 * time.Millisecond)
-		f.AdvanceTo(5, now())
+		f.AdvanceTo(at(5), now())
 		tp.addRecord("b")
 		time.Sleep(100 * time.Millisecond)
 		assert.Equal(t, s.allKeys(), "a")
-		next, _, ok := f.Position()
-		assert.Assert(t, ok && next >= 5)
+		end, _, ok := f.Position()
+		assert.Assert(t, ok && !end.Before(at(5)))
 	})
 }
 
@@ -328,7 +363,7 @@
 	withStartupWait(t, first, func(f *follow.Follower, tp *fakeTopic, s *fakeSink, now func() time.Duration) {
 		time.Sleep(time.Second)
 		assert.Equal(t, tp.takeReadCount(), 0)
-		f.ApplySnapshot([]compactedlog.Record{{Key: "given"}}, 1, now())
+		f.ApplySnapshot([]compactedlog.Record{{Key: "given"}}, at(1), now())
 		f.EndStartupWait()
 		time.Sleep(time.Second)
 		assert.Equal(t, tp.takeReadCount(), 0)
@@ -344,3 +379,93 @@
 		assert.Equal(t, s.allKeys(), "a")
 	})
 }
+
+// Guards against records that a reader skips, or waits for without end, after the store came back from an older copy.
+func TestRestoredTopicIsReadFromNewestValues(t *testing.T) {
+	for name, restored := range map[string][]string{"shorter": {"x"}, "as long": {"x", "y", "z"}, "longer": {"x", "y", "z", "w", "v"}} {
+		t.Run(name, func(t *testing.T) {
+			withFollower(t, func(f *follow.Follower, tp *fakeTopic, s *fakeSink, now func() time.Duration) {
+				f.SetLeader(true)
+				tp.addRecord("b")
+				tp.addRecord("c")
+				time.Sleep(time.Second)
+				assert.Equal(t, s.allKeys(), "abc")
+				tp.restore(restored...)
+				time.Sleep(time.Second)
+				assert.Equal(t, s.allKeys(), strings.Join(restored, ""))
+				tp.addRecord("n")
+				time.Sleep(time.Second)
+				assert.Equal(t, s.allKeys(), strings.Join(restored, "")+"n")
+				assert.Assert(t, s.age(now()) <= time.Second)
+			})
+		})
+	}
+}
+
+// Guards against two restores in quick succession, the second while the first is read.
+func TestSecondRestoreDuringRead(t *testing.T) {
+	withFollower(t, func(f *follow.Follower, tp *fakeTopic, s *fakeSink, _ func() time.Duration) {
+		f.SetLeader(true)
+		time.Sleep(time.Second)
+		tp.restore("x", "y")
+		tp.restore("z")
+		time.Sleep(time.Second)
+		assert.Equal(t, s.allKeys(), "z")
+	})
+}
+
+// Guards against a page that was answered before the store came back and arrives after another answer showed that.
+func TestPageOfEarlierGenerationIsDropped(t *testing.T) {
+	withFollower(t, func(f *follow.Follower, tp *fakeTopic, s *fakeSink, now func() time.Duration) {
+		f.SetLeader(true)
+		time.Sleep(10 * time.Millisecond)
+		tp.mu.Lock()
+		tp.generation, tp.seen = 1, 2
+		tp.mu.Unlock()
+		tp.addRecord("lost")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, s.allKeys(), "a")
+		assert.Assert(t, s.age(now()) >= time.Second, "a read of the earlier generation must not renew the lease")
+	})
+}
+
+// Guards against a router that takes itself to be up to date because its offset of before the restore is higher.
+func TestHubOfLaterGenerationIsAhead(t *testing.T) {
+	withFollower(t, func(f *follow.Follower, tp *fakeTopic, s *fakeSink, now func() time.Duration) {
+		f.AdvanceTo(at(15), now())
+		later := compactedlog.Position{Generation: 1, Offset: 11}
+		f.ConfirmEnd(later, now())
+		assert.Assert(t, f.Behind())
+		f.ApplySnapshot([]compactedlog.Record{{Key: "new"}}, later, now())
+		assert.Assert(t, !f.Behind())
+		assert.Equal(t, s.allKeys(), "new")
+		end, _, _ := f.Position()
+		assert.Equal(t, end, later)
+		confirmed := s.age(now())
+		time.Sleep(100 * time.Millisecond)
+		f.ApplySnapshot([]compactedlog.Record{{Key: "old"}}, at(20), now())
+		f.AdvanceTo(at(21), now())
+		f.ConfirmEnd(at(22), now())
+		end, _, _ = f.Position()
+		assert.Equal(t, end, later)
+		assert.Equal(t, s.allKeys(), "new")
+		assert.Equal(t, s.age(now()), confirmed+100*time.Millisecond, "a hub of an earlier generation shows nothing")
+	})
+}
+
+// Guards against a router that learns of the restore from an answer of its own, and waits for a hub that has not seen it.
+func TestRestoreSeenByThisRouterAlone(t *testing.T) {
+	withFollower(t, func(f *follow.Follower, tp *fakeTopic, s *fakeSink, now func() time.Duration) {
+		f.AdvanceTo(at(3), now())
+		tp.restore("x")
+		tp.mu.Lock()
+		tp.seen = 1
+		tp.mu.Unlock()
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			f.HubAnswered()
+			f.ConfirmEnd(at(3), now())
+		}
+		assert.Equal(t, s.allKeys(), "x")
+	})
+}
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -24,9 +24,9 @@
 // TopicReader reads one topic of the store, either directly or from what the hub sends.
 type TopicReader interface {
 	SetLeader(leader bool)
-	Position() (next int64, sent time.Duration, ok bool)
-	ConfirmEnd(next int64, sent time.Duration)
-	AdvanceTo(next int64, sent time.Duration)
+	Position() (end compactedlog.Position, sent time.Duration, ok bool)
+	ConfirmEnd(end compactedlog.Position, sent time.Duration)
+	AdvanceTo(end compactedlog.Position, sent time.Duration)
 	HubAnswered()
 	EndStartupWait()
 	Failing() bool
@@ -37,7 +37,7 @@
 type ConfigurationReader interface {
 	TopicReader
 	Behind() bool
-	ApplySnapshot(records []compactedlog.Record, next int64, sent time.Duration)
+	ApplySnapshot(records []compactedlog.Record, end compactedlog.Position, sent time.Duration)
 }
 
 // Endpoints holds the registered endpoints that this router knows.
--- a/io/hub/agent_test.go
+++ b/io/hub/agent_test.go
@@ -51,21 +51,21 @@
 	f.leader = leader
 }
 
-func (f *fakeTopic) Position() (next int64, sent time.Duration, ok bool) {
+func (f *fakeTopic) Position() (end compactedlog.Position, sent time.Duration, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.next, clock() - f.age, true
+	return compactedlog.Position{Offset: f.next}, clock() - f.age, true
 }
 
-func (f *fakeTopic) ConfirmEnd(int64, time.Duration) {}
+func (f *fakeTopic) ConfirmEnd(compactedlog.Position, time.Duration) {}
 
 func (f *fakeTopic) HubAnswered()    {}
 func (f *fakeTopic) EndStartupWait() {}
 
-func (f *fakeTopic) AdvanceTo(next int64, _ time.Duration) {
+func (f *fakeTopic) AdvanceTo(end compactedlog.Position, _ time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.next = max(f.next, next)
+	f.next = max(f.next, end.Offset)
 }
 
 func (f *fakeTopic) Behind() bool {
@@ -80,10 +80,10 @@
 	return f.failing
 }
 
-func (f *fakeTopic) ApplySnapshot(records []compactedlog.Record, next int64, _ time.Duration) {
+func (f *fakeTopic) ApplySnapshot(records []compactedlog.Record, end compactedlog.Position, _ time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.givenRecords, f.wants, f.next = len(records), false, next
+	f.givenRecords, f.wants, f.next = len(records), false, end.Offset
 }
 
 func (f *fakeTopic) gotRecords() int {
--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -57,9 +57,11 @@
 	work, routers := a.aggregator.LocalTotals(now)
 	args := &Report{
 		From: a.Self, Loads: toColumns(work.Loads), Demands: work.Demands, Epoch: a.hubState.epoch, Numbers: a.hubState.Numbers,
-		Digest: a.Members.Digest(), Configuration: a.hubState.configuration.Next, Wants: a.Configuration.Behind(),
-		Failing: a.Configuration.Failing(), Holds: a.heldOffset(), Offer: a.buildOffer(), Hold: reportHold,
+		Digest: a.Members.Digest(), Wants: a.Configuration.Behind(), Failing: a.Configuration.Failing(), Offer: a.buildOffer(), Hold: reportHold,
 	}
+	args.Configuration, args.ConfigurationGeneration = a.hubState.configuration.Next, a.hubState.configuration.Generation
+	holds := a.heldPosition()
+	args.Holds, args.HoldsGeneration = holds.Offset, holds.Generation
 	args.Reads, args.Joined = a.undelivered(fresh)
 	if routers > 1 {
 		args.Hold = hubReportHold
@@ -83,13 +85,13 @@
 	return a.applyReply(&reply, work, own, sent)
 }
 
-// noRecord is the offset that stands for no record.
-const noRecord = -1
+// noRecord is the position that stands for no record.
+var noRecord = compactedlog.Position{Offset: -1}
 
-// heldOffset returns the offset of the record of the configuration in force.
-func (a *Agent) heldOffset() int64 {
+// heldPosition returns the position of the record of the configuration in force.
+func (a *Agent) heldPosition() compactedlog.Position {
 	if r := a.CurrentRecord(); r != nil {
-		return r.Offset
+		return r.Position()
 	}
 	return noRecord
 }
@@ -172,8 +174,8 @@
 // compareFreshness reports whether the hub's reads are old and this router's are newer, and whether these are recent
 // enough to show that this router can read the store.
 func (a *Agent) compareFreshness(position TopicPosition, f TopicReader, sent time.Duration) (newer, canRead bool) {
-	next, known, ok := f.Position()
-	if !ok || !position.Known || position.Age <= a.StaleAfter || next < position.Next {
+	end, known, ok := f.Position()
+	if !ok || !position.Known || position.Age <= a.StaleAfter || end.Before(position.end()) {
 		return false, false
 	}
 	return known > sent-position.Age+minFreshnessGain, sent-known <= a.StaleAfter
@@ -226,16 +228,16 @@
 }
 
 func (a *Agent) applyRegistry(r *Reply, sent time.Duration) {
-	next, _, ok := a.Registry.Position()
+	end, _, ok := a.Registry.Position()
 	if !r.Registry.Known {
 		return
 	}
 	a.Registry.HubAnswered()
-	if ok && r.Registry.Next < next {
+	if ok && r.Registry.end().Before(end) {
 		return
 	}
 	a.Endpoints.ApplyChanges(r.Changes, r.Since.Changes == 0)
-	a.Registry.AdvanceTo(r.Registry.Next, sent-r.Registry.Age)
+	a.Registry.AdvanceTo(r.Registry.end(), sent-r.Registry.Age)
 }
 
 func (a *Agent) applyConfiguration(r *Reply, sent time.Duration) {
@@ -245,15 +247,15 @@
 	}
 	a.Configuration.HubAnswered()
 	if r.Given != nil {
-		a.applyCompressed(r.Given, position.Next, sent-position.Age)
+		a.applyCompressed(r.Given, position.end(), sent-position.Age)
 		return
 	}
 	if position.Next == 0 {
 		// There is no configuration yet.
-		a.Configuration.ApplySnapshot(nil, 0, sent-position.Age)
+		a.Configuration.ApplySnapshot(nil, position.end(), sent-position.Age)
 		return
 	}
-	a.Configuration.ConfirmEnd(position.Next, sent-position.Age)
+	a.Configuration.ConfirmEnd(position.end(), sent-position.Age)
 }
 
 func (a *Agent) call(ctx context.Context, m members.Member, args *Report, reply *Reply) (err error) {
--- a/io/hub/compress.go
+++ b/io/hub/compress.go
@@ -15,10 +15,16 @@
 type CompressedConfiguration struct {
 	Key    string
 	Offset int64
-	// Data is empty if the receiver holds the record of that offset.
+	// Data is empty if the receiver holds the record of that position.
 	Data []byte
 	// Beside are the other records in force.
 	Beside []compactedlog.Record
+	// Generation is the generation of the log that Offset belongs to.
+	Generation int64
+}
+
+func (p *CompressedConfiguration) position() compactedlog.Position {
+	return compactedlog.Position{Generation: p.Generation, Offset: p.Offset}
 }
 
 // maxConfigurationBytes limits the size of a decompressed configuration.
@@ -41,13 +47,13 @@
 		return nil, err
 	}
 	err = w.Close()
-	return &CompressedConfiguration{Key: r.Key, Offset: r.Offset, Data: b.Bytes()}, err
+	return &CompressedConfiguration{Key: r.Key, Offset: r.Offset, Generation: r.Generation, Data: b.Bytes()}, err
 }
 
 // records returns all records in force. held is the configuration record that the receiver has.
 func (p *CompressedConfiguration) records(held *compactedlog.Record) (records []compactedlog.Record, err error) {
 	if len(p.Data) == 0 {
-		if held == nil || held.Offset != p.Offset {
+		if held == nil || held.Position() != p.position() {
 			return nil, errRecordNotHeld
 		}
 		return append([]compactedlog.Record{*held}, p.Beside...), nil
@@ -67,7 +73,7 @@
 	if len(value) > maxConfigurationBytes {
 		return r, errConfigurationTooLarge
 	}
-	return compactedlog.Record{Key: p.Key, Offset: p.Offset, Value: value}, nil
+	return compactedlog.Record{Key: p.Key, Offset: p.Offset, Generation: p.Generation, Value: value}, nil
 }
 
 // compressionCache keeps the last compressed record, so that it is compressed once for all receivers. The zero value
@@ -79,13 +85,13 @@
 }
 
 // compress returns the record in compressed form together with the others, and without its data if it is the one at
-// heldOffset, which the receiver holds.
-func (cache *compressionCache) compress(r *compactedlog.Record, heldOffset int64, others []compactedlog.Record) (c *CompressedConfiguration, err error) {
+// held, which the receiver holds.
+func (cache *compressionCache) compress(r *compactedlog.Record, held compactedlog.Position, others []compactedlog.Record) (c *CompressedConfiguration, err error) {
 	if r == nil {
 		return nil, nil
 	}
-	if r.Offset == heldOffset {
-		return &CompressedConfiguration{Key: r.Key, Offset: r.Offset, Beside: others}, nil
+	if r.Position() == held {
+		return &CompressedConfiguration{Key: r.Key, Offset: r.Offset, Generation: r.Generation, Beside: others}, nil
 	}
 	cache.mu.Lock()
 	defer cache.mu.Unlock()
--- a/io/hub/epoch_test.go
+++ b/io/hub/epoch_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
+	"savoryfall/core/compactedlog"
 	"savoryfall/core/directory"
 	"savoryfall/core/fleetload"
 	"savoryfall/core/members"
@@ -18,11 +19,13 @@
 // unreadTopic is a topic that has not been read.
 type unreadTopic struct{ ConfigurationReader }
 
-func (unreadTopic) Position() (next int64, sent time.Duration, ok bool) { return 0, 0, false }
-func (unreadTopic) Behind() bool                                        { return false }
-func (unreadTopic) Failing() bool                                       { return false }
-func (unreadTopic) HubAnswered()                                        {}
-func (unreadTopic) EndStartupWait()                                     {}
+func (unreadTopic) Position() (end compactedlog.Position, sent time.Duration, ok bool) {
+	return end, 0, false
+}
+func (unreadTopic) Behind() bool    { return false }
+func (unreadTopic) Failing() bool   { return false }
+func (unreadTopic) HubAnswered()    {}
+func (unreadTopic) EndStartupWait() {}
 
 // fakeEndpoints holds changes of endpoints and ignores the changes applied to it.
 type fakeEndpoints struct{ changes fleetload.ChangeLog }
--- a/io/hub/fakestore_test.go
+++ b/io/hub/fakestore_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"savoryfall/core/compactedlog"
@@ -101,13 +102,19 @@
 	return time.Hour + s.lastSent.Sub(began)
 }
 
-func (s *fakeStore) forRouter(router, topic string) *storeTopic { return &storeTopic{s, router, topic} }
+func (s *fakeStore) forRouter(router, topic string) *storeTopic {
+	return &storeTopic{fakeStore: s, router: router, name: topic}
+}
 
 type storeTopic struct {
 	*fakeStore
 	router, name string
+	// seen is the generation of the last answer.
+	seen atomic.Int64
 }
 
+func (s *storeTopic) Generation() int64 { return s.seen.Load() }
+
 var errRefused = errors.New("503")
 
 // storeLatency is the time that the store takes to answer a call.
@@ -143,12 +150,14 @@
 	for _, r := range s.topics[s.name] {
 		newest[r.Key] = r
 	}
+	s.seen.Store(s.generation)
 	for _, r := range newest {
 		if !r.Removed {
+			r.Generation = s.generation
 			p.Records = append(p.Records, r)
 		}
 	}
-	p.Next = int64(len(s.topics[s.name]))
+	p.Next, p.Generation = int64(len(s.topics[s.name])), s.generation
 	return p, nil
 }
 
@@ -157,15 +166,20 @@
 	err = s.call(ctx)
 	for err == nil {
 		s.mu.Lock()
-		records, firstOffset, newsCh := s.topics[s.name], s.firstOffset[s.name], s.newsCh
+		records, firstOffset, newsCh, generation := s.topics[s.name], s.firstOffset[s.name], s.newsCh, s.generation
 		s.recordRead(sent)
 		s.mu.Unlock()
+		s.seen.Store(generation)
 		if from < firstOffset && from < int64(len(records)) || from > int64(len(records)) {
 			return p, compactedlog.TrimmedError{Requested: from, First: firstOffset}
 		}
 		left := wait - time.Since(sent)
 		if int64(len(records)) > from || left <= 0 {
-			return compactedlog.Page{Records: records[from:], Next: int64(len(records))}, nil
+			p = compactedlog.Page{Records: slices.Clone(records[from:]), Next: int64(len(records)), Generation: generation}
+			for i := range p.Records {
+				p.Records[i].Generation = generation
+			}
+			return p, nil
 		}
 		select {
 		case <-newsCh:
--- a/io/hub/message.go
+++ b/io/hub/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"savoryfall/core/compactedlog"
 	"savoryfall/core/fleetload"
 	"savoryfall/core/members"
 )
@@ -28,6 +29,10 @@
 	Wants         bool
 	Failing       bool
 	Holds         int64
+	// ConfigurationGeneration and HoldsGeneration are the generations of the log that the two offsets belong to, 0 if
+	// unknown, as from a router of an earlier release.
+	ConfigurationGeneration int64
+	HoldsGeneration         int64
 	// Offer is what this router has read from the store.
 	Offer Offer
 	// Hold is how long the hub may wait for changes before it replies.
@@ -80,6 +85,12 @@
 	Known bool
 	Next  int64
 	Age   time.Duration
+	// Generation is the generation of the log that Next belongs to.
+	Generation int64
+}
+
+func (p TopicPosition) end() compactedlog.Position {
+	return compactedlog.Position{Generation: p.Generation, Offset: p.Next}
 }
 
 // Offer is what a router has read from the store, for a hub that cannot read it. Times are relative to when the
@@ -102,4 +113,10 @@
 	Known bool
 	Next  int64
 	After time.Duration
+	// Generation is the generation of the log that Next belongs to.
+	Generation int64
+}
+
+func (k Known) end() compactedlog.Position {
+	return compactedlog.Position{Generation: k.Generation, Offset: k.Next}
 }
--- a/io/hub/offer.go
+++ b/io/hub/offer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"savoryfall/core/compactedlog"
 	"savoryfall/core/event"
 	"savoryfall/core/field"
 	"savoryfall/core/readrotation"
@@ -19,22 +20,22 @@
 	if !state.askedToRead {
 		return o
 	}
-	if o.Configuration.Known && (!state.configuration.Known || o.Configuration.Next > state.configuration.Next) {
+	if o.Configuration.Known && (!state.configuration.Known || state.configuration.end().Before(o.Configuration.end())) {
 		var err error
 		o.Given, err = a.compressionCache.compress(a.CurrentRecord(), noRecord, a.otherRecords())
 		if err != nil {
 			_ = a.Logger.Log(field.Event, event.ConfigurationUnreadable, field.Err, err)
 		}
 	}
-	if o.Registry.Known && (!state.registry.Known || o.Registry.Next > state.registry.Next) {
+	if o.Registry.Known && (!state.registry.Known || state.registry.end().Before(o.Registry.end())) {
 		o.Changes, _ = a.Endpoints.Changes().Since(0)
 	}
 	return o
 }
 
 func (h *hubState) offered(f TopicReader) Known {
-	next, sent, ok := f.Position()
-	return Known{Known: ok && h.replyStamp > 0, Next: next, After: sent - h.receivedAt}
+	end, sent, ok := f.Position()
+	return Known{Known: ok && h.replyStamp > 0, Next: end.Offset, Generation: end.Generation, After: sent - h.receivedAt}
 }
 
 // applyOffer takes over what the reporting router has read and this one has not, and reports whether that router had
@@ -45,11 +46,11 @@
 	}
 	o := &args.Offer
 	configurationResult := a.applyOfferedTopic(o.Configuration, a.Configuration, o.Stamp, o.Given != nil, func(sent time.Duration) {
-		a.applyCompressed(o.Given, o.Configuration.Next, sent)
+		a.applyCompressed(o.Given, o.Configuration.end(), sent)
 	})
 	registryResult := a.applyOfferedTopic(o.Registry, a.Registry, o.Stamp, len(o.Changes) > 0, func(sent time.Duration) {
 		a.Endpoints.ApplyChanges(o.Changes, true)
-		a.Registry.AdvanceTo(o.Registry.Next, sent)
+		a.Registry.AdvanceTo(o.Registry.end(), sent)
 	})
 	if configurationResult == offerApplied || registryResult == offerApplied {
 		a.readers.Delivered(args.From.Name, a.Clock())
@@ -57,14 +58,14 @@
 	return configurationResult != offerStale || registryResult != offerStale
 }
 
-// applyCompressed takes over the configuration that another router has read up to the offset.
-func (a *Agent) applyCompressed(p *CompressedConfiguration, next int64, sent time.Duration) {
+// applyCompressed takes over the configuration that another router has read up to the position.
+func (a *Agent) applyCompressed(p *CompressedConfiguration, end compactedlog.Position, sent time.Duration) {
 	records, err := p.records(a.CurrentRecord())
 	if err != nil {
 		_ = a.Logger.Log(field.Event, event.ConfigurationUnreadable, field.Offset, p.Offset, field.Err, err)
 		return
 	}
-	a.Configuration.ApplySnapshot(records, next, sent)
+	a.Configuration.ApplySnapshot(records, end, sent)
 }
 
 // offerResult is the outcome of applying an offer.
@@ -82,14 +83,14 @@
 const minFreshnessGain = 100 * time.Millisecond
 
 func (a *Agent) applyOfferedTopic(position Known, f TopicReader, stamp time.Duration, hasData bool, apply func(sent time.Duration)) offerResult {
-	next, knownSent, ok := f.Position()
+	end, knownSent, ok := f.Position()
 	sent := stamp + position.After
-	if !position.Known || ok && (position.Next < next || sent < knownSent+minFreshnessGain) {
+	if !position.Known || ok && (position.end().Before(end) || sent < knownSent+minFreshnessGain) {
 		return offerStale
 	}
 	switch {
-	case ok && position.Next == next:
-		f.ConfirmEnd(position.Next, sent)
+	case ok && position.end() == end:
+		f.ConfirmEnd(end, sent)
 	case hasData:
 		apply(sent)
 	default:
--- a/io/hub/server.go
+++ b/io/hub/server.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -8,6 +9,7 @@
 	"time"
 
 	"savoryfall/core/background"
+	"savoryfall/core/compactedlog"
 	"savoryfall/core/event"
 	"savoryfall/core/field"
 	"savoryfall/core/fleetload"
@@ -131,9 +133,15 @@
 	if args.Epoch != a.epoch || args.Wants {
 		return true
 	}
-	next, _, ok := a.Configuration.Position()
+	end, _, ok := a.Configuration.Position()
 	_, changesNext := a.Endpoints.Changes().Since(args.Numbers.Changes)
-	return ok && next > args.Configuration || changesNext > args.Numbers.Changes
+	return ok && args.configuration(end.Generation).Before(end) || changesNext > args.Numbers.Changes
+}
+
+// configuration returns up to where the reporting router knows the configuration topic. If it does not say of which
+// generation that is, it is taken to be of the given one.
+func (r *Report) configuration(generation int64) compactedlog.Position {
+	return compactedlog.Position{Generation: cmp.Or(r.ConfigurationGeneration, generation), Offset: r.Configuration}
 }
 
 // NotifyNews wakes up the held reports to check for news.
@@ -186,14 +194,19 @@
 
 // configurationFor returns the configuration for a router that requested it, or nil if it should read it itself.
 func (a *Agent) configurationFor(args *Report) (p *CompressedConfiguration, err error) {
-	p, err = a.compressionCache.compress(a.CurrentRecord(), args.Holds, a.otherRecords())
+	p, err = a.compressionCache.compress(a.CurrentRecord(), args.holds(), a.otherRecords())
 	if p != nil && len(p.Data) > maxGivenBytes && !args.Failing {
 		return nil, nil
 	}
 	return p, err
 }
 
+// holds returns where the reporting router read the configuration that it has in force.
+func (r *Report) holds() compactedlog.Position {
+	return compactedlog.Position{Generation: r.HoldsGeneration, Offset: r.Holds}
+}
+
 func topicPosition(f TopicReader, arrived time.Duration) (position TopicPosition) {
-	next, sent, ok := f.Position()
-	return TopicPosition{Known: ok && sent > 0, Next: next, Age: arrived - sent}
+	end, sent, ok := f.Position()
+	return TopicPosition{Known: ok && sent > 0, Next: end.Offset, Generation: end.Generation, Age: arrived - sent}
 }
