--- a/core/loganalysis/log.go
+++ b/core/loganalysis/log.go
@@ -83,7 +83,7 @@
 // stateEvents are the events that change a router's view of the fleet as a whole.
 var stateEvents = map[event.Name]bool{
 	event.ConfigurationInForce: true, event.StoreLost: true, event.StoreRegained: true, event.HubFollowed: true,
-	event.HubLost: true, event.Started: true, event.Stopping: true,
+	event.HubLost: true, event.Started: true, event.Stopping: true, event.StoreRestored: true,
 }
 
 // Explain returns the lines of the request. Each is preceded by the newest earlier lines that show the router's view of
--- a/io/command/loglines_test.go
+++ b/io/command/loglines_test.go
@@ -109,7 +109,7 @@
 ts=<time> vm=vm0 event=configurationInForce version=1 from=0 offset=<n> routes=3 idleMs=15000 headerMs=3000
 ts=<time> vm=vm0 event=configurationInForce version=4 from=1 offset=<n> routes=3 idleMs=15000 headerMs=3000
 ts=<time> vm=vm0 event=configurationUnreadable offset=<n> err="<text>"
-ts=<time> vm=vm0 event=endpointGone endpoint=q0 service=other address=<address>
+ts=<time> vm=vm0 event=endpointGone endpoint=q0 service=other address=<address> born=<n> leaving=false source=registry
 ts=<time> vm=vm0 event=endpointUsable endpoint=m0 service=models address=<address> born=<n>
 ts=<time> vm=vm0 event=endpointUsable endpoint=m1 service=models address=<address> born=<n>
 ts=<time> vm=vm0 event=endpointUsable endpoint=m2 service=models address=<address> born=<n>
