drain, draining: orders of a restored store apply although their offsets are lower

Same class as the configurations: an order to drain a failure domain, or to end its drain, was ignored if its offset was not above that of the domain's last order, also when the store had come back from an older copy and given the offsets out again. Orders now compare by generation and offset. TestOrdersOfRestoredStoreApply failed before.

--- a/core/drain/domains.go
+++ b/core/drain/domains.go
@@ -3,14 +3,21 @@
 import (
 	"slices"
 	"sync"
+
+	"savoryfall/core/compactedlog"
 )
 
 // Order is an operator's order to drain a failure domain, or to end its drain.
 type Order struct {
 	Domain  string
 	Drained bool
-	// Offset is that of the log record with the order.
-	Offset int64
+	// Offset is that of the log record with the order, and Generation that of the log.
+	Offset     int64
+	Generation int64
+}
+
+func (o Order) position() compactedlog.Position {
+	return compactedlog.Position{Generation: o.Generation, Offset: o.Offset}
 }
 
 // Domains keeps the newest order for each failure domain. The zero value has none drained.
@@ -29,7 +36,7 @@
 
 func (d *Domains) apply(o Order) (changed bool) {
 	old, known := d.orders[o.Domain]
-	if known && o.Offset <= old.Offset {
+	if known && !old.position().Before(o.position()) {
 		return false
 	}
 	if d.orders == nil {
--- a/io/draining/tracker.go
+++ b/io/draining/tracker.go
@@ -103,7 +103,7 @@
 }
 
 func (t *Tracker) saveRecord(o drain.Order, r compactedlog.Record) {
-	if o.Drained && r.Offset >= t.records[o.Domain].Offset {
+	if o.Drained && !r.Position().Before(t.records[o.Domain].Position()) {
 		t.records[o.Domain] = r
 	}
 }
