follow, registry, draining: what a restored store lacks for a moment is not taken for removed

When the store comes back from an older copy, entries of endpoints and orders to drain that were written since are missing until they are written again. The reader took that for removals: endpoints got no requests until their next heartbeat, and a drained failure domain got some again. The sinks are now told before they see the copy. Configurations only go forward by version and need nothing.

TestEntriesMissingInRestoredStoreAreKeptForAWhile, TestDrainMissingInRestoredStoreIsKeptForAWhile and TestRecordsMissingInRestoredStoreAreKept failed before.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -197,8 +197,8 @@
 	return changed
 }
 
-// ReadFailed records that the list could not be read. During an outage entries expire because endpoints cannot
-// renew them; removing them all would empty whole services whose endpoints are alive.
+// ReadFailed records that the list could not be read, or that it was replaced by an older one. During an outage entries
+// expire because endpoints cannot renew them; removing them all would empty whole services whose endpoints are alive.
 func (d *Directory) ReadFailed(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/core/drain/domains.go
+++ b/core/drain/domains.go
@@ -24,6 +24,29 @@
 type Domains struct {
 	mu     sync.Mutex
 	orders map[string]Order
+	// held is set while drains without an order are kept, which are in unlisted.
+	held     bool
+	unlisted map[string]bool
+}
+
+// Hold keeps drains whose orders are missing, until EndHold. The log came back from an older copy, and orders that it
+// lacks are written again; meanwhile a drained domain must not get requests.
+func (d *Domains) Hold() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.held = true
+}
+
+// EndHold ends the drains whose orders are still missing, and reports whether there were any.
+func (d *Domains) EndHold() (changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for domain := range d.unlisted {
+		delete(d.orders, domain)
+		changed = true
+	}
+	d.held, d.unlisted = false, nil
+	return changed
 }
 
 // Apply applies an order and reports whether it changed what is drained. An order older than the newest one changes
@@ -43,6 +66,7 @@
 		d.orders = map[string]Order{}
 	}
 	d.orders[o.Domain] = o
+	delete(d.unlisted, o.Domain)
 	return o.Drained != old.Drained
 }
 
@@ -60,7 +84,11 @@
 		changed = d.apply(o) || changed
 	}
 	for domain, o := range d.orders {
-		if !named[domain] && o.Drained {
+		switch {
+		case named[domain] || !o.Drained:
+		case d.held:
+			d.markUnlisted(domain)
+		default:
 			delete(d.orders, domain)
 			changed = true
 		}
@@ -68,6 +96,20 @@
 	return changed
 }
 
+func (d *Domains) markUnlisted(domain string) {
+	if d.unlisted == nil {
+		d.unlisted = map[string]bool{}
+	}
+	d.unlisted[domain] = true
+}
+
+// Listed reports whether the log has the order that drains the domain.
+func (d *Domains) Listed(domain string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.orders[domain].Drained && !d.unlisted[domain]
+}
+
 // List returns the drained failure domains, sorted.
 func (d *Domains) List() (domains []string) {
 	d.mu.Lock()
--- a/io/draining/tracker.go
+++ b/io/draining/tracker.go
@@ -37,8 +37,14 @@
 	domains   drain.Domains
 	announced []string
 	records   map[string]compactedlog.Record
+	// heldUntil is the time until which drains that a restored store lacks are kept, zero if none are.
+	heldUntil time.Time
 }
 
+// restoredGrace is how long after the store came back from an older copy the orders that it lacks may take to be written
+// again.
+const restoredGrace = 5 * time.Second
+
 // New returns a tracker that updates the endpoints whenever the set of drained domains changes.
 func New(d Decoder, e Endpoints, logger log.Logger) *Tracker {
 	return &Tracker{decoder: d, endpoints: e, logger: logger, records: map[string]compactedlog.Record{}}
@@ -86,18 +92,37 @@
 	t.notify(changed)
 }
 
-// Read does nothing: a drain order does not expire.
-func (t *Tracker) Read(time.Duration) {}
+// Read ends the drains whose orders were not written again in time after the store had been restored.
+func (t *Tracker) Read(time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.heldUntil.IsZero() || time.Now().Before(t.heldUntil) {
+		return
+	}
+	t.heldUntil = time.Time{}
+	t.notify(t.domains.EndHold())
+}
 
 // Failed does nothing: the last orders stay in force.
 func (t *Tracker) Failed(error) {}
 
-// Records returns the records of the drained domains, for routers that this router reads for.
+// Restored keeps drained domains drained for a while, although the store may lack their orders.
+func (t *Tracker) Restored() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.domains.Hold()
+	t.heldUntil = time.Now().Add(restoredGrace)
+}
+
+// Records returns the records of the drained domains, for routers that this router reads for. Orders that the store
+// lacks are left out: those routers keep them by themselves, for as long as this one does.
 func (t *Tracker) Records() (records []compactedlog.Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, domain := range t.domains.List() {
-		records = append(records, t.records[domain])
+		if t.domains.Listed(domain) {
+			records = append(records, t.records[domain])
+		}
 	}
 	return records
 }
--- a/io/draining/tracker_test.go
+++ b/io/draining/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -41,3 +42,25 @@
 	tr.Apply([]compactedlog.Record{order("a", false, 2, 5)})
 	assert.Equal(t, len(domains.list), 0)
 }
+
+// Guards against a failure domain that is used again because a restored store lacks the order that drains it.
+func TestDrainMissingInRestoredStoreIsKeptForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var domains drainedDomains
+		tr := draining.New(evacuation.Decoder{}, &domains, log.NewNopLogger())
+		tr.Apply([]compactedlog.Record{order("a", true, 1, 8), order("b", true, 1, 9)})
+		tr.Restored()
+		tr.Replace(nil)
+		tr.Read(0)
+		assert.DeepEqual(t, domains.list, []string{"a", "b"})
+		assert.Equal(t, len(tr.Records()), 0, "the store does not have them")
+		time.Sleep(2 * time.Second)
+		tr.Apply([]compactedlog.Record{order("b", true, 2, 3)})
+		time.Sleep(time.Minute)
+		tr.Read(0)
+		assert.DeepEqual(t, domains.list, []string{"b"})
+		assert.DeepEqual(t, tr.Records(), []compactedlog.Record{order("b", true, 2, 3)})
+		tr.Replace(nil)
+		assert.Equal(t, len(domains.list), 0)
+	})
+}
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -34,6 +34,9 @@
 	Read(sent time.Duration)
 	// Failed reports a read that failed.
 	Failed(err error)
+	// Restored reports, before what is read next, that the store came back from an older copy. What the copy lacks may be
+	// written again soon.
+	Restored()
 }
 
 // Options configure how a topic is followed.
@@ -192,6 +195,7 @@
 	if f.outdated(end) {
 		return
 	}
+	f.enter(end)
 	f.moveTo(end)
 	f.confirmRead(sent)
 }
@@ -202,12 +206,17 @@
 	return p.Generation < max(f.position.Generation, f.topic.Generation())
 }
 
-// moveTo advances the position. A later generation may well have lower offsets.
-func (f *Follower) moveTo(end compactedlog.Position) {
+// enter prepares for what was read up to the position, which may be of a later generation.
+func (f *Follower) enter(end compactedlog.Position) {
 	if f.synced && end.Generation > f.position.Generation {
+		f.sink.Restored()
 		_ = f.logger.Log(field.Event, event.StoreRestored, field.Topic, f.options.Name, field.Generation, end.Generation, field.From, f.position.Generation,
 			field.Want, f.position.Offset, field.Offset, end.Offset)
 	}
+}
+
+// moveTo advances the position. A later generation may well have lower offsets.
+func (f *Follower) moveTo(end compactedlog.Position) {
 	if !f.synced || f.position.Before(end) {
 		f.position = end
 	}
@@ -322,6 +331,7 @@
 	if f.synced && f.position != from || f.outdated(p.End()) {
 		return
 	}
+	f.enter(p.End())
 	if synced {
 		f.sink.Apply(p.Records)
 	} else {
@@ -415,6 +425,7 @@
 	if f.outdated(end) {
 		return
 	}
+	f.enter(end)
 	if !f.synced || !end.Before(f.position) {
 		f.sink.Replace(records)
 	}
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -126,6 +126,7 @@
 	keys        string
 	confirmedAt time.Duration
 	failures    int
+	restores    int
 }
 
 func (s *fakeSink) Replace(records []compactedlog.Record) {
@@ -149,6 +150,12 @@
 	s.confirmedAt = max(s.confirmedAt, confirmedAt)
 }
 
+func (s *fakeSink) Restored() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restores++
+}
+
 func (s *fakeSink) Failed(error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -393,6 +400,7 @@
 				tp.restore(restored...)
 				time.Sleep(time.Second)
 				assert.Equal(t, s.allKeys(), strings.Join(restored, ""))
+				assert.Equal(t, s.restores, 1)
 				tp.addRecord("n")
 				time.Sleep(time.Second)
 				assert.Equal(t, s.allKeys(), strings.Join(restored, "")+"n")
@@ -439,6 +447,7 @@
 		f.ApplySnapshot([]compactedlog.Record{{Key: "new"}}, later, now())
 		assert.Assert(t, !f.Behind())
 		assert.Equal(t, s.allKeys(), "new")
+		assert.Equal(t, s.restores, 1)
 		end, _, _ := f.Position()
 		assert.Equal(t, end, later)
 		confirmed := s.age(now())
--- a/io/follow/sinks.go
+++ b/io/follow/sinks.go
@@ -30,6 +30,13 @@
 	}
 }
 
+// Restored passes on that the store came back from an older copy.
+func (s Sinks) Restored() {
+	for _, sink := range s {
+		sink.Restored()
+	}
+}
+
 // Failed passes on a read that failed.
 func (s Sinks) Failed(err error) {
 	for _, sink := range s {
--- a/io/hub/fakestore_test.go
+++ b/io/hub/fakestore_test.go
@@ -51,12 +51,17 @@
 	s.refused = refused
 }
 
-// restore replaces the store's contents by a copy that lacks the last records of each topic. The newest record of each
-// key among them is written again, as the operator and the endpoints do.
-func (s *fakeStore) restore(lost map[string]int) {
+// restore replaces the store's contents by a copy that lacks the last records of each topic, and writes the newest record
+// of each key among them again, as the operator and the endpoints do.
+func (s *fakeStore) restore(lost map[string]int) { s.rewrite(s.loseRecords(lost)) }
+
+// loseRecords replaces the store's contents by a copy that lacks the last records of each topic. It returns the newest
+// value of each key among them, by topic.
+func (s *fakeStore) loseRecords(lost map[string]int) (newest map[string]map[string]string) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.generation++
-	newest := map[string]map[string]string{}
+	newest = map[string]map[string]string{}
 	for topic, n := range lost {
 		newest[topic] = map[string]string{}
 		end := len(s.topics[topic])
@@ -65,7 +70,10 @@
 		}
 		s.topics[topic] = slices.Clone(s.topics[topic][:end-n])
 	}
-	s.mu.Unlock()
+	return newest
+}
+
+func (s *fakeStore) rewrite(newest map[string]map[string]string) {
 	for topic, values := range newest {
 		for _, key := range slices.Sorted(maps.Keys(values)) {
 			s.put(topic, key, values[key])
--- a/io/hub/fleetharness_test.go
+++ b/io/hub/fleetharness_test.go
@@ -267,6 +267,7 @@
 
 func (c *configurationSink) Read(time.Duration) {}
 func (c *configurationSink) Failed(error)       {}
+func (c *configurationSink) Restored()          {}
 
 func (c *configurationSink) record() *compactedlog.Record {
 	c.mu.Lock()
--- a/io/hub/restore_test.go
+++ b/io/hub/restore_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 // storeOutage is how long the store is away before it comes back from a copy.
@@ -89,3 +91,37 @@
 		f.assertKnown("1", endpointCount-3, 2*time.Second)
 	})
 }
+
+// Guards against a router that uses what an operator had withdrawn, or drops an endpoint, while the store lacks the
+// records that say so.
+func TestRecordsMissingInRestoredStoreAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 12)
+		defer f.stop()
+		f.putConfigurations(2, 3, 0)
+		f.store.put(configurationTopic, evacuateB, "{}")
+		f.putEndpoint(endpointCount, false)
+		f.putEndpoint(0, true)
+		time.Sleep(2 * time.Second)
+		f.assertKnown("3", endpointCount, 2*time.Second)
+		newest := f.store.loseRecords(map[string]int{configurationTopic: 2, registryTopic: 2})
+		for range 3 {
+			time.Sleep(500 * time.Millisecond)
+			f.store.put(configurationTopic, "other", "x")
+			for _, r := range f.routers {
+				domains, _ := r.drainedDomains()
+				assert.DeepEqual(t, domains, []string{"domain1"})
+			}
+			f.assertKnown("3", endpointCount, 2*time.Second)
+		}
+		f.store.rewrite(newest)
+		for range 10 {
+			time.Sleep(time.Second)
+			for _, r := range f.routers {
+				domains, _ := r.drainedDomains()
+				assert.DeepEqual(t, domains, []string{"domain1"})
+			}
+			f.assertKnown("3", endpointCount, 2*time.Second)
+		}
+	})
+}
--- a/io/registry/tracker.go
+++ b/io/registry/tracker.go
@@ -142,6 +142,13 @@
 	t.publish(t.directory.ExpireVanished(time.Now()), sourceRegistry)
 }
 
+// Restored keeps vanished entries for a while: those that the store's copy lacks come back with the next heartbeats.
+func (t *Tracker) Restored() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.directory.ReadFailed(time.Now())
+}
+
 // Failed keeps vanished entries for a while, since endpoints cannot renew them during an outage.
 func (t *Tracker) Failed(error) {
 	t.mu.Lock()
--- a/io/registry/tracker_test.go
+++ b/io/registry/tracker_test.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
+	"savoryfall/core/compactedlog"
 	"savoryfall/core/directory"
 	"savoryfall/core/fleetload"
 	"savoryfall/io/registry"
@@ -40,3 +43,28 @@
 	tr.ApplyChanges([]fleetload.Change{{Entry: directory.Entry{ID: "a", Born: 1, Leaving: true}}}, true)
 	assert.DeepEqual(t, usable, []directory.Entry{now})
 }
+
+// Guards against endpoints that get no requests because a restored store lacks their entries until the next heartbeat.
+func TestEntriesMissingInRestoredStoreAreKeptForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var usable []directory.Entry
+		tr := registry.New(keyDecoder{}, func(list []directory.Entry) { usable = list }, log.NewNopLogger())
+		a, b, c := compactedlog.Record{Key: "a"}, compactedlog.Record{Key: "b"}, compactedlog.Record{Key: "c"}
+		tr.Replace([]compactedlog.Record{a, b, c})
+		tr.Restored()
+		tr.Replace([]compactedlog.Record{a})
+		assert.Equal(t, len(usable), 3)
+		time.Sleep(time.Second)
+		tr.Apply([]compactedlog.Record{b})
+		time.Sleep(directory.VanishedGrace)
+		tr.Read(0)
+		assert.DeepEqual(t, usable, []directory.Entry{{ID: "a"}, {ID: "b"}})
+	})
+}
+
+// keyDecoder decodes entries that have only an id.
+type keyDecoder struct{}
+
+func (keyDecoder) Decode(r compactedlog.Record) (e directory.Entry, err error) {
+	return directory.Entry{ID: r.Key}, nil
+}
--- a/io/storeconfig/tracker.go
+++ b/io/storeconfig/tracker.go
@@ -83,3 +83,6 @@
 
 // Failed does nothing: without successful reads the lease expires.
 func (tr *Tracker) Failed(error) {}
+
+// Restored does nothing: an older configuration than the one in force is never activated.
+func (tr *Tracker) Restored() {}
