hub, members: the root writes the routers that a restored store lacks to the router list again

Each router writes its entry once, when it joins. After the store had come back from an older copy, a router that started found none of those that had joined since, and became a root of its own. The root, which reads the store anyway, now reads the list once after each rise of the generation and adds what is missing; each entry is written once.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -27,6 +27,7 @@
 	RequestFailed           Name = "requestFailed"
 	RequestRefused          Name = "requestRefused"
 	RequestServed           Name = "requestServed"
+	RouterListRestored      Name = "routerListRestored"
 	RoutersUnknown          Name = "routersUnknown"
 	SettingsRefused         Name = "settingsRefused"
 	SettingsReloaded        Name = "settingsReloaded"
--- a/core/members/list.go
+++ b/core/members/list.go
@@ -95,6 +95,16 @@
 	return len(l.byName)
 }
 
+// All returns all known routers.
+func (l *List) All() (routers []Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.ranked {
+		routers = append(routers, k.member)
+	}
+	return routers
+}
+
 // NameHashes returns the name hashes of all known routers.
 func (l *List) NameHashes() (hashes []uint64) {
 	l.mu.Lock()
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -109,8 +109,12 @@
 	newsCh       chan struct{}
 	listLoaded   chan struct{}
 	nextListRead time.Time
-	hubName      string
-	stopped      bool
+	// listGeneration is the generation of the store in which this router has last seen that the router list is complete,
+	// and nextListCheck when it may check that again.
+	listGeneration int64
+	nextListCheck  time.Time
+	hubName        string
+	stopped        bool
 	// readsStore is set if this router reads the store, because it has no hub or its hub asked it to.
 	readsStore bool
 	// hubFailing is set if no router that reads for the hub can read the store.
@@ -283,6 +287,9 @@
 	if a.listReadDue(now) {
 		_, _ = a.readList(ctx)
 	}
+	if a.listCheckDue(now) {
+		a.completeList(ctx)
+	}
 	background.Sleep(ctx, rootPeriod, nil)
 }
 
--- a/io/hub/agent_test.go
+++ b/io/hub/agent_test.go
@@ -149,6 +149,8 @@
 	values map[string][]byte
 }
 
+func (l *fakeRouterTopic) Generation() int64 { return 0 }
+
 func (l *fakeRouterTopic) Newest(context.Context) (p compactedlog.Page, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -314,4 +316,6 @@
 func (downTopic) Newest(context.Context) (compactedlog.Page, error) {
 	return compactedlog.Page{}, errors.New("down")
 }
+func (downTopic) Generation() int64 { return 0 }
+
 func (downTopic) Put(context.Context, string, []byte) (err error) { return errors.New("down") }
--- a/io/hub/fakestore_test.go
+++ b/io/hub/fakestore_test.go
@@ -25,14 +25,16 @@
 	firstOffset map[string]int64
 	// generation rises with each restore.
 	generation int64
-	refused    func(router string) bool
-	calls      int
-	lastSent   time.Time
-	newsCh     chan struct{}
+	// seen is the highest generation that was answered to each router, with any topic.
+	seen     map[string]*atomic.Int64
+	refused  func(router string) bool
+	calls    int
+	lastSent time.Time
+	newsCh   chan struct{}
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{topics: map[string][]compactedlog.Record{}, firstOffset: map[string]int64{}, newsCh: make(chan struct{})}
+	return &fakeStore{topics: map[string][]compactedlog.Record{}, firstOffset: map[string]int64{}, seen: map[string]*atomic.Int64{}, newsCh: make(chan struct{})}
 }
 
 func (s *fakeStore) put(topic, key, value string) {
@@ -45,6 +47,24 @@
 	s.newsCh = make(chan struct{})
 }
 
+// count returns the number of records of a topic.
+func (s *fakeStore) count(topic string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.topics[topic])
+}
+
+// keys returns the keys of a topic.
+func (s *fakeStore) keys(topic string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	byKey := map[string]bool{}
+	for _, r := range s.topics[topic] {
+		byKey[r.Key] = true
+	}
+	return slices.Sorted(maps.Keys(byKey))
+}
+
 func (s *fakeStore) refuse(refused func(router string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -111,14 +131,18 @@
 }
 
 func (s *fakeStore) forRouter(router, topic string) *storeTopic {
-	return &storeTopic{fakeStore: s, router: router, name: topic}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seen[router] == nil {
+		s.seen[router] = &atomic.Int64{}
+	}
+	return &storeTopic{fakeStore: s, router: router, name: topic, seen: s.seen[router]}
 }
 
 type storeTopic struct {
 	*fakeStore
 	router, name string
-	// seen is the generation of the last answer.
-	seen atomic.Int64
+	seen         *atomic.Int64
 }
 
 func (s *storeTopic) Generation() int64 { return s.seen.Load() }
--- a/io/hub/join.go
+++ b/io/hub/join.go
@@ -60,20 +60,75 @@
 
 // readList reads the router list from the store, and reports whether this router is on it with its current data.
 func (a *Agent) readList(ctx context.Context) (alreadyListed bool, err error) {
-	var routers []members.Member
+	routers, err := a.listedRouters(ctx)
+	if err != nil {
+		return false, err
+	}
+	for _, m := range routers {
+		alreadyListed = alreadyListed || m.Name == a.Self.Name && a.Members.Contains(m)
+	}
+	a.addRouters(routers)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.listGeneration == 0 {
+		a.listGeneration = a.RouterList.Generation()
+	}
+	return alreadyListed, nil
+}
+
+// listedRouters returns the routers on the list in the store.
+func (a *Agent) listedRouters(ctx context.Context) (routers []members.Member, err error) {
 	err = a.withStoreTimeout(ctx, func(ctx context.Context) (err error) {
 		routers, err = a.RouterList.All(ctx)
 		return err
 	})
 	if err != nil {
 		_ = a.Logger.Log(field.Event, event.RoutersUnknown, field.Err, err)
-		return false, err
 	}
-	for _, m := range routers {
-		alreadyListed = alreadyListed || m.Name == a.Self.Name && a.Members.Contains(m)
+	return routers, err
+}
+
+// listCheckDue reports whether the store has come back from an older copy since the list was known to be complete, and
+// schedules the next check in case this one fails.
+func (a *Agent) listCheckDue(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.RouterList.Generation() <= a.listGeneration || now.Before(a.nextListCheck) {
+		return false
+	}
+	a.nextListCheck = now.Add(firstListReadDelay)
+	return true
+}
+
+// completeList adds the routers that the list in the store lacks, or has with other data, since the store came back from
+// an older copy. The root does it for all: each router has written its entry only once, when it joined.
+func (a *Agent) completeList(ctx context.Context) {
+	generation := a.RouterList.Generation()
+	routers, err := a.listedRouters(ctx)
+	if err != nil {
+		return
 	}
 	a.addRouters(routers)
-	return alreadyListed, nil
+	listed := map[string]members.Member{}
+	for _, m := range routers {
+		listed[m.Name] = m
+	}
+	written := 0
+	for _, m := range a.Members.All() {
+		if entry, ok := listed[m.Name]; ok && a.Members.Contains(entry) {
+			continue
+		}
+		err = a.withStoreTimeout(ctx, func(ctx context.Context) error { return a.RouterList.Add(ctx, m) })
+		if err != nil {
+			_ = a.Logger.Log(field.Event, event.NotListed, field.Err, err)
+			return
+		}
+		written++
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.listGeneration = generation
+	_ = a.Logger.Log(field.Event, event.RouterListRestored, field.Generation, generation, field.Routers, written)
 }
 
 // addRouters adds routers to the known ones, and returns those that are new or changed.
--- a/io/hub/restore_test.go
+++ b/io/hub/restore_test.go
@@ -125,3 +125,21 @@
 		}
 	})
 }
+
+// Guards against routers that no other finds, because a restored store lacks their entries in the router list.
+func TestRouterListIsWrittenAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 12)
+		defer f.stop()
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, f.store.count(routersTopic), 12)
+		for range 2 {
+			f.store.loseRecords(map[string]int{routersTopic: 5})
+			time.Sleep(4 * time.Second)
+			names := f.store.keys(routersTopic)
+			assert.Equal(t, len(names), 12, "%v", names)
+		}
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, f.store.count(routersTopic), 12, "each entry is written once")
+	})
+}
--- a/io/hub/routerlist.go
+++ b/io/hub/routerlist.go
@@ -13,6 +13,9 @@
 type Topic interface {
 	Newest(ctx context.Context) (p compactedlog.Page, err error)
 	Put(ctx context.Context, key string, value []byte) (err error)
+	// Generation returns the highest generation of the log that any answer of the store has shown to this router, 0 if
+	// none has.
+	Generation() int64
 }
 
 // RouterList is the list of routers in the store.
@@ -21,6 +24,14 @@
 // NewRouterList returns the list that is kept in the topic.
 func NewRouterList(t Topic) RouterList { return RouterList{topic: t} }
 
+// Generation returns the highest generation of the store that this router has seen, 0 for a list without a topic.
+func (l RouterList) Generation() int64 {
+	if l.topic == nil {
+		return 0
+	}
+	return l.topic.Generation()
+}
+
 // Add adds a router to the list. It is idempotent.
 func (l RouterList) Add(ctx context.Context, m members.Member) (err error) {
 	defer annotate.Error(&err, "add router %s to the router list", m.Name)
