soak: endpoints ask for pauses and leave unheard by the store, and the store comes back from an older copy

Two checks are new: nothing is sent to an endpoint 2 s after a router passed on its mark, whatever else is disturbed, and at most two requests arrive in a pause.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -60,6 +60,8 @@
 	h.checkAcceptsWhileStopping()
 	h.checkVersionOrder()
 	h.checkDrained()
+	h.checkMarkInAnswers()
+	h.checkPauses()
 	h.checkRetryBudget(arrivals)
 	h.t.Logf("seed %d: %d requests, %d after idling for more than a second, %d sent in parts, %d served completely, %d faults injected", h.seed,
 		len(h.requests), afterIdle, inParts, servedWhole, len(h.faults))
@@ -218,10 +220,7 @@
 
 // checkDrained verifies that an endpoint that is leaving gets no new requests after drainDelay.
 func (h *harness) checkDrained() {
-	sent := map[string]*request{}
-	for _, q := range h.requests {
-		sent[q.id] = q
-	}
+	sent := h.requestsByID()
 	for _, e := range h.endpoints {
 		for _, a := range e.ReceivedRequests() {
 			q := sent[a.ID]
@@ -235,6 +234,67 @@
 	}
 }
 
+// checkMarkInAnswers verifies that a router sends an endpoint nothing later than drainDelay after it has passed on an
+// answer which said that the endpoint is leaving. Only the end or a suspension of the process excuses it.
+func (h *harness) checkMarkInAnswers() {
+	sent := h.requestsByID()
+	for _, e := range h.endpoints {
+		marked := map[*router]time.Time{}
+		for _, a := range e.ReceivedRequests() {
+			q := sent[a.ID]
+			if q == nil {
+				continue
+			}
+			since, isMarked := marked[q.router]
+			if isMarked && q.sent.Sub(since) > drainDelay && !h.lostMemory(q.router, since, a.At) {
+				h.addViolation("%s reached endpoint %s through %s %v after that router had passed on its mark", a.ID, e.options.ID, q.router.name, q.sent.Sub(since))
+			}
+			if a.Leaving && q.answer.Complete && q.answer.Status == http.StatusOK && (!isMarked || h.lostMemory(q.router, since, q.ended)) {
+				marked[q.router] = q.ended
+			}
+		}
+	}
+}
+
+// pauseGrace is how long after a refusal requests that were on their way may still arrive, and maxInPause how many more
+// requests may arrive until the end of the pause.
+const (
+	pauseGrace = 500 * time.Millisecond
+	maxInPause = 2
+)
+
+// checkPauses verifies that a router sends an endpoint next to nothing in the time for which it asked for no requests.
+func (h *harness) checkPauses() {
+	sent := h.requestsByID()
+	for _, e := range h.endpoints {
+		arrivals := e.ReceivedRequests()
+		for i, refused := range arrivals {
+			q := sent[refused.ID]
+			if refused.Pause == 0 || q == nil || h.disturbed(q.router, refused.At, refused.At) {
+				continue
+			}
+			n := 0
+			for _, a := range arrivals[i+1:] {
+				after, later := a.At.Sub(refused.At), sent[a.ID]
+				if after > pauseGrace && after < refused.Pause && later != nil && later.router == q.router && !h.lostMemory(q.router, refused.At, a.At) {
+					n++
+				}
+			}
+			if n > maxInPause {
+				h.addViolation("endpoint %s asked %s for no requests for %v and got %d", e.options.ID, q.router.name, refused.Pause, n)
+			}
+		}
+	}
+}
+
+func (h *harness) requestsByID() (byID map[string]*request) {
+	byID = map[string]*request{}
+	for _, q := range h.requests {
+		byID[q.id] = q
+	}
+	return byID
+}
+
 // checkRetryBudget verifies that in every window all routers together send a service no more retries than retryRatio of
 // its requests plus retrySlack. The number of requests is the largest of those in the window itself, in the window
 // before it, and in the window that begins half a window earlier.
--- a/soak/endpoints_test.go
+++ b/soak/endpoints_test.go
@@ -22,6 +22,8 @@
 	removed bool
 	// leavingSince is when the store accepted the entry that says that the endpoint is leaving.
 	leavingSince time.Time
+	// unheard is set while the endpoint cannot write its entry.
+	unheard bool
 }
 
 const (
@@ -33,6 +35,8 @@
 	// Streams below slowPath take most of a second, so that a stop, a crash or a reset interrupts some of them.
 	slowPath        = "/talk/"
 	heartbeatPeriod = 400 * time.Millisecond
+	// endpointPause is for how long an endpoint that refuses a request asks for none.
+	endpointPause = 1500 * time.Millisecond
 )
 
 func (h *harness) endpointOptions(service string) (o fakeendpoint.Options) {
@@ -80,7 +84,7 @@
 func (h *harness) writeEntry(e *endpoint) (alive bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.removed {
+	if !e.removed && !e.unheard {
 		h.store.Put("keyed.servers", e.options.ID, e.Entry())
 	}
 	return !e.removed
@@ -98,6 +102,27 @@
 	h.removeEndpoint(e)
 }
 
+// drainUnheard drains an endpoint that cannot write its entry for a while, so that only its responses say that it is
+// leaving.
+func (h *harness) drainUnheard(e *endpoint, unheard time.Duration) {
+	e.mu.Lock()
+	e.unheard = true
+	e.mu.Unlock()
+	e.Drain()
+	<-time.After(unheard)
+	e.mu.Lock()
+	e.unheard = false
+	e.mu.Unlock()
+	h.drainEndpoint(e)
+}
+
+// pauseEndpoint has the endpoint refuse all requests for a while and ask for pauses.
+func (h *harness) pauseEndpoint(e *endpoint) {
+	e.RefuseAll(endpointPause)
+	<-time.After(2 * endpointPause)
+	e.RefuseAll(0)
+}
+
 // crashEndpoint ends the endpoint without an announcement; its entry is deleted after three heartbeats.
 func (h *harness) crashEndpoint(e *endpoint) {
 	e.mu.Lock()
@@ -122,7 +147,7 @@
 	defer h.mu.Unlock()
 	for _, e := range h.endpoints {
 		e.mu.Lock()
-		if e.options.Service == service && !e.removed && e.leavingSince.IsZero() {
+		if e.options.Service == service && !e.removed && !e.unheard && e.leavingSince.IsZero() {
 			list = append(list, e)
 		}
 		e.mu.Unlock()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +25,16 @@
 	h.faults = append(h.faults, fault{kind: kind, target: target, from: now, to: now.Add(duration), planned: planned})
 }
 
+// lostMemory returns whether the router's process was replaced or suspended at any time between from and to.
+func (h *harness) lostMemory(r *router, from, to time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	kinds := []string{stopFault, "killed", "paused", "exited unexpectedly"}
+	return slices.ContainsFunc(h.faults, func(f fault) bool {
+		return slices.Contains(kinds, f.kind) && f.target == r.name && f.to.After(from) && f.from.Before(to)
+	})
+}
+
 // disturbed returns whether an unplanned fault affected the router between from and to, or within settleTime before
 // from.
 func (h *harness) disturbed(r *router, from, to time.Time) bool {
@@ -65,13 +76,28 @@
 	running.Go(h.isolateRouter)
 	running.Go(h.resetEndpoints)
 	for end := time.Now().Add(faultPhase); time.Now().Before(end); {
-		kind, r := h.random.IntN(14), h.routers[h.random.IntN(len(h.routers))]
+		kind, r := h.random.IntN(17), h.routers[h.random.IntN(len(h.routers))]
 		duration := 100*time.Millisecond + time.Duration(h.random.Int64N(int64(maxFaultDuration)))
 		faultRandom := rand.New(rand.NewPCG(h.random.Uint64(), 0))
 		running.Go(func() { h.injectFault(kind, r, duration, faultRandom) })
 		<-time.After(time.Duration(50+h.random.IntN(500)) * time.Millisecond)
 	}
 	running.Wait()
+	h.restoreStore(time.Duration(h.random.IntN(1500)) * time.Millisecond)
+}
+
+// restoreStore makes the store unavailable and then brings it back from an older copy. What the operator and the
+// endpoints wrote since is written again.
+func (h *harness) restoreStore(duration time.Duration) {
+	h.injectStoreFault("store restored", duration, func(on bool) { h.store.SetDown(on) })
+	h.store.Restore(map[string]int{"keyed.op": 2, "keyed.servers": 10, "keyed.routers": 1})
+	h.mu.Lock()
+	h.store.Put("keyed.op", "config", h.configuration)
+	endpoints := slices.Clone(h.endpoints)
+	h.mu.Unlock()
+	for _, e := range endpoints {
+		h.writeEntry(e)
+	}
 }
 
 // isolateRouter is part of every fault phase: it keeps a router from learning of a key's withdrawal, from the store or
@@ -149,6 +175,16 @@
 		h.store.LoseResponses(1)
 	case 13:
 		h.writeConfiguration([]time.Duration{shortIdleLimit, longIdleLimit}[random.IntN(2)])
+	case 14:
+		h.fault("endpoint paused", "", 2*endpointPause, false)
+		h.pauseEndpoint(h.randomEndpoint(random))
+	case 15:
+		if e := h.randomEndpoint(random); len(h.liveEndpoints(e.options.Service)) > 1 {
+			h.fault("endpoint drained unheard", "", duration, false)
+			h.drainUnheard(e, duration)
+		}
+	case 16:
+		h.restoreStore(duration)
 	}
 }
 
@@ -225,13 +261,22 @@
 	}
 }
 
-// makePlannedChanges performs planned maintenance for the checks that apply without faults: one endpoint of each
-// service leaves, two configurations are written, of which the second lowers the limit for connections that became idle
-// under the first, one router is told to stop, and one reloads its settings.
+// makePlannedChanges performs planned maintenance for the checks that apply without faults: all plain endpoints ask for a
+// pause, one endpoint of each service leaves, one of them unheard by the store at first, two configurations are written,
+// of which the second lowers the limit for connections that became idle under the first, one router is told to stop, and
+// one reloads its settings.
 func (h *harness) makePlannedChanges() {
 	<-time.After(settleTime)
+	// With no other endpoint to choose, a router that ignored the pauses would go on sending.
+	var paused sync.WaitGroup
+	for _, e := range h.liveEndpoints(plainService) {
+		paused.Go(func() { h.pauseEndpoint(e) })
+	}
+	paused.Wait()
+	// The last pauses end, with what routers add to them.
+	<-time.After(2 * endpointPause)
 	var planned sync.WaitGroup
-	planned.Go(func() { h.drainEndpoint(h.liveEndpoints(modelService)[0]) })
+	planned.Go(func() { h.drainUnheard(h.liveEndpoints(modelService)[0], 2*drainDelay) })
 	planned.Go(func() { h.drainEndpoint(h.liveEndpoints(plainService)[0]) })
 	h.writeConfiguration(longIdleLimit)
 	lowerAfter := configurationDelay + time.Second + time.Duration(h.random.IntN(1000))*time.Millisecond
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -70,6 +70,8 @@
 	violations []string
 	version    int
 	key        string
+	// configuration is the newest one that was written.
+	configuration []byte
 	// stopped is set when no process may be started any more.
 	stopped bool
 	// keyWritten is when each key was added by a configuration, keyWithdrawn when it was removed.
@@ -162,12 +164,13 @@
 		return fmt.Sprintf(`{"name":%q,"host":%q,"path_prefix":"/%s/","type":%q,"timeout_ms":3000,"goal_ms":200,
 			"service":%q,"max_attempts":%d,"resumable":%v}`, name, host, name, kind, service, attempts, resumable)
 	}
-	h.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[%s,%s,%s,%s],"services":[
+	h.configuration = fmt.Appendf(nil, `{"version":%d,"routes":[%s,%s,%s,%s],"services":[
 		{"name":"models","engine":{"slots":32,"kv_capacity":100000}},{"name":"plain"}],
 		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":%d},
 		"tenants":[{"name":"coop","api_keys":[%q]}]}`, h.version, route("read", "idempotent", plainService, 2, false),
 		route("book", "non_idempotent", plainService, 2, false), route("draft", "streaming", modelService, 2, true),
-		route("talk", "streaming", modelService, 1, false), idle.Milliseconds(), h.key))
+		route("talk", "streaming", modelService, 1, false), idle.Milliseconds(), h.key)
+	h.store.Put("keyed.op", "config", h.configuration)
 	h.keyWritten[h.key] = time.Now()
 	h.idleLimits = append(h.idleLimits, idleLimit{written: time.Now(), idle: idle})
 	h.keyWithdrawn[old] = time.Now()
--- a/soak/variants_test.go
+++ b/soak/variants_test.go
@@ -39,6 +39,15 @@
 	"loweredLimitEndsIdleConnections": {
 		"io/clientconn/set.go", "> max(idle, c.limit)+idleSlack", "> s.limits().Idle+idleSlack",
 	},
+	"leavingMarkInAnswersIsIgnored": {
+		"platform/endpointapi/codec.go", "h.Get(headerLeaving) == \"1\"", "false",
+	},
+	"pausesAreIgnored": {
+		"platform/endpointapi/codec.go", "r.Pause = decodePause(h.Get(headerRetryAfter))", "r.Pause = 0 * decodePause(h.Get(headerRetryAfter))",
+	},
+	"generationOfTheStoreIsIgnored": {
+		"platform/store/client.go", "if err != nil || generation <= 0 {", "if err != nil || generation <= 0 || generation > 0 {",
+	},
 	"clientKeyIsForwarded": {
 		"platform/endpointapi/codec.go", "\"Authorization\", headerInstance", "headerInstance",
 	},
