health, ledger, probe: an endpoint of the product's own interface that asks for a pause gets none either

The endpoint now counts as paused until the latest end, plus up to a quarter by chance, for the process that refused; the panic threshold neither counts nor uses it. The header is parsed in one place, core/retryafter. TestRefusalWithPauseKeepsRequestsAway failed before. Leaving marks were read there already, from every answer.

--- a/core/health/table.go
+++ b/core/health/table.go
@@ -24,6 +24,8 @@
 	down        bool
 	flaps       int
 	dampedUntil time.Time
+	// pausedUntil is until when the incarnation has asked for no requests.
+	pausedUntil time.Time
 	// leaving is the set of incarnations that are leaving. A mark is never taken back, because a delayed older "live"
 	// would send new requests to an endpoint that is about to stop. Only a new incarnation starts without the mark.
 	leaving       map[string]bool
@@ -42,6 +44,7 @@
 	Down    State = "down"
 	Damped  State = "damped"
 	Leaving State = "leaving"
+	Paused  State = "paused"
 )
 
 const (
@@ -94,6 +97,9 @@
 	if restarted || h.incarnation == "" && incarnation != "" && h.addedLater {
 		h.startedAt = asked
 	}
+	if restarted {
+		h.pausedUntil = time.Time{}
+	}
 	if incarnation != "" {
 		h.incarnation = incarnation
 	}
@@ -133,6 +139,17 @@
 	}
 }
 
+// Pause records that the current incarnation has refused a request and wants no further ones until the given time. The
+// latest end of several pauses holds.
+func (t *Table) Pause(name string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.endpoints[name]
+	if h != nil && until.After(h.pausedUntil) {
+		h.pausedUntil = until
+	}
+}
+
 // MarkLeaving marks an incarnation as leaving; an empty one stands for the current incarnation. It returns whether the
 // mark is new.
 func (t *Table) MarkLeaving(name, incarnation string) (changed bool) {
@@ -187,6 +204,8 @@
 		return Leaving
 	case h.down:
 		return Down
+	case now.Before(h.pausedUntil):
+		return Paused
 	case now.Before(h.dampedUntil):
 		return Damped
 	}
--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -162,23 +162,26 @@
 	l.recomputeTotals()
 }
 
+// withdrawn reports whether the endpoint itself wants no requests. It gets none even if hardly any other is up.
+func (e *endpointLoad) withdrawn() bool { return e.state == health.Leaving || e.state == health.Paused }
+
 func (l *Ledger) inPanic(members []int32) bool {
-	up, notLeaving := 0, 0
+	up, wanting := 0, 0
 	for _, i := range members {
-		if l.loads[i].state == health.Leaving {
+		if l.loads[i].withdrawn() {
 			continue
 		}
-		notLeaving++
+		wanting++
 		if state := l.loads[i].state; state == health.Up || state == "" {
 			up++
 		}
 	}
-	return float64(up) < panicThreshold*float64(notLeaving)
+	return float64(up) < panicThreshold*float64(wanting)
 }
 
 func (l *Ledger) includeDown(members []int32) {
 	for _, i := range members {
-		if l.loads[i].state != health.Leaving {
+		if !l.loads[i].withdrawn() {
 			l.candidates[i].SetUsable(true)
 		}
 	}
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -93,6 +93,17 @@
 	assert.Equal(t, usable(l), "e0001 e0003 ")
 }
 
+// Guards against requests at endpoints that asked for a pause because hardly any other is up.
+func TestPausedEndpointsAreNotUsedInPanic(t *testing.T) {
+	l := newLedger(4)
+	l.SetState("e0000", health.Paused)
+	l.SetState("e0001", health.Paused)
+	l.SetState("e0002", health.Down)
+	assert.Equal(t, usable(l), "e0003 ")
+	l.SetState("e0003", health.Down)
+	assert.Equal(t, usable(l), "e0002 e0003 ")
+}
+
 func usable(l *ledger.Ledger) (names string) {
 	for _, s := range l.States() {
 		if s.Usable {
--- a/io/probe/prober.go
+++ b/io/probe/prober.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -18,6 +19,7 @@
 	"savoryfall/core/ledger"
 	"savoryfall/core/outcome"
 	"savoryfall/core/report"
+	"savoryfall/core/retryafter"
 	"savoryfall/io/endpoint"
 	"savoryfall/io/traffic"
 )
@@ -263,12 +265,26 @@
 		return
 	}
 	if f.Outcome == outcome.NotRun && f.Status != 0 {
+		p.applyPause(name, f)
 		return
 	}
 	p.health.Failed(name, errors.Is(f.Cause, syscall.ECONNREFUSED), time.Now())
 	p.updateState(name)
 }
 
+// pauseJitter is the share of a pause that is added to it at most, so that the routers don't all return at once.
+const pauseJitter = 0.25
+
+// applyPause keeps requests from an endpoint that asked for none when it refused one.
+func (p *Prober) applyPause(name string, f *endpoint.AttemptError) {
+	asked := retryafter.Parse(f.Header.Get("Retry-After"))
+	if f.Status != http.StatusServiceUnavailable || asked == 0 {
+		return
+	}
+	p.health.Pause(name, time.Now().Add(asked+time.Duration(rand.Float64()*pauseJitter*float64(asked))))
+	p.updateState(name)
+}
+
 // MarkLeaving applies a leaving mark that another router has observed.
 func (p *Prober) MarkLeaving(name, incarnation string) {
 	p.health.MarkLeaving(name, incarnation)
--- a/io/probe/prober_test.go
+++ b/io/probe/prober_test.go
@@ -120,3 +120,21 @@
 	waitForState(t, h, health.Down)
 	waitForState(t, h, health.Up)
 }
+
+// Guards against requests at an endpoint that refused one and asked for a pause.
+func TestRefusalWithPauseKeepsRequestsAway(t *testing.T) {
+	s := httptest.NewServer(http.NotFoundHandler())
+	defer s.Close()
+	p, h := newProber(t, s, longPeriod)
+	p.RecordAnswer("engine-01", report.Report{Incarnation: "one"}, time.Now(), time.Now())
+	refusal := endpoint.AttemptError{Outcome: outcome.NotRun, Status: 503, Header: http.Header{"Retry-After": {"2.5"}}}
+	p.Failed("engine-01", &refusal)
+	for at, want := range map[time.Duration]health.State{0: health.Paused, 2 * time.Second: health.Paused, 4 * time.Second: health.Up} {
+		assert.Equal(t, h.State("engine-01", time.Now().Add(at)), want, "%v", at)
+	}
+	refusal.Header.Set("Retry-After", "0.1")
+	p.Failed("engine-01", &refusal)
+	assert.Equal(t, h.State("engine-01", time.Now().Add(2*time.Second)), health.Paused, "a shorter pause ends no longer one")
+	p.RecordAnswer("engine-01", report.Report{Incarnation: "two"}, time.Now(), time.Now())
+	assert.Equal(t, h.State("engine-01", time.Now()), health.Up, "the pause is the earlier process's")
+}
--- a/soak/variants_test.go
+++ b/soak/variants_test.go
@@ -43,7 +43,7 @@
 		"platform/endpointapi/codec.go", "h.Get(headerLeaving) == \"1\"", "false",
 	},
 	"pausesAreIgnored": {
-		"platform/endpointapi/codec.go", "r.Pause = decodePause(h.Get(headerRetryAfter))", "r.Pause = 0 * decodePause(h.Get(headerRetryAfter))",
+		"platform/endpointapi/codec.go", "r.Pause = retryafter.Parse(h.Get(headerRetryAfter))", "r.Pause = 0 * retryafter.Parse(h.Get(headerRetryAfter))",
 	},
 	"generationOfTheStoreIsIgnored": {
 		"platform/store/client.go", "if err != nil || generation <= 0 {", "if err != nil || generation <= 0 || generation > 0 {",
