dispatch: a test of refusals with pauses under load

None meets an engine beyond the users' bound, also as the pauses end.

It asks now that no rank is served less often than without the pauses.

--- a/core/dispatch/surge_test.go
+++ b/core/dispatch/surge_test.go
@@ -43,6 +43,10 @@
 	readsUntil time.Time
 	// losesAnswers makes the server lose the answer to every third request.
 	losesAnswers bool
+	// refusesUntil is until when the server refuses all requests, and pause for how long it then asks for none.
+	refusesUntil time.Time
+	pause        time.Duration
+	refused      int
 	ended        int
 	// lost are the requests whose answers were lost and that were not retried yet.
 	lost []job
@@ -134,6 +138,9 @@
 		if v.accept(job{attempt: a, q: q, work: work}, s.now) {
 			return true
 		}
+		if v.pause > 0 {
+			a.Pause(v.pause, s.now)
+		}
 		a.End(dispatch.Refused, s.now)
 		q.Tried = append(q.Tried, v.id)
 	}
@@ -173,6 +180,9 @@
 
 func (v *server) accept(j job, now time.Time) bool {
 	switch {
+	case now.Before(v.refusesUntil):
+		v.refused++
+		return false
 	case len(v.running) < v.slots:
 		v.begin(j, now)
 	case len(v.waiting) < v.queue:
