--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -163,6 +163,10 @@
 		}
 		return (bootclock.Now() - confirmedAt).Seconds()
 	})
+	vm.metricSet.NewGauge("savoryfall_store_generation", func() float64 {
+		end, _, _ := registryFollower.Position()
+		return float64(end.Generation)
+	})
 	vm.hub, err = hub.New(hub.Config{
 		Self: members.Member{
 			Name: vm.settings.VM().Name(), Address: vm.settings.AdvertisedAddress(), FailureDomain: vm.settings.VM().FailureDomain(),
