--- a/core/dispatch/withdraw.go
+++ b/core/dispatch/withdraw.go
@@ -30,7 +30,7 @@
 // isWithdrawn reports whether the endpoint must get no new work: its process is leaving or has asked for a pause, or its
 // failure domain is drained.
 func (d *Dispatcher) isWithdrawn(e *endpoint, now time.Time) bool {
-	return e.leaving || e.pause != nil && e.pause.active(now) || len(d.drained) > 0 && d.isDrained(e)
+	return e.leaving || e.pause.active(now) || d.isDrained(e)
 }
 
 // split separates the endpoints that may get new work from those that must not. Unlike silent endpoints these are left
--- a/io/command/loglines_test.go
+++ b/io/command/loglines_test.go
@@ -47,19 +47,24 @@
 	{regexp.MustCompile(`err="(\\.|[^"\\])*"`), `err="<text>"`},
 }
 
-// Log collectors and searches depend on the names and the order of the fields. Each kind of line that a process logs in
-// normal operation must match exactly, except for values that differ between runs.
-func TestLogLinesMatchGolden(t *testing.T) {
-	t.Parallel()
-	f := newEntryFleet(t, 0)
-	logOutput := &syncBuffer{}
-	file := filepath.Join(t.TempDir(), "vm.toml")
+// startLogged starts an entry VM, waits until it serves, and returns it with its settings file and its log.
+func (f *entryFleet) startLogged(t *testing.T) (vm *entryVM, file string, logOutput *syncBuffer) {
+	logOutput, file = &syncBuffer{}, filepath.Join(t.TempDir(), "vm.toml")
 	cfg, err := settings.ParseEntry(file, f.settingsWithGrace(time.Second))
 	assert.NilError(t, err)
-	vm, err := newEntryVM(cfg, logwriter.New(logOutput))
+	vm, err = newEntryVM(cfg, logwriter.New(logOutput))
 	assert.NilError(t, err)
 	assert.NilError(t, vm.start(context.Background()))
 	f.waitFor("served", func() bool { return vm.handler.Ready() && f.get(vm, "/read/x", "good").Status == 200 })
+	return vm, file, logOutput
+}
+
+// Log collectors and searches depend on the names and the order of the fields. Each kind of line that a process logs in
+// normal operation must match exactly, except for values that differ between runs.
+func TestLogLinesMatchGolden(t *testing.T) {
+	t.Parallel()
+	f := newEntryFleet(t, 0)
+	vm, file, logOutput := f.startLogged(t)
 	logged := func(event string) func() bool {
 		return func() bool { return strings.Contains(logOutput.String(), "event="+event+" ") }
 	}
--- a/io/command/withdrawallines_test.go
+++ b/io/command/withdrawallines_test.go
@@ -1,17 +1,12 @@
 package command
 
 import (
-	"context"
-	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"savoryfall/core/settings"
-	"savoryfall/io/logwriter"
 )
 
 // withdrawalLines matches the lines about endpoints that want no requests, and about a store that was restored.
@@ -24,13 +19,7 @@
 func TestLinesOfWithdrawnEndpointsAndRestoredStoreMatchGolden(t *testing.T) {
 	t.Parallel()
 	f := newEntryFleet(t, 0)
-	logOutput := &syncBuffer{}
-	cfg, err := settings.ParseEntry(filepath.Join(t.TempDir(), "vm.toml"), f.settingsWithGrace(time.Second))
-	assert.NilError(t, err)
-	vm, err := newEntryVM(cfg, logwriter.New(logOutput))
-	assert.NilError(t, err)
-	assert.NilError(t, vm.start(context.Background()))
-	f.waitFor("served", func() bool { return vm.handler.Ready() && f.get(vm, "/read/x", "good").Status == 200 })
+	vm, _, logOutput := f.startLogged(t)
 	logs := func(event string) func() bool {
 		return func() bool {
 			f.get(vm, "/read/x", "good")
