--- a/io/hub/restore_test.go
+++ b/io/hub/restore_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"savoryfall/core/members"
 )
 
 // storeOutage is how long the store is away before it comes back from a copy.
@@ -143,3 +145,35 @@
 		assert.Equal(t, f.store.count(routersTopic), 12, "each entry is written once")
 	})
 }
+
+// Guards against a restore that meets restarts of half of the routers, the root among them, and a compacted history.
+func TestRestoreBesideRestartsAndCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 12)
+		defer f.stop()
+		f.putConfigurations(2, 9, 200*time.Millisecond)
+		f.putEndpoint(0, true)
+		time.Sleep(time.Second)
+		for round := range 3 {
+			version := 10 + 10*round
+			f.store.refuse(func(string) bool { return true })
+			time.Sleep(500 * time.Millisecond)
+			dead := f.kill(round%2 > 0, func(m members.Member) bool { return m.Bears > 100 || m.Name[len(m.Name)-1]%2 == 0 })
+			time.Sleep(time.Second)
+			f.store.restore(map[string]int{configurationTopic: 4, registryTopic: 1, routersTopic: 2})
+			for _, m := range dead {
+				f.net.setSilent(m.Address, false)
+				f.start(m, false)
+			}
+			f.store.refuse(nil)
+			f.store.compact()
+			f.store.put(configurationTopic, "config", fmt.Sprint(version))
+			time.Sleep(propagationBound)
+			f.assertKnown(fmt.Sprint(version), endpointCount-1, 2*time.Second)
+			f.putConfigurations(version+1, version+4, time.Second)
+			time.Sleep(time.Second)
+			f.assertKnown(fmt.Sprint(version+4), endpointCount-1, 2*time.Second)
+			assert.Equal(t, len(f.store.keys(routersTopic)), 12)
+		}
+	})
+}
