soak: a restored store does not keep entries of endpoints that were deleted

Trace: endpoint s5 crashed and s742 took its address; the store's deletion of s5's entry was among the records that a restore lost, and the stand-in never deleted it again, so that s5 stayed listed and its successor refused the request meant for it (421), as it must. The platform deletes the entry of an endpoint that is silent for three heartbeats, also one that a copy brings back. What was deleted is now deleted again after a restore. No check changes.

--- a/soak/endpoints_test.go
+++ b/soak/endpoints_test.go
@@ -22,6 +22,8 @@
 	removed bool
 	// leavingSince is when the store accepted the entry that says that the endpoint is leaving.
 	leavingSince time.Time
+	// deleted is set once the store has deleted the entry.
+	deleted bool
 	// unheard is set while the endpoint cannot write its entry.
 	unheard bool
 }
@@ -130,14 +132,33 @@
 	e.mu.Unlock()
 	_ = e.http.Close()
 	e.link.reset()
-	time.AfterFunc(3*heartbeatPeriod, func() { h.store.Put("keyed.servers", e.options.ID, nil) })
+	time.AfterFunc(3*heartbeatPeriod, func() { h.deleteEntry(e) })
+}
+
+func (h *harness) deleteEntry(e *endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.deleted = true
+	h.store.Put("keyed.servers", e.options.ID, nil)
+}
+
+// rewriteEntry writes what a restored store may lack: the endpoint's entry, or that it was deleted.
+func (h *harness) rewriteEntry(e *endpoint) {
+	e.mu.Lock()
+	deleted := e.deleted
+	e.mu.Unlock()
+	if deleted {
+		h.deleteEntry(e)
+		return
+	}
+	h.writeEntry(e)
 }
 
 func (h *harness) removeEndpoint(e *endpoint) {
 	e.mu.Lock()
 	e.removed = true
 	e.mu.Unlock()
-	h.store.Put("keyed.servers", e.options.ID, nil)
+	h.deleteEntry(e)
 	_ = e.http.Close()
 }
 
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -96,7 +96,7 @@
 	endpoints := slices.Clone(h.endpoints)
 	h.mu.Unlock()
 	for _, e := range endpoints {
-		h.writeEntry(e)
+		h.rewriteEntry(e)
 	}
 }
 
