--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -244,17 +244,23 @@
 	if synced && p.Generation > from.Generation {
 		return f.readOnce(ctx)
 	}
-	f.applyPage(p, from, synced, sent)
-	return nil
+	return f.applyPage(p, from, synced, sent)
 }
 
+// errOutdated is returned for a page of an earlier generation: it was answered before the log came back from an older
+// copy, and shows nothing. If all pages are, the store's generation has gone back, which it must not.
+var errOutdated = errors.New("the store answered with an earlier generation of its log")
+
 // applyPage passes a page to the sink, unless this router has received newer records during the read: older
-// records would undo them. A page of an earlier generation was answered before the log came back, and shows nothing.
-func (f *Follower) applyPage(p compactedlog.Page, from compactedlog.Position, synced bool, sent time.Duration) {
+// records would undo them.
+func (f *Follower) applyPage(p compactedlog.Page, from compactedlog.Position, synced bool, sent time.Duration) (err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.synced && f.position != from || f.outdated(p.End()) {
-		return
+	if f.outdated(p.End()) {
+		return errOutdated
+	}
+	if f.synced && f.position != from {
+		return nil
 	}
 	f.enter(p.End())
 	if synced {
@@ -264,6 +270,7 @@
 	}
 	f.moveTo(p.End())
 	f.confirmRead(sent)
+	return nil
 }
 
 func (f *Follower) readSince(ctx context.Context, from int64) (p compactedlog.Page, err error) {
--- a/io/follow/restore_test.go
+++ b/io/follow/restore_test.go
@@ -58,6 +58,7 @@
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, s.allKeys(), "a")
 		assert.Assert(t, s.age(now()) >= time.Second, "a read of the earlier generation must not renew the lease")
+		assert.Assert(t, s.failureCount() > 0 && f.Failing(), "it counts as a failed read, which is logged")
 	})
 }
 
