--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -166,17 +166,17 @@
 func (e *endpointLoad) withdrawn() bool { return e.state == health.Leaving || e.state == health.Paused }
 
 func (l *Ledger) inPanic(members []int32) bool {
-	up, wanting := 0, 0
+	up, accepting := 0, 0
 	for _, i := range members {
 		if l.loads[i].withdrawn() {
 			continue
 		}
-		wanting++
+		accepting++
 		if state := l.loads[i].state; state == health.Up || state == "" {
 			up++
 		}
 	}
-	return float64(up) < panicThreshold*float64(wanting)
+	return float64(up) < panicThreshold*float64(accepting)
 }
 
 func (l *Ledger) includeDown(members []int32) {
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -262,7 +262,7 @@
 	if f.synced && f.position != from {
 		return nil
 	}
-	f.enter(p.End())
+	f.recordRestore(p.End())
 	if synced {
 		f.sink.Apply(p.Records)
 	} else {
--- a/io/follow/position.go
+++ b/io/follow/position.go
@@ -42,7 +42,7 @@
 	if f.outdated(end) {
 		return
 	}
-	f.enter(end)
+	f.recordRestore(end)
 	f.moveTo(end)
 	f.confirmRead(sent)
 }
@@ -53,8 +53,9 @@
 	return p.Generation < max(f.position.Generation, f.topic.Generation())
 }
 
-// enter prepares for what was read up to the position, which may be of a later generation.
-func (f *Follower) enter(end compactedlog.Position) {
+// recordRestore reports that the log came back from an older copy if the position, up to which it is about to be known, is
+// of a later generation.
+func (f *Follower) recordRestore(end compactedlog.Position) {
 	if f.synced && end.Generation > f.position.Generation {
 		f.sink.Restored()
 		_ = f.logger.Log(field.Event, event.StoreRestored, field.Topic, f.options.Name, field.Generation, end.Generation, field.From, f.position.Generation,
@@ -91,7 +92,7 @@
 	if f.outdated(end) {
 		return
 	}
-	f.enter(end)
+	f.recordRestore(end)
 	if !f.synced || !end.Before(f.position) {
 		f.sink.Replace(records)
 	}
--- a/soak/endpoints_test.go
+++ b/soak/endpoints_test.go
@@ -24,8 +24,8 @@
 	leavingSince time.Time
 	// deleted is set once the store has deleted the entry.
 	deleted bool
-	// unheard is set while the endpoint cannot write its entry.
-	unheard bool
+	// unreported is set while the endpoint cannot write its entry.
+	unreported bool
 }
 
 const (
@@ -86,7 +86,7 @@
 func (h *harness) writeEntry(e *endpoint) (alive bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.removed && !e.unheard {
+	if !e.removed && !e.unreported {
 		h.store.Put("keyed.servers", e.options.ID, e.Entry())
 	}
 	return !e.removed
@@ -104,16 +104,16 @@
 	h.removeEndpoint(e)
 }
 
-// drainUnheard drains an endpoint that cannot write its entry for a while, so that only its responses say that it is
+// drainUnreported drains an endpoint that cannot write its entry for a while, so that only its responses say that it is
 // leaving.
-func (h *harness) drainUnheard(e *endpoint, unheard time.Duration) {
+func (h *harness) drainUnreported(e *endpoint, unreported time.Duration) {
 	e.mu.Lock()
-	e.unheard = true
+	e.unreported = true
 	e.mu.Unlock()
 	e.Drain()
-	<-time.After(unheard)
+	<-time.After(unreported)
 	e.mu.Lock()
-	e.unheard = false
+	e.unreported = false
 	e.mu.Unlock()
 	h.drainEndpoint(e)
 }
@@ -168,7 +168,7 @@
 	defer h.mu.Unlock()
 	for _, e := range h.endpoints {
 		e.mu.Lock()
-		if e.options.Service == service && !e.removed && !e.unheard && e.leavingSince.IsZero() {
+		if e.options.Service == service && !e.removed && !e.unreported && e.leavingSince.IsZero() {
 			list = append(list, e)
 		}
 		e.mu.Unlock()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -180,8 +180,8 @@
 		h.pauseEndpoint(h.randomEndpoint(random))
 	case 15:
 		if e := h.randomEndpoint(random); len(h.liveEndpoints(e.options.Service)) > 1 {
-			h.fault("endpoint drained unheard", "", duration, false)
-			h.drainUnheard(e, duration)
+			h.fault("endpoint drained unreported", "", duration, false)
+			h.drainUnreported(e, duration)
 		}
 	case 16:
 		h.restoreStore(duration)
@@ -262,7 +262,7 @@
 }
 
 // makePlannedChanges performs planned maintenance for the checks that apply without faults: all plain endpoints ask for a
-// pause, one endpoint of each service leaves, one of them unheard by the store at first, two configurations are written,
+// pause, one endpoint of each service leaves, one of them unreported by the store at first, two configurations are written,
 // of which the second lowers the limit for connections that became idle under the first, one router is told to stop, and
 // one reloads its settings.
 func (h *harness) makePlannedChanges() {
@@ -276,7 +276,7 @@
 	// The last pauses end, with what routers add to them.
 	<-time.After(2 * endpointPause)
 	var planned sync.WaitGroup
-	planned.Go(func() { h.drainUnheard(h.liveEndpoints(modelService)[0], 2*drainDelay) })
+	planned.Go(func() { h.drainUnreported(h.liveEndpoints(modelService)[0], 2*drainDelay) })
 	planned.Go(func() { h.drainEndpoint(h.liveEndpoints(plainService)[0]) })
 	h.writeConfiguration(longIdleLimit)
 	lowerAfter := configurationDelay + time.Second + time.Duration(h.random.IntN(1000))*time.Millisecond
