--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -262,7 +262,7 @@
 }
 
 // makePlannedChanges performs planned maintenance for the checks that apply without faults: all plain endpoints ask for a
-// pause, one endpoint of each service leaves, one of them unreported by the store at first, two configurations are written,
+// pause, one endpoint of each service leaves, one of them without a report to the store at first, two configurations are written,
 // of which the second lowers the limit for connections that became idle under the first, one router is told to stop, and
 // one reloads its settings.
 func (h *harness) makePlannedChanges() {
