registry: a router that the store turns away keeps no endpoint that has left while other routers read

Trace: the store turned the hub away from 2.5 to 11.5 s while three routers read for it. Its own failed reads still counted as an outage, in which entries lapse, so that it kept an endpoint whose entry vanished at 12.150 s until 14.300 s (2.3 s after its last failure), and its followers sent requests until 14.37 s; 2 s are allowed. A failed read now counts as an outage only if no router has read within 1.5 s (chosen: routers read in turn about every second, and an entry lapses after three heartbeats).

TestEndpointThatLeavesWhileOthersReadIsRemovedAtOnce failed before.

--- a/io/command/withdrawallines_test.go
+++ b/io/command/withdrawallines_test.go
@@ -30,7 +30,7 @@
 	f.waitFor("paused", logs("endpointPaused"))
 	f.endpoints["p0"].RefuseAll(0)
 	f.waitFor("resumed", logs("endpointResumed"))
-	f.endpoints["p1"].Drain()
+	f.endpoints["p1"].AnnounceLeaving()
 	f.waitFor("leaving", logs("endpointLeaving"))
 	f.store.Restore(map[string]int{"keyed.op": 0, "keyed.servers": 0, "keyed.routers": 1})
 	f.waitFor("configuration restored", logs("storeRestored topic=configuration"))
--- a/io/registry/tracker.go
+++ b/io/registry/tracker.go
@@ -28,6 +28,8 @@
 	mu        sync.Mutex
 	directory directory.Directory
 	published map[string]directory.Entry
+	// readAt is when a read of the registry, by this router or another, last showed that nothing is missing here.
+	readAt time.Time
 	// coldUnknown holds, for each endpoint whose entry does not say how long it is cold, the start time of the
 	// process for which that was logged.
 	coldUnknown map[string]int64
@@ -139,6 +141,7 @@
 func (t *Tracker) Read(time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.readAt = time.Now()
 	t.publish(t.directory.ExpireVanished(time.Now()), sourceRegistry)
 }
 
@@ -149,11 +152,19 @@
 	t.directory.ReadFailed(time.Now())
 }
 
-// Failed keeps vanished entries for a while, since endpoints cannot renew them during an outage.
+// servedWithin is how recent a read must be to show that the store is available, although it does not serve this router.
+// Routers read in turn for one that is not served, about every second; an entry takes longer to lapse.
+const servedWithin = 1500 * time.Millisecond
+
+// Failed keeps vanished entries for a while, since endpoints cannot renew them during an outage. If the store serves other
+// routers it is no outage, and an entry that vanishes is that of an endpoint that leaves.
 func (t *Tracker) Failed(error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.directory.ReadFailed(time.Now())
+	now := time.Now()
+	if now.Sub(t.readAt) >= servedWithin {
+		t.directory.ReadFailed(now)
+	}
 }
 
 // source is where a change of the endpoints was learned from.
--- a/io/registry/tracker_test.go
+++ b/io/registry/tracker_test.go
@@ -68,3 +68,25 @@
 func (keyDecoder) Decode(r compactedlog.Record) (e directory.Entry, err error) {
 	return directory.Entry{ID: r.Key}, nil
 }
+
+// Guards against endpoints that have left and are kept as if their entries had lapsed, because the store turned only this
+// router away: others read it all the time, so that no entry can have lapsed unseen.
+func TestEndpointThatLeavesWhileOthersReadIsRemovedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var usable []directory.Entry
+		tr := registry.New(keyDecoder{}, func(list []directory.Entry) { usable = list }, log.NewNopLogger())
+		tr.Replace([]compactedlog.Record{{Key: "a"}, {Key: "b"}})
+		for range 8 {
+			tr.Read(0)
+			time.Sleep(500 * time.Millisecond)
+			tr.Failed(errUnavailable)
+			time.Sleep(500 * time.Millisecond)
+		}
+		tr.Apply([]compactedlog.Record{{Key: "b", Removed: true}})
+		assert.DeepEqual(t, usable, []directory.Entry{{ID: "a"}})
+		time.Sleep(4 * time.Second)
+		tr.Failed(errUnavailable)
+		tr.Apply([]compactedlog.Record{{Key: "a", Removed: true}})
+		assert.Equal(t, len(usable), 1, "no router could read, so the entry may have lapsed")
+	})
+}
--- a/soak/endpoints_test.go
+++ b/soak/endpoints_test.go
@@ -110,7 +110,7 @@
 	e.mu.Lock()
 	e.unreported = true
 	e.mu.Unlock()
-	e.Drain()
+	e.AnnounceLeaving()
 	<-time.After(unreported)
 	e.mu.Lock()
 	e.unreported = false
