--- a/soak/endpoints_test.go
+++ b/soak/endpoints_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -175,3 +176,15 @@
 	}
 	return list
 }
+
+// lastUsedEndpoint returns the live endpoint of the service that received a request last. One that the routers hardly use
+// would show nothing when it leaves.
+func (h *harness) lastUsedEndpoint(service string) *endpoint {
+	lastUsed := func(e *endpoint) (at time.Time) {
+		if arrivals := e.ReceivedRequests(); len(arrivals) > 0 {
+			at = arrivals[len(arrivals)-1].At
+		}
+		return at
+	}
+	return slices.MaxFunc(h.liveEndpoints(service), func(a, b *endpoint) int { return lastUsed(a).Compare(lastUsed(b)) })
+}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -276,8 +276,8 @@
 	// The last pauses end, with what routers add to them.
 	<-time.After(2 * endpointPause)
 	var planned sync.WaitGroup
-	planned.Go(func() { h.drainUnreported(h.liveEndpoints(modelService)[0], 2*drainDelay) })
-	planned.Go(func() { h.drainEndpoint(h.liveEndpoints(plainService)[0]) })
+	planned.Go(func() { h.drainUnreported(h.lastUsedEndpoint(modelService), 2*drainDelay) })
+	planned.Go(func() { h.drainEndpoint(h.lastUsedEndpoint(plainService)) })
 	h.writeConfiguration(longIdleLimit)
 	lowerAfter := configurationDelay + time.Second + time.Duration(h.random.IntN(1000))*time.Millisecond
 	planned.Go(func() {
