dispatch: one rule for whether a service waits for the end of a pause

The reason 'paused' and the delay that goes with it were derived by two loops, which differed where endpoints both pause and are in a drained failure domain: the refusal said paused, with a delay of 50 ms, though none returns at the end of its pause. The reason is now that the delay is above zero, so that such a refusal says noEndpoint and 500 ms. TestPauseInDrainedDomainIsNoReasonToRetryAtItsEnd failed before. A mark that is known already no longer counts as an event by which an endpoint was withdrawn: each answer of a leaving endpoint had sent the next requests to the lock.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -138,7 +138,10 @@
 	defer d.mu.Unlock()
 	c := d.scoring(q, d.pools[q.Service], now)
 	if len(c.pool) == 0 {
-		return nil, d.emptyPoolReason(q.Service, now)
+		if d.pausedFor(q.Service, now) > 0 {
+			return nil, ReasonPaused
+		}
+		return nil, ReasonNoEndpoint
 	}
 	if len(q.Tried) > 0 {
 		// A retry may take reserved capacity: the request has used capacity already, and its client has waited.
@@ -156,14 +159,6 @@
 	return a, reason
 }
 
-// emptyPoolReason returns why no endpoint of the service may get work.
-func (d *Dispatcher) emptyPoolReason(service string, now time.Time) Reason {
-	if slices.ContainsFunc(d.pools[service], func(e *endpoint) bool { return !e.leaving && e.pause.active(now) }) {
-		return ReasonPaused
-	}
-	return ReasonNoEndpoint
-}
-
 func (c *scoring) beginCheapest() (a *Attempt, reason Reason) {
 	best, reason := c.best()
 	if best == nil {
--- a/core/dispatch/pause.go
+++ b/core/dispatch/pause.go
@@ -122,6 +122,10 @@
 func (d *Dispatcher) PausedFor(service string, now time.Time) (remaining time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.pausedFor(service, now)
+}
+
+func (d *Dispatcher) pausedFor(service string, now time.Time) (remaining time.Duration) {
 	for _, e := range d.pools[service] {
 		switch {
 		case !d.isWithdrawn(e, now):
--- a/core/dispatch/pause_test.go
+++ b/core/dispatch/pause_test.go
@@ -163,3 +163,13 @@
 	assert.DeepEqual(t, ended[0].Endpoint, entries[i])
 	assert.Equal(t, len(d.EndedPauses(start.Add(4*time.Second))), 0)
 }
+
+// Guards against a refusal that names the end of a pause at which no endpoint returns, because its failure domain is drained.
+func TestPauseInDrainedDomainIsNoReasonToRetryAtItsEnd(t *testing.T) {
+	d, _ := newDispatcher(1)
+	pauseAt(t, d, "plain0", 3*time.Second, start)
+	d.SetDrained([]string{"a"}, start)
+	_, reason := d.Choose(dispatch.Query{Service: plain}, start)
+	assert.Equal(t, reason, dispatch.ReasonNoEndpoint)
+	assert.Equal(t, d.PausedFor(plain, start), time.Duration(0))
+}
--- a/core/dispatch/withdraw.go
+++ b/core/dispatch/withdraw.go
@@ -10,10 +10,12 @@
 func (a *Attempt) MarkLeaving() (first bool) {
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
-	first = !a.e.leaving
+	if a.e.leaving {
+		return false
+	}
 	a.e.leaving = true
 	a.d.withdrawals.Add(1)
-	return first
+	return true
 }
 
 // Withdrawn reports whether the endpoint has been withdrawn or removed since it was chosen, so that the request must not
