health: a late mark of the VM list is not put on the successor

Callers saw: less capacity. A healthy engine that had replaced a leaving one got no requests from any router, for good.

Cause: the VM list names no incarnation, and a mark was put on the incarnation that the router knew when it read the list. The list lags, and routers read it seconds apart, so that this could be the successor; the mark was then gossiped as certain, and a mark is never taken back.

Change: a mark is put on the running incarnation only if the list, when this router asked for it before, already could have shown a mark of the predecessor and did not. Until then it is the predecessor's; if the router knows no predecessor, or has already seen the predecessor's mark, it counts while the list shows it and is not passed on. A list is taken to be late by at most 30 s (chosen). A restart, or a mark of another incarnation, ends the uncertainty.

The test on the list stays there until the other half of the cause is gone: a router that did not meet the engine before its mark.

--- a/core/health/table.go
+++ b/core/health/table.go
@@ -10,11 +10,17 @@
 type Table struct {
 	mu        sync.Mutex
 	endpoints map[string]*endpointHealth
+	// listReadAt is when this router asked for the VM list that it applied last.
+	listReadAt time.Time
 }
 
 // endpointHealth is the state kept for one endpoint.
 type endpointHealth struct {
 	incarnation string
+	// metAt is when the request was sent whose answer first named the current incarnation. predecessor is the
+	// incarnation before it, or empty if this router knows none.
+	metAt       time.Time
+	predecessor string
 	answeredAt  time.Time
 	upSince     time.Time
 	startedAt   time.Time
@@ -30,8 +36,10 @@
 	// would send new requests to an endpoint that is about to stop. Only a new incarnation starts without the mark.
 	leaving       map[string]bool
 	listedLeaving bool
-	// unattributedMark is set while the VM list shows a leaving mark that was there before any incarnation answered. It
-	// may belong to the running incarnation or to its predecessor, so it counts only while the list shows it.
+	// listedIncarnation is the incarnation to which the latest mark of the VM list was attributed.
+	listedIncarnation string
+	// unattributedMark is set while the VM list shows a leaving mark that may belong to the running incarnation or to its
+	// predecessor. It counts only while the list shows it.
 	unattributedMark bool
 }
 
@@ -56,6 +64,8 @@
 	dampMax  = time.Minute
 	// flapReset is how long an endpoint must stay up before its flaps are forgotten.
 	flapReset = 2 * time.Minute
+	// listLag is how late the VM list may show a mark at most.
+	listLag = 30 * time.Second
 )
 
 // Configure sets the names of the configured endpoints.
@@ -99,14 +109,26 @@
 	}
 	if restarted {
 		h.pausedUntil = time.Time{}
+		h.recordSuccessor()
 	}
-	if incarnation != "" {
-		h.incarnation = incarnation
+	if incarnation != "" && h.incarnation != incarnation {
+		h.incarnation, h.metAt = incarnation, asked
+		h.explainMark()
 	}
 	h.answeredAt, h.down, h.failures = asked, false, 0
 	return restarted
 }
 
+// recordSuccessor records that the current incarnation is about to be replaced. A mark that the VM list already shows
+// was not made for the successor.
+func (h *endpointHealth) recordSuccessor() {
+	h.predecessor = h.incarnation
+	if h.unattributedMark {
+		h.unattributedMark = false
+		h.listedIncarnation = h.predecessor
+	}
+}
+
 // recordReturn damps an endpoint that keeps going down and up: each return with an empty cache draws chats away from
 // the endpoints that have their prefix cached, and the next failure moves them again.
 func (h *endpointHealth) recordReturn(now time.Time) {
@@ -164,6 +186,7 @@
 	}
 	changed = !h.leaving[incarnation]
 	h.leaving[incarnation] = true
+	h.explainMark()
 	return changed
 }
 
@@ -177,16 +200,50 @@
 		return
 	}
 	switch {
-	case leaving && h.incarnation == "":
-		h.unattributedMark = true
 	case leaving && !h.listedLeaving:
-		h.leaving[h.incarnation] = true
+		h.attributeListedMark(t.listReadAt)
 	case !leaving:
 		h.unattributedMark = false
 	}
 	h.listedLeaving = leaving
 }
 
+// ListRead records that the VM list, as this router asked for it at the given time, has been applied.
+func (t *Table) ListRead(asked time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listReadAt = asked
+}
+
+// attributeListedMark attributes a mark that the VM list did not show when it was last asked for, at unmarkedAt. The
+// list names no incarnation. Attributed to a successor, the late mark of its predecessor would keep the endpoint without
+// requests for good, on every router.
+func (h *endpointHealth) attributeListedMark(unmarkedAt time.Time) {
+	mayBeOlder := unmarkedAt.Before(h.metAt.Add(listLag))
+	switch {
+	case h.incarnation == "" || mayBeOlder && h.predecessor == "":
+		h.unattributedMark = true
+		h.explainMark()
+		return
+	case mayBeOlder && h.listedIncarnation == h.predecessor:
+		h.unattributedMark = true
+		return
+	case mayBeOlder:
+		h.listedIncarnation = h.predecessor
+	default:
+		h.listedIncarnation = h.incarnation
+	}
+	h.leaving[h.listedIncarnation] = true
+}
+
+// explainMark drops an unattributed mark if an incarnation is known to be leaving, which is then the one that the VM
+// list shows.
+func (h *endpointHealth) explainMark() {
+	if h.incarnation != "" && len(h.leaving) > 0 {
+		h.unattributedMark = false
+	}
+}
+
 // State returns the current state of the endpoint.
 func (t *Table) State(name string, now time.Time) State {
 	t.mu.Lock()
