health: a listed mark holds for an endpoint that is configured later

Callers saw: requests on an engine that is about to stop. A starting router reads the VM list before its configuration; marks of endpoints that were not configured yet were dropped, and the list is not sent again until it changes.

Change: the table keeps the listed marks of all names. Found while looking for the leaving mark's fault elsewhere; the test failed before ("up" for a marked endpoint). A mark of an endpoint that is not configured is no longer reported to the peers as one that is down.

--- a/core/health/table.go
+++ b/core/health/table.go
@@ -10,6 +10,8 @@
 type Table struct {
 	mu        sync.Mutex
 	endpoints map[string]*endpointHealth
+	// listed holds the names that the VM list shows as leaving, including those of endpoints that are not configured.
+	listed map[string]bool
 	// listReadAt is when this router asked for the VM list that it applied last.
 	listReadAt time.Time
 }
@@ -79,7 +81,10 @@
 	for _, name := range names {
 		t.endpoints[name] = previous[name]
 		if t.endpoints[name] == nil {
-			t.endpoints[name] = &endpointHealth{leaving: map[string]bool{}, addedLater: len(previous) > 0}
+			t.endpoints[name] = &endpointHealth{
+				leaving: map[string]bool{}, addedLater: len(previous) > 0,
+				listedLeaving: t.listed[name], unattributedMark: t.listed[name],
+			}
 		}
 	}
 }
@@ -195,6 +200,14 @@
 func (t *Table) Listed(name string, leaving bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.listed == nil {
+		t.listed = map[string]bool{}
+	}
+	if leaving {
+		t.listed[name] = true
+	} else {
+		delete(t.listed, name)
+	}
 	h := t.endpoints[name]
 	if h == nil {
 		return
--- a/io/probe/prober.go
+++ b/io/probe/prober.go
@@ -294,5 +294,7 @@
 // UpdateFromVMList applies whether the VM list shows the endpoint as leaving.
 func (p *Prober) UpdateFromVMList(name string, leaving bool) {
 	p.health.Listed(name, leaving)
-	p.updateState(name)
+	if _, ok := p.configuration().Endpoint(name); ok {
+		p.updateState(name)
+	}
 }
