router: an endpoint whose VM is no longer listed is not kept out by its mark

Callers saw: less capacity on a router that had started while the VM list showed a mark. It waits for the list to show the VM without the mark, and a VM that disappears from the list never is.

Change: a marked VM that is not listed any more counts as unmarked. Found while looking for the leaving mark's fault elsewhere; the test failed before ("leaving" after the VM had gone).

--- a/io/router/vmwatcher.go
+++ b/io/router/vmwatcher.go
@@ -20,8 +20,10 @@
 	period  time.Duration
 	logger  log.Logger
 	etag    string
-	cancel  context.CancelFunc
-	tasks   background.Group
+	// marked holds the names of the endpoints that the list showed as leaving when it was read last.
+	marked map[string]bool
+	cancel context.CancelFunc
+	tasks  background.Group
 }
 
 const vmListTimeout = 5 * time.Second
@@ -58,9 +60,12 @@
 
 func (w *vmWatcher) update(vms []vmlist.VM) {
 	var routers []membership.Update
+	before := w.marked
+	w.marked = map[string]bool{}
 	for _, vm := range vms {
 		if vm.Role == vmlist.RoleEndpoint {
 			w.probe.UpdateFromVMList(vm.Name, vm.Leaving)
+			w.marked[vm.Name] = vm.Leaving
 			continue
 		}
 		r := membership.Update{Name: vm.Name, Address: vm.Address, FailureDomain: vm.FailureDomain}
@@ -70,4 +75,9 @@
 		routers = append(routers, r)
 	}
 	w.members.UpdateFromVMList(routers, time.Now())
+	for name := range before {
+		if _, listed := w.marked[name]; !listed {
+			w.probe.UpdateFromVMList(name, false)
+		}
+	}
 }
--- a/io/router/vmwatcher_test.go
+++ b/io/router/vmwatcher_test.go
@@ -73,3 +73,17 @@
 	w.watcher.poll(t.Context())
 	assert.Equal(t, w.state(), health.Up)
 }
+
+// A VM disappears from the VM list while a starting router waits for the end of its mark. The endpoint must get requests
+// again.
+func TestMarkOfVMThatDisappears(t *testing.T) {
+	w := newWatched(t)
+	w.health.Configure([]string{engine})
+	w.put(true)
+	w.watcher.poll(t.Context())
+	w.health.RecordAnswer(engine, "one", false, time.Now())
+	assert.Equal(t, w.state(), health.Leaving)
+	w.list.Remove(engine)
+	w.watcher.poll(t.Context())
+	assert.Equal(t, w.state(), health.Up)
+}
