probe, router: an endpoint is probed before a listed mark is applied to it

Callers saw: a healthy engine that got no requests from a router while the VM list showed its predecessor's mark.

Cause, as traced in a failed play of TestListedMarkAndItsSuccessor: the router read the mark before the engine had answered it for the first time. The first incarnation that it met was the successor, which it could not tell from the marked one.

Change: endpoints that are newly marked are probed before the list is applied. The mark is put on the incarnation that runs, and one that answers later is known to be another.

--- a/io/fleet/members_test.go
+++ b/io/fleet/members_test.go
@@ -120,6 +120,20 @@
 	waitFor(t, "the successor is up everywhere", func() bool { return healthEverywhere(t, f, health.Up) })
 }
 
+// The VM list marks an engine that a router has not probed yet. The router must ask which incarnation is marked, so that it
+// recognizes the successor, although the list still shows the mark.
+func TestMarkBeforeFirstProbe(t *testing.T) {
+	f := start(t, fleet.Options{Routers: 1, Engines: 2, ExtraSettings: map[string]string{
+		"peers": fastPeers, "callers": "lameDuck = \"0s\"\n", "routing": "probePeriod = \"4s\"\n",
+		"platform": "vmListPeriod = \"50ms\"\n",
+	}})
+	f.VMList.Put(vmlist.VM{Name: "engine-01", Role: vmlist.RoleEndpoint, Leaving: true})
+	waitFor(t, "engine-01 is leaving", func() bool { return healthEverywhere(t, f, health.Leaving) })
+	address := f.KillEngine("engine-01")
+	assert.NilError(t, f.StartEngine(t.Context(), "engine-01", address))
+	waitFor(t, "the successor is up", func() bool { return healthEverywhere(t, f, health.Up) })
+}
+
 // startStreams starts n streams of the given number of tokens, each of which must arrive complete. The test must wait
 // for the returned group.
 func startStreams(t *testing.T, f *fleet.Fleet, n, tokens int) (all *sync.WaitGroup) {
--- a/io/probe/prober.go
+++ b/io/probe/prober.go
@@ -296,6 +296,19 @@
 	p.updateState(name)
 }
 
+// ProbeAll probes the named endpoints and waits for the answers. It is called before leaving marks of the VM list are
+// applied: the list names no incarnation, and a mark put on an incarnation that is no longer running, or on none, would
+// be taken for that of its successor.
+func (p *Prober) ProbeAll(ctx context.Context, names []string) {
+	var probes sync.WaitGroup
+	for _, name := range names {
+		if e, ok := p.configuration().Endpoint(name); ok {
+			probes.Go(func() { p.probe(ctx, name, e.Address()) })
+		}
+	}
+	probes.Wait()
+}
+
 // UpdateFromVMList applies whether the VM list shows the endpoint as leaving.
 func (p *Prober) UpdateFromVMList(name string, leaving bool) {
 	p.health.Listed(name, leaving)
--- a/io/router/vmwatcher.go
+++ b/io/router/vmwatcher.go
@@ -55,9 +55,20 @@
 		return
 	}
 	w.etag = etag
+	w.probe.ProbeAll(ctx, newlyMarked(vms, w.marked))
 	w.update(vms)
 }
 
+// newlyMarked returns the endpoints that the list shows as leaving and did not before.
+func newlyMarked(vms []vmlist.VM, before map[string]bool) (names []string) {
+	for _, vm := range vms {
+		if vm.Role == vmlist.RoleEndpoint && vm.Leaving && !before[vm.Name] {
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
+
 func (w *vmWatcher) update(vms []vmlist.VM) {
 	var routers []membership.Update
 	before := w.marked
