peer: routers ask each other whose mark the VM list shows

Callers saw: a healthy engine that got no requests from a router which had started while the VM list still showed its predecessor's mark, for as long as the list showed it.

Cause: the list names no incarnation, and a starting router never met the predecessor.

Change: a router sends the endpoints whose listed incarnation it does not know with its heartbeat, and a peer that knows it adds that incarnation's mark to its next message.

What is left: if no router of the fleet has met the predecessor, the successor is kept out until the list drops the mark.

--- a/core/health/table.go
+++ b/core/health/table.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -310,6 +312,30 @@
 	return time.Time{}
 }
 
+// UnattributedMarks returns the endpoints for which it is not known whose mark the VM list shows, at most max.
+func (t *Table) UnattributedMarks(max int) (names []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(t.endpoints)) {
+		if len(names) < max && t.endpoints[name].unattributedMark {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// ListedIncarnation returns the incarnation whose mark the VM list shows, or an empty string if there is none or it is
+// not known.
+func (t *Table) ListedIncarnation(name string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.endpoints[name]
+	if h == nil || !h.listedLeaving || h.unattributedMark {
+		return ""
+	}
+	return h.listedIncarnation
+}
+
 // KnownLeaving reports whether the current incarnation is known to be leaving, so that the mark may be passed on to
 // peers.
 func (t *Table) KnownLeaving(name string) bool {
--- a/io/fleet/members_test.go
+++ b/io/fleet/members_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -13,6 +14,7 @@
 	"savoryfall/io/fleet"
 	"savoryfall/io/router"
 	"savoryfall/io/standin/engine"
+	"savoryfall/io/standin/vmservice"
 	"savoryfall/io/vmlist"
 )
 
@@ -47,6 +49,19 @@
 	return true
 }
 
+// metEverywhere reports whether engine-01 has answered all routers.
+func metEverywhere(t *testing.T, f *fleet.Fleet) bool {
+	t.Helper()
+	for _, r := range f.Routers() {
+		for _, e := range status(t, r).Endpoints {
+			if e.Endpoint == "engine-01" && e.Incarnation == "" {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // A router is killed, and the other routers mark it as dead.
 func TestDeadRouterIsDetected(t *testing.T) {
 	f := start(t, fleet.Options{Routers: 4, Engines: 1})
@@ -134,6 +149,29 @@
 	waitFor(t, "the successor is up", func() bool { return healthEverywhere(t, f, health.Up) })
 }
 
+// The VM list is late: it shows the mark of an engine only when the engine has been replaced. The successor must keep
+// getting requests from every router, also from one that starts while the list still shows the mark.
+func TestLateListKeepsSuccessor(t *testing.T) {
+	const lag = 2 * time.Second
+	f := start(t, fleet.Options{Routers: 3, Engines: 2, ExtraSettings: map[string]string{
+		"peers": fastPeers, "callers": "lameDuck = \"0s\"\n", "routing": "probePeriod = \"200ms\"\n",
+		"platform": "vmListPeriod = \"100ms\"\n",
+	}})
+	f.VMList.Put(vmlist.VM{Name: "engine-01", Role: vmlist.RoleEndpoint})
+	waitFor(t, "all routers have met engine-01", func() bool { return metEverywhere(t, f) })
+	f.VMList.SetFaults(vmservice.Faults{LagMs: int(lag.Milliseconds())})
+	f.VMList.Put(vmlist.VM{Name: "engine-01", Role: vmlist.RoleEndpoint, Leaving: true})
+	marked := time.Now()
+	address := f.KillEngine("engine-01")
+	assert.NilError(t, f.StartEngine(t.Context(), "engine-01", address))
+	waitFor(t, "the successor is up everywhere", func() bool { return healthEverywhere(t, f, health.Up) })
+	waitFor(t, "the routers have read the mark", func() bool { return time.Since(marked) > lag+time.Second })
+	assert.Assert(t, healthEverywhere(t, f, health.Up))
+	_, err := f.AddRouter(t.Context())
+	assert.NilError(t, err)
+	waitFor(t, "the successor is up on the new router, too", func() bool { return healthEverywhere(t, f, health.Up) })
+}
+
 // startStreams starts n streams of the given number of tokens, each of which must arrive complete. The test must wait
 // for the returned group.
 func startStreams(t *testing.T, f *fleet.Fleet, n, tokens int) (all *sync.WaitGroup) {
--- a/io/peer/agent.go
+++ b/io/peer/agent.go
@@ -60,14 +60,16 @@
 // Agent exchanges heartbeats, load digests, leaving marks and configuration offsets with the other routers.
 type Agent struct {
 	Config
-	listener        net.Listener
-	mu              sync.Mutex
-	connByPeer      map[string]*connection
-	openConns       map[*connection]bool
-	closed          bool
-	acceptedConns   map[net.Conn]bool
-	findings        map[string]*pendingFinding
-	marks           map[LeavingMark]int
+	listener      net.Listener
+	mu            sync.Mutex
+	connByPeer    map[string]*connection
+	openConns     map[*connection]bool
+	closed        bool
+	acceptedConns map[net.Conn]bool
+	findings      map[string]*pendingFinding
+	marks         map[LeavingMark]int
+	// unattributed holds, by peer, the endpoints whose listed incarnation the peer does not know.
+	unattributed    map[string][]string
 	overBudget      bool
 	round           int
 	lastBytes       uint64
@@ -103,7 +105,7 @@
 	defer annotate.Error(&err, "listen for peers on %s", address)
 	a = &Agent{
 		Config: c, connByPeer: map[string]*connection{}, openConns: map[*connection]bool{}, acceptedConns: map[net.Conn]bool{},
-		findings: map[string]*pendingFinding{}, marks: map[LeavingMark]int{},
+		findings: map[string]*pendingFinding{}, marks: map[LeavingMark]int{}, unattributed: map[string][]string{},
 		overflowCursors: map[string]uint64{}, exchangeNow: make(chan struct{}, 1),
 	}
 	a.listener, err = net.Listen("tcp", address)
@@ -299,6 +301,7 @@
 	c := a.Configuration.Current()
 	m := &GossipMessage{Self: a.Members.Self(), Next: c.NextOffset(), Rumours: a.Members.Gossip(maxUpdates)}
 	m.Self.Address, m.Self.FailureDomain = "", ""
+	m.Unattributed = a.Health.UnattributedMarks(maxEndpointNotices)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.overBudget || a.round%2 == 0 {
@@ -306,6 +309,7 @@
 		m.Spills, a.overflowCursors[to] = a.Overflow.OwnSince(a.overflowCursors[to], maxOverflows)
 	}
 	a.addMarks(m)
+	a.addListedMarks(m, to)
 	a.addFindings(m, to, time.Now())
 	return m
 }
@@ -323,6 +327,7 @@
 	for _, mark := range m.Marks {
 		a.receiveMark(mark)
 	}
+	a.setUnattributed(m.Self.Name, m.Unattributed)
 	for _, f := range m.Findings {
 		a.receiveFinding(f, now)
 	}
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -15,6 +15,9 @@
 	Marks    []LeavingMark
 	Findings []Finding
 	Spills   []byte
+	// Unattributed holds endpoints that the VM list shows as leaving without the sender knowing which incarnation. The
+	// receiver replies with the leaving mark of that incarnation if it knows it.
+	Unattributed []string
 }
 
 // LeavingMark reports that an incarnation of an endpoint is leaving.
