clientconn: a connection on which a part of a request has been read is not closed as idle

Callers saw: a closed connection and no answer, at a planned stop or at the idle timeout, for a request of which they had sent a part. On both routers; over TLS also on connections without an earlier request.

Cause: net/http reads while it still serves the previous request, in the background and with what a client pipelines. The connection counted these bytes to the request that was being served and then became idle. Below TLS it could not tell the bytes of a first request from those of a handshake, and gave up on them after a second.

Change: the connection learns from net/http itself that it holds bytes: a read into less than the whole buffer, or the read deadline that it sets when it has the first bytes. Over TLS the reads are seen above the decryption, and the framing of records below it shows a record that is still incomplete. HTTP/2 is not served, as before.

Connections without a request are closed as quickly as before.

--- a/io/clientconn/conn.go
+++ b/io/clientconn/conn.go
@@ -64,6 +64,7 @@
 	// last read.
 	isTLS    bool
 	lastRead time.Time
+	ahead    readAhead
 }
 
 func newConn(c net.Conn) *Conn {
@@ -80,12 +81,15 @@
 // Read updates the state in the same critical section in which the bytes are taken from the kernel. Otherwise, the
 // goroutine could be paused between the two for as long as its VM is.
 func (c *Conn) Read(p []byte) (n int, err error) {
+	c.beginSocketRead(len(p))
 	if c.raw == nil || len(p) == 0 {
 		c.setReadBlocked(true)
 		n, err = c.Conn.Read(p)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		return c.recordRead(n, err)
+		n, err = c.recordRead(n, err)
+		c.recordTLS(p[:n])
+		return n, err
 	}
 	failed := c.raw.Read(func(fd uintptr) (done bool) {
 		c.mu.Lock()
@@ -96,6 +100,7 @@
 			return false
 		}
 		n, err = c.recordRead(n, err)
+		c.recordTLS(p[:n])
 		return true
 	})
 	if failed != nil {
@@ -108,6 +113,21 @@
 	return n, err
 }
 
+// beginSocketRead is called before a read from the socket, which is one of net/http unless there is TLS in between.
+func (c *Conn) beginSocketRead(free int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isTLS {
+		c.beginReadLocked(free)
+	}
+}
+
+func (c *Conn) recordTLS(p []byte) {
+	if c.isTLS {
+		c.ahead.records.add(p)
+	}
+}
+
 func (c *Conn) setReadBlocked(readBlocked bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -175,9 +195,8 @@
 	if n > 0 {
 		c.lastRead = time.Now()
 	}
-	if n > 0 && (c.state == idle || c.state == accepted) {
-		c.idleTime = time.Since(c.stateSince)
-		c.setState(reading)
+	if n > 0 {
+		c.startReading()
 	}
 	if err != nil {
 		c.setCloseReason(readCloseReason(err))
@@ -192,7 +211,7 @@
 		c.setCloseReason(c.pendingClose)
 	}
 	c.pendingClose = ""
-	_ = c.SetReadDeadline(time.Time{})
+	_ = c.Conn.SetReadDeadline(time.Time{})
 }
 
 // setCloseReason records why the connection was closed. Only the first reason is kept.
@@ -204,6 +223,14 @@
 
 func (c *Conn) setState(s state) { c.state, c.stateSince, c.lateSince = s, time.Now(), time.Time{} }
 
+// startReading records that bytes have arrived, unless a request is already being read or served.
+func (c *Conn) startReading() {
+	if c.state == idle || c.state == accepted {
+		c.idleTime = time.Since(c.stateSince)
+		c.setState(reading)
+	}
+}
+
 // startRequest is called when the handler of a request starts. It returns false if this process has closed the
 // connection, in which case the request must not be served.
 func (c *Conn) startRequest() (ok bool) {
@@ -228,6 +255,7 @@
 	c.responses++
 	c.limit = limit
 	c.setState(idle)
+	c.ahead.deadlines, c.ahead.requestStarted = 0, false
 }
 
 // closeIf closes the connection if it is unused, net/http waits for bytes, the kernel has none and allowed returns
@@ -239,7 +267,7 @@
 	case closing && c.raw == nil:
 		// Only the read itself knows whether it has bytes. It decides when this deadline wakes it up.
 		closing, c.pendingClose = false, reason
-		_ = c.SetReadDeadline(pastDeadline)
+		_ = c.Conn.SetReadDeadline(pastDeadline)
 	case closing:
 		c.closeReason = reason
 	}
@@ -250,11 +278,16 @@
 	}
 }
 
-// unused reports whether nothing of a request has been read. A TLS connection whose client has completed the handshake
-// without sending a request looks like one on which a header is being read. Like any other, it is closed only while its
-// reader is blocked, that is, after the reader has processed everything received.
+// unused reports whether nothing of a request has been read. A TLS connection whose client has sent something else than
+// a request, such as a handshake, looks like one on which a header is being read. Like any other, it is closed only
+// while its reader is blocked, that is, after the reader has processed everything received.
 func (c *Conn) unused() bool {
-	return c.state == idle || c.state == accepted || c.isTLS && c.responses == 0 && c.state == reading
+	return c.state == idle || c.state == accepted || c.isTLS && c.state == reading && !c.holdsRequest()
+}
+
+// holdsRequest reports whether bytes of a request have arrived on a TLS connection on which nothing is being served.
+func (c *Conn) holdsRequest() bool {
+	return c.ahead.requestStarted || c.ahead.secured() && c.ahead.records.partial()
 }
 
 // closableOnStop reports whether a process that is stopping no longer needs to wait for a request on an unused
--- /dev/null
+++ b/io/clientconn/readahead.go
@@ -0,0 +1,74 @@
+package clientconn
+
+import "time"
+
+// readAhead tells whether net/http, or TLS below it, holds bytes of a request whose header has not arrived completely.
+// net/http reads while it still serves the previous request: in the background, to notice that the client
+// disconnects, and with the previous request, if the client pipelines. The state of the connection does not show these
+// bytes, and one that was closed as idle lost the request that they belong to.
+type readAhead struct {
+	// bufferSize is the size of net/http's buffer, which is empty at the first read. A read of fewer bytes means that
+	// the buffer holds some.
+	bufferSize int
+	// deadlines counts the read deadlines that net/http has set since the last response.
+	deadlines int
+	// requestStarted reports that bytes of the current request have reached net/http. It is used only for TLS, where
+	// bytes read from the socket may belong to something else.
+	requestStarted bool
+	records        tlsRecords
+}
+
+// secured reports whether the TLS handshake is complete: net/http reads only then.
+func (a *readAhead) secured() bool { return a.bufferSize > 0 }
+
+// beginRead is called when net/http is about to read into the free part of its buffer.
+func (c *Conn) beginRead(free int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beginReadLocked(free)
+}
+
+func (c *Conn) beginReadLocked(free int) {
+	if c.ahead.bufferSize == 0 {
+		c.ahead.bufferSize = free
+	}
+	if c.state != idle {
+		return
+	}
+	switch {
+	case free < c.ahead.bufferSize:
+		c.startReading()
+		c.ahead.requestStarted = true
+	case c.ahead.records.partial():
+		c.startReading()
+	}
+}
+
+// receivedRequestBytes is called when TLS has passed bytes to net/http.
+func (c *Conn) receivedRequestBytes() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == serving {
+		return
+	}
+	c.startReading()
+	c.ahead.requestStarted = true
+}
+
+// minDeadlines is how many read deadlines net/http sets between a response and the header of the next request: one
+// before it waits for the first bytes, and another when it has them.
+const minDeadlines = 2
+
+// SetReadDeadline sets the deadline of reads.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	if c.state == idle {
+		c.ahead.deadlines++
+		if c.ahead.deadlines == minDeadlines {
+			c.startReading()
+			c.ahead.requestStarted = true
+		}
+	}
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
--- a/io/clientconn/set.go
+++ b/io/clientconn/set.go
@@ -122,7 +122,8 @@
 	}
 	switch at {
 	case http.StateNew:
-		if _, is := raw.(*tls.Conn); is {
+		switch raw.(type) {
+		case *tls.Conn, *tlsConn:
 			c.setTLS()
 		}
 	case http.StateIdle:
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -91,7 +91,7 @@
 
 func (s *Server) serve(l net.Listener) {
 	if s.options.TLS != nil {
-		l = tls.NewListener(l, s.options.TLS)
+		l = clientconn.NewTLSListener(l, s.options.TLS)
 	}
 	err := s.http.Serve(l)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) && !s.stopped.Load() {
