clientconn: no deadline is set on the underlying connection under the mutex

Nobody's request was hurt: the path is that of connections whose kernel can't be asked for unread bytes, which only tests have.

Change: the deadline that wakes a blocked read is set, and taken back, outside of the mutex; the read waits until it has been set before it takes it back.

--- a/io/clientconn/conn.go
+++ b/io/clientconn/conn.go
@@ -49,6 +49,9 @@
 	// pendingClose is the reason for which a blocked read is to close the connection, where the kernel cannot be asked
 	// for unread bytes.
 	pendingClose CloseReason
+	// deadlineSet is closed when the deadline of the pending close has been set. Until then, the read that it wakes up
+	// must not take it back.
+	deadlineSet chan struct{}
 	// limit is the idle timeout in force when the connection became idle. The client relies on it even if the timeout
 	// has been lowered since.
 	limit time.Duration
@@ -83,13 +86,7 @@
 func (c *Conn) Read(p []byte) (n int, err error) {
 	c.beginSocketRead(len(p))
 	if c.raw == nil || len(p) == 0 {
-		c.setReadBlocked(true)
-		n, err = c.Conn.Read(p)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		n, err = c.recordRead(n, err)
-		c.recordTLS(p[:n])
-		return n, err
+		return c.readWithoutKernel(p)
 	}
 	failed := c.raw.Read(func(fd uintptr) (done bool) {
 		c.mu.Lock()
@@ -113,6 +110,23 @@
 	return n, err
 }
 
+// readWithoutKernel reads from a connection whose kernel can't be asked for unread bytes.
+func (c *Conn) readWithoutKernel(p []byte) (n int, err error) {
+	c.setReadBlocked(true)
+	n, err = c.Conn.Read(p)
+	c.mu.Lock()
+	n, err = c.recordRead(n, err)
+	c.recordTLS(p[:n])
+	deadlineSet := c.deadlineSet
+	c.deadlineSet = nil
+	c.mu.Unlock()
+	if deadlineSet != nil {
+		<-deadlineSet
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
 // beginSocketRead is called before a read from the socket, which is one of net/http unless there is TLS in between.
 func (c *Conn) beginSocketRead(free int) {
 	c.mu.Lock()
@@ -211,7 +225,6 @@
 		c.setCloseReason(c.pendingClose)
 	}
 	c.pendingClose = ""
-	_ = c.Conn.SetReadDeadline(time.Time{})
 }
 
 // setCloseReason records why the connection was closed. Only the first reason is kept.
@@ -262,18 +275,24 @@
 // true.
 func (c *Conn) closeIf(reason CloseReason, allowed func() bool) {
 	c.mu.Lock()
-	closing := c.closeReason == "" && c.unused() && c.readBlocked && allowed() && !c.hasUnreadBytes()
+	closing := c.closeReason == "" && c.pendingClose == "" && c.unused() && c.readBlocked && allowed() && !c.hasUnreadBytes()
+	var deadlineSet chan struct{}
 	switch {
 	case closing && c.raw == nil:
-		// Only the read itself knows whether it has bytes. It decides when this deadline wakes it up.
 		closing, c.pendingClose = false, reason
-		_ = c.Conn.SetReadDeadline(pastDeadline)
+		deadlineSet = make(chan struct{})
+		c.deadlineSet = deadlineSet
 	case closing:
 		c.closeReason = reason
 	}
 	c.mu.Unlock()
-	// Not under the lock: Close waits for a read that waits for the lock.
-	if closing {
+	// Not under the lock: Close waits for a read that waits for the lock, and so may setting a deadline.
+	switch {
+	case deadlineSet != nil:
+		// Only the read itself knows whether it has bytes. It decides when this deadline wakes it up.
+		_ = c.Conn.SetReadDeadline(pastDeadline)
+		close(deadlineSet)
+	case closing:
 		_ = c.Close()
 	}
 }
