command: signals are handled until the process has exited

Operators saw: a process that ended by "signal: hangup" instead of its exit status, when settings were changed just as it stopped or failed to start.

Cause: each command stopped catching hangups when it returned, and main stopped catching SIGTERM and SIGINT before it exited, which restores the default action of the signals while the process writes its last message.

Change: entry and router catch hangups as the first step of the program, and nothing stops catching signals. The other commands are still ended by a hangup, as when a terminal is closed.

--- a/io/command/entry.go
+++ b/io/command/entry.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -40,10 +38,7 @@
 
 func runEntry(ctx context.Context, s streams, file string) (err error) {
 	ignoreBrokenPipe()
-	// Catch SIGHUP before anything else: by default, one that arrives during startup would end the process.
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+	hangup := catchHangups()
 	cfg, data, err := readEntrySettings(file)
 	if err != nil {
 		return err
--- a/io/command/router.go
+++ b/io/command/router.go
@@ -45,10 +45,7 @@
 
 func runRouter(ctx context.Context, s streams, file string) (err error) {
 	ignoreBrokenPipe()
-	// Catch SIGHUP from startup to exit: by default, the signal ends the process.
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+	hangup := catchHangups()
 	cfg, err := readSettings(file)
 	if err != nil {
 		return err
--- a/io/command/session_test.go
+++ b/io/command/session_test.go
@@ -9,13 +9,11 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"regexp"
 	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -28,9 +26,7 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){"savoryfall": func() {
-		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-		defer stop()
-		os.Exit(command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+		os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
 	}})
 }
 
--- a/main.go
+++ b/main.go
@@ -2,17 +2,9 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"savoryfall/io/command"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
-}
+func main() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) }
