router, probe: the time of each read of the VM list reaches the table of health

Since the late marks are told apart, the table needs the time at which the list was last asked for, also when it had not changed. The router never passed it on, so that no listed mark was certain, and that of a successor counted as its predecessor's: a leaving engine would have got new work.

--- a/io/probe/prober.go
+++ b/io/probe/prober.go
@@ -316,3 +316,6 @@
 		p.updateState(name)
 	}
 }
+
+// VMListRead records that the VM list, as it was asked for at the given time, has been applied.
+func (p *Prober) VMListRead(asked time.Time) { p.health.ListRead(asked) }
--- a/io/router/vmwatcher.go
+++ b/io/router/vmwatcher.go
@@ -46,17 +46,18 @@
 func (w *vmWatcher) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, vmListTimeout)
 	defer cancel()
+	asked := time.Now()
 	vms, etag, changed, err := w.list.Fetch(ctx, w.etag)
 	if err != nil {
 		_ = w.logger.Log("event", "vmListUnread", "err", err)
 		return
 	}
-	if !changed {
-		return
+	if changed {
+		w.etag = etag
+		w.probe.ProbeAll(ctx, newlyMarked(vms, w.marked))
+		w.update(vms)
 	}
-	w.etag = etag
-	w.probe.ProbeAll(ctx, newlyMarked(vms, w.marked))
-	w.update(vms)
+	w.probe.VMListRead(asked)
 }
 
 // newlyMarked returns the endpoints that the list shows as leaving and did not before.
--- a/io/router/vmwatcher_test.go
+++ b/io/router/vmwatcher_test.go
@@ -87,3 +87,23 @@
 	w.watcher.poll(t.Context())
 	assert.Equal(t, w.state(), health.Up)
 }
+
+// The VM list marks an endpoint that the router has known for longer than the list can be late. The mark must be certain,
+// so that it is passed on to the peers, also if the endpoint has replaced another one.
+func TestMarkOfEndpointKnownForLongIsCertain(t *testing.T) {
+	for _, unchangedReads := range []int{0, 2} {
+		w := newWatched(t)
+		w.health.Configure([]string{engine})
+		w.health.RecordAnswer(engine, "one", false, time.Now().Add(-time.Hour))
+		w.health.RecordAnswer(engine, "two", false, time.Now().Add(-time.Minute))
+		w.put(false)
+		w.watcher.poll(t.Context())
+		for range unchangedReads {
+			w.watcher.poll(t.Context())
+		}
+		w.put(true)
+		w.watcher.poll(t.Context())
+		assert.Equal(t, w.state(), health.Leaving)
+		assert.Assert(t, w.health.KnownLeaving(engine))
+	}
+}
