--- a/io/httpserver/server_test.go
+++ b/io/httpserver/server_test.go
@@ -279,3 +279,26 @@
 		})
 	}
 }
+
+// A client that sends a request without TLS to a TLS server must be told so, and a handler must see the state of TLS.
+func TestTLSIsVisible(t *testing.T) {
+	var state atomic.Pointer[tls.ConnectionState]
+	s, err := New("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { state.Store(r.TLS) }), Options{TLS: selfSigned(t)})
+	assert.NilError(t, err)
+	assert.NilError(t, s.Start(t.Context()))
+	t.Cleanup(s.Kill)
+	plain, err := net.Dial("tcp", s.Address())
+	assert.NilError(t, err)
+	defer func() { _ = plain.Close() }()
+	_, err = io.WriteString(plain, testRequest)
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(plain), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+	defer client.CloseIdleConnections()
+	resp, err = client.Get("https://" + s.Address())
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Assert(t, state.Load() != nil && state.Load().HandshakeComplete)
+}
