--- a/core/health/listedmark_test.go
+++ b/core/health/listedmark_test.go
@@ -41,7 +41,7 @@
 }
 
 // Guards against a healthy successor that gets no requests from any router, because one of them reads its predecessor's
-// mark from the VM list only after it has met the successor.
+// mark from the VM list only after the successor has answered it.
 func TestLateListDoesNotMarkSuccessor(t *testing.T) {
 	for name, gossiped := range map[string]bool{"mark known from gossip": true, "mark not known": false} {
 		t.Run(name, func(t *testing.T) {
@@ -94,8 +94,8 @@
 	assert.Assert(t, h.KnownLeaving("e"))
 }
 
-// Guards against a starting router that meets a successor before it reads the VM list, takes the mark of a predecessor
-// that it never met for the successor's, and spreads it.
+// Guards against a starting router that is answered by a successor before it reads the VM list, takes the mark of a predecessor
+// that it does not know for the successor's, and spreads it.
 func TestStartingRouterDoesNotAttributeListedMark(t *testing.T) {
 	for name, read := range map[string]func(h *health.Table){
 		"first read after the answer": func(h *health.Table) { list(h, 2*second, true) },
@@ -181,7 +181,7 @@
 	return r.routers[router].State("e", start.Add(r.now))
 }
 
-// Two routers that read late lists, probe and gossip in any order give the successor work once they have met it, and
+// Two routers that read late lists, probe and gossip in any order give the successor work once it has answered them, and
 // none to the endpoint that leaves once they have read its mark.
 func TestReplacementInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/health/table.go
+++ b/core/health/table.go
@@ -21,19 +21,19 @@
 // endpointHealth is the state kept for one endpoint.
 type endpointHealth struct {
 	incarnation string
-	// metAt is when the request was sent whose answer first named the current incarnation. predecessor is the
+	// firstAnsweredAt is when the request was sent that the current incarnation answered first. predecessor is the
 	// incarnation before it, or empty if this router knows none.
-	metAt       time.Time
-	predecessor string
-	answeredAt  time.Time
-	upSince     time.Time
-	startedAt   time.Time
-	addedLater  bool
-	failures    int
-	failedAt    time.Time
-	down        bool
-	flaps       int
-	dampedUntil time.Time
+	firstAnsweredAt time.Time
+	predecessor     string
+	answeredAt      time.Time
+	upSince         time.Time
+	startedAt       time.Time
+	addedLater      bool
+	failures        int
+	failedAt        time.Time
+	down            bool
+	flaps           int
+	dampedUntil     time.Time
 	// pausedUntil is until when the incarnation has asked for no requests.
 	pausedUntil time.Time
 	// leaving is the set of incarnations that are leaving. A mark is never taken back, because a delayed older "live"
@@ -68,7 +68,7 @@
 	dampMax  = time.Minute
 	// flapReset is how long an endpoint must stay up before its flaps are forgotten.
 	flapReset = 2 * time.Minute
-	// listLag is how late the VM list may show a mark at most.
+	// listLag is the maximum time after which the VM list shows a mark.
 	listLag = 30 * time.Second
 )
 
@@ -119,8 +119,8 @@
 		h.recordSuccessor()
 	}
 	if incarnation != "" && h.incarnation != incarnation {
-		h.incarnation, h.metAt = incarnation, asked
-		h.explainMark()
+		h.incarnation, h.firstAnsweredAt = incarnation, asked
+		h.dropExplainedMark()
 	}
 	h.answeredAt, h.down, h.failures = asked, false, 0
 	return restarted
@@ -193,7 +193,7 @@
 	}
 	changed = !h.leaving[incarnation]
 	h.leaving[incarnation] = true
-	h.explainMark()
+	h.dropExplainedMark()
 	return changed
 }
 
@@ -234,11 +234,11 @@
 // list names no incarnation. Attributed to a successor, the late mark of its predecessor would keep the endpoint without
 // requests for good, on every router.
 func (h *endpointHealth) attributeListedMark(unmarkedAt time.Time) {
-	mayBeOlder := unmarkedAt.Before(h.metAt.Add(listLag))
+	mayBeOlder := unmarkedAt.Before(h.firstAnsweredAt.Add(listLag))
 	switch {
 	case h.incarnation == "" || mayBeOlder && h.predecessor == "":
 		h.unattributedMark = true
-		h.explainMark()
+		h.dropExplainedMark()
 		return
 	case mayBeOlder && h.listedIncarnation == h.predecessor:
 		h.unattributedMark = true
@@ -251,9 +251,8 @@
 	h.leaving[h.listedIncarnation] = true
 }
 
-// explainMark drops an unattributed mark if an incarnation is known to be leaving, which is then the one that the VM
-// list shows.
-func (h *endpointHealth) explainMark() {
+// dropExplainedMark drops an unattributed mark if an incarnation is known to be leaving: the VM list then shows that one.
+func (h *endpointHealth) dropExplainedMark() {
 	if h.incarnation != "" && len(h.leaving) > 0 {
 		h.unattributedMark = false
 	}
--- a/io/clientconn/conn.go
+++ b/io/clientconn/conn.go
@@ -86,7 +86,7 @@
 func (c *Conn) Read(p []byte) (n int, err error) {
 	c.beginSocketRead(len(p))
 	if c.raw == nil || len(p) == 0 {
-		return c.readWithoutKernel(p)
+		return c.readWithoutPeek(p)
 	}
 	failed := c.raw.Read(func(fd uintptr) (done bool) {
 		c.mu.Lock()
@@ -110,8 +110,8 @@
 	return n, err
 }
 
-// readWithoutKernel reads from a connection whose kernel can't be asked for unread bytes.
-func (c *Conn) readWithoutKernel(p []byte) (n int, err error) {
+// readWithoutPeek reads from a connection whose kernel can't be asked for unread bytes.
+func (c *Conn) readWithoutPeek(p []byte) (n int, err error) {
 	c.setReadBlocked(true)
 	n, err = c.Conn.Read(p)
 	c.mu.Lock()
--- a/io/clientconn/readahead.go
+++ b/io/clientconn/readahead.go
@@ -21,7 +21,7 @@
 // secured reports whether the TLS handshake is complete: net/http reads only then.
 func (a *readAhead) secured() bool { return a.bufferSize > 0 }
 
-// beginRead is called when net/http is about to read into the free part of its buffer.
+// beginRead is called when net/http is about to read into the free part of its buffer, whose size in bytes is free.
 func (c *Conn) beginRead(free int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,16 +55,16 @@
 	c.ahead.requestStarted = true
 }
 
-// minDeadlines is how many read deadlines net/http sets between a response and the header of the next request: one
-// before it waits for the first bytes, and another when it has them.
-const minDeadlines = 2
+// deadlinesBeforeHeader is how many read deadlines net/http sets between a response and the next header: one before it
+// waits for the first bytes, and another when it has them.
+const deadlinesBeforeHeader = 2
 
 // SetReadDeadline sets the deadline of reads.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	if c.state == idle {
 		c.ahead.deadlines++
-		if c.ahead.deadlines == minDeadlines {
+		if c.ahead.deadlines == deadlinesBeforeHeader {
 			c.startReading()
 			c.ahead.requestStarted = true
 		}
--- a/io/fleet/members_test.go
+++ b/io/fleet/members_test.go
@@ -49,8 +49,8 @@
 	return true
 }
 
-// metEverywhere reports whether engine-01 has answered all routers.
-func metEverywhere(t *testing.T, f *fleet.Fleet) bool {
+// answeredEverywhere reports whether engine-01 has answered all routers.
+func answeredEverywhere(t *testing.T, f *fleet.Fleet) bool {
 	t.Helper()
 	for _, r := range f.Routers() {
 		for _, e := range status(t, r).Endpoints {
@@ -158,7 +158,7 @@
 		"platform": "vmListPeriod = \"100ms\"\n",
 	}})
 	f.VMList.Put(vmlist.VM{Name: "engine-01", Role: vmlist.RoleEndpoint})
-	waitFor(t, "all routers have met engine-01", func() bool { return metEverywhere(t, f) })
+	waitFor(t, "engine-01 has answered all routers", func() bool { return answeredEverywhere(t, f) })
 	f.VMList.SetFaults(vmservice.Faults{LagMs: int(lag.Milliseconds())})
 	f.VMList.Put(vmlist.VM{Name: "engine-01", Role: vmlist.RoleEndpoint, Leaving: true})
 	marked := time.Now()
