--- a/io/probe/prober.go
+++ b/io/probe/prober.go
@@ -150,7 +150,8 @@
 	if known && before == state || !known && state == health.Up {
 		return
 	}
-	_ = p.logger.Log("event", "endpointState", "endpoint", name, "state", state, "before", before)
+	_ = p.logger.Log("event", "endpointState", "endpoint", name, "state", state, "before", before,
+		"incarnation", p.health.Incarnation(name), "knownLeaving", p.health.KnownLeaving(name))
 	switch {
 	case state == health.Leaving && p.health.KnownLeaving(name):
 		p.gossip.Mark(name, p.health.Incarnation(name))
