health, clientconn, command: one piece where the fixes had two

The table of health kept each listed mark twice, by name and by endpoint; the name alone says it.

No change of behaviour; assertions are as they were. The tests of the changed packages and of io/httpserver, io/router and io/peer pass under the race detector.

--- a/core/health/table.go
+++ b/core/health/table.go
@@ -38,8 +38,7 @@
 	pausedUntil time.Time
 	// leaving is the set of incarnations that are leaving. A mark is never taken back, because a delayed older "live"
 	// would send new requests to an endpoint that is about to stop. Only a new incarnation starts without the mark.
-	leaving       map[string]bool
-	listedLeaving bool
+	leaving map[string]bool
 	// listedIncarnation is the incarnation to which the latest mark of the VM list was attributed.
 	listedIncarnation string
 	// unattributedMark is set while the VM list shows a leaving mark that may belong to the running incarnation or to its
@@ -84,8 +83,7 @@
 		t.endpoints[name] = previous[name]
 		if t.endpoints[name] == nil {
 			t.endpoints[name] = &endpointHealth{
-				leaving: map[string]bool{}, addedLater: len(previous) > 0,
-				listedLeaving: t.listed[name], unattributedMark: t.listed[name],
+				leaving: map[string]bool{}, addedLater: len(previous) > 0, unattributedMark: t.listed[name],
 			}
 		}
 	}
@@ -205,6 +203,7 @@
 	if t.listed == nil {
 		t.listed = map[string]bool{}
 	}
+	before := t.listed[name]
 	if leaving {
 		t.listed[name] = true
 	} else {
@@ -215,12 +214,11 @@
 		return
 	}
 	switch {
-	case leaving && !h.listedLeaving:
+	case leaving && !before:
 		h.attributeListedMark(t.listReadAt)
 	case !leaving:
 		h.unattributedMark = false
 	}
-	h.listedLeaving = leaving
 }
 
 // ListRead records that the VM list, as this router asked for it at the given time, has been applied.
@@ -329,7 +327,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.endpoints[name]
-	if h == nil || !h.listedLeaving || h.unattributedMark {
+	if h == nil || !t.listed[name] || h.unattributedMark {
 		return ""
 	}
 	return h.listedIncarnation
--- a/io/clientconn/readahead.go
+++ b/io/clientconn/readahead.go
@@ -37,8 +37,7 @@
 	}
 	switch {
 	case free < c.ahead.bufferSize:
-		c.startReading()
-		c.ahead.requestStarted = true
+		c.recordRequestBytes()
 	case c.ahead.records.partial():
 		c.startReading()
 	}
@@ -48,9 +47,13 @@
 func (c *Conn) receivedRequestBytes() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == serving {
-		return
+	if c.state != serving {
+		c.recordRequestBytes()
 	}
+}
+
+// recordRequestBytes records that net/http holds bytes of a request that is not being served yet.
+func (c *Conn) recordRequestBytes() {
 	c.startReading()
 	c.ahead.requestStarted = true
 }
@@ -65,8 +68,7 @@
 	if c.state == idle {
 		c.ahead.deadlines++
 		if c.ahead.deadlines == deadlinesBeforeHeader {
-			c.startReading()
-			c.ahead.requestStarted = true
+			c.recordRequestBytes()
 		}
 	}
 	c.mu.Unlock()
--- a/io/command/entry_test.go
+++ b/io/command/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -17,17 +18,16 @@
 
 // startWithSettingsPipe starts a router whose settings file is a named pipe, so that its startup blocks until the
 // settings are written. It returns when the router has opened the pipe.
-func startWithSettingsPipe(t *testing.T, command string) (cmd *exec.Cmd, out *strings.Builder, settings *os.File) {
+func startWithSettingsPipe(t *testing.T, command string, out io.Writer) (cmd *exec.Cmd, settings *os.File) {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "settings.toml")
 	assert.NilError(t, syscall.Mkfifo(file, 0o600))
 	cmd = exec.Command("savoryfall", command, "--settings", file)
-	out = &strings.Builder{}
 	cmd.Stdout, cmd.Stderr = out, out
 	assert.NilError(t, cmd.Start())
 	settings, err := os.OpenFile(file, os.O_WRONLY, 0)
 	assert.NilError(t, err)
-	return cmd, out, settings
+	return cmd, settings
 }
 
 // Guards against SIGHUP ending a process that is still starting: the platform sends it when settings change, also
@@ -35,7 +35,8 @@
 func TestHangupDuringStartupDoesNotKill(t *testing.T) {
 	for _, command := range []string{"entry", "router"} {
 		t.Run(command, func(t *testing.T) {
-			cmd, out, settings := startWithSettingsPipe(t, command)
+			out := &strings.Builder{}
+			cmd, settings := startWithSettingsPipe(t, command, out)
 			assert.NilError(t, cmd.Process.Signal(syscall.SIGHUP))
 			_, err := settings.WriteString("[vm]\nname = 1\n")
 			assert.NilError(t, err)
--- a/io/command/signal_test.go
+++ b/io/command/signal_test.go
@@ -3,8 +3,6 @@
 import (
 	"io"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -39,16 +37,10 @@
 			t.Run(command+" "+sig.String(), func(t *testing.T) {
 				t.Parallel()
 				r, w := fullPipe(t)
-				file := filepath.Join(t.TempDir(), "settings.toml")
-				assert.NilError(t, syscall.Mkfifo(file, 0o600))
-				cmd := exec.Command("savoryfall", command, "--settings", file)
-				cmd.Stderr = w
-				assert.NilError(t, cmd.Start())
+				cmd, settings := startWithSettingsPipe(t, command, w)
 				t.Cleanup(func() { _ = cmd.Process.Kill() })
 				assert.NilError(t, w.Close())
-				settings, err := os.OpenFile(file, os.O_WRONLY, 0)
-				assert.NilError(t, err)
-				_, err = settings.WriteString("[vm]\nname = 1\n")
+				_, err := settings.WriteString("[vm]\nname = 1\n")
 				assert.NilError(t, err)
 				assert.NilError(t, settings.Close())
 				const signals = 50
