connect, reach, entry: what a router knows of its ways to the endpoints is logged and counted

Nothing told a router that is cut off from lost endpoints: no line said when the last bytes had come, how connection attempts ended, or what the load balancer was told. Now serviceUnreachable and serviceReachable do, the line of a refused request bears unreachableMs and lastBytesMs, logs explain says them in words, readinessChanged is logged, and attempts to connect are counted by outcome.

--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -252,3 +252,15 @@
 	}
 	p.learned.add(rate, now)
 }
+
+// LastBytesAt returns when this router last received bytes from an endpoint of the service, zero if it never has.
+func (d *Dispatcher) LastBytesAt(service string) (at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.pools[service] {
+		if e.lastBytesAt.After(at) {
+			at = e.lastBytesAt
+		}
+	}
+	return at
+}
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -57,6 +57,18 @@
 	LoadsAgeMs Name = "loadsAgeMs"
 )
 
+// Fields of a service whose endpoints this router cannot connect to.
+const (
+	// UnreachableMs is for how long this router has had no way of its own to any endpoint of the service.
+	UnreachableMs Name = "unreachableMs"
+	// LastBytesMs is the time since this router received bytes from any endpoint of the service; -1 if it never has.
+	LastBytesMs Name = "lastBytesMs"
+	// Down is the number of endpoints at which the newest connection attempt has failed.
+	Down Name = "down"
+	// Ready tells whether the readiness check passes.
+	Ready Name = "ready"
+)
+
 // Fields of a client connection that has ended.
 const (
 	// Ended is who ended the connection, a clientconn.CloseReason.
--- a/core/loganalysis/explain.go
+++ b/core/loganalysis/explain.go
@@ -42,6 +42,21 @@
 	return append(list, explainSends(line, ended)...)
 }
 
+// explainUnreachable tells whether a request could not be connected to an endpoint because this router had no way to any.
+func explainUnreachable(line Line) (list []string) {
+	switch since := line.Fields[field.UnreachableMs]; since {
+	case "":
+		return nil
+	case "0":
+		return []string{"This router could connect to other endpoints of the service at that time."}
+	default:
+		return []string{fmt.Sprintf(
+			"This router had had no way of its own to any endpoint of the service for %s ms; the last bytes from one came %s ms before.",
+			since, line.Fields[field.LastBytesMs],
+		)}
+	}
+}
+
 // explainStart tells how the previous process on the VM ended, if it did not log that it stopped. Line i is the start
 // of the next one.
 func (l *Log) explainStart(i int) (list []string) {
--- a/core/loganalysis/log.go
+++ b/core/loganalysis/log.go
@@ -83,7 +83,8 @@
 // stateEvents are the events that change a router's view of the fleet as a whole.
 var stateEvents = map[event.Name]bool{
 	event.ConfigurationInForce: true, event.StoreLost: true, event.StoreRegained: true, event.HubFollowed: true,
-	event.HubLost: true, event.Started: true, event.Stopping: true, event.StoreRestored: true,
+	event.HubLost: true, event.Started: true, event.Stopping: true, event.StoreRestored: true, event.ServiceUnreachable: true,
+	event.ServiceReachable: true, event.ReadinessChanged: true,
 }
 
 // Explain returns the lines of the request. Each is preceded by the newest earlier lines that show the router's view of
@@ -94,7 +95,7 @@
 			continue
 		}
 		before := l.precedingState(i)
-		line.Explanation = explainEnding(line, before)
+		line.Explanation = append(explainEnding(line, before), explainUnreachable(line)...)
 		lines = append(lines, before...)
 		lines = append(lines, line)
 	}
--- a/core/loganalysis/log_test.go
+++ b/core/loganalysis/log_test.go
@@ -85,3 +85,15 @@
 	none, _ := readLog(t, "").Report(time.Second)
 	assert.Equal(t, len(none), 0)
 }
+
+// From the line of a refused request, the log must tell whether the router was cut off from all endpoints.
+func TestExplainUnreachable(t *testing.T) {
+	lines := readLog(t, `ts=2026-05-28T10:00:00Z vm=a event=started
+ts=2026-05-28T10:00:03Z vm=a event=serviceUnreachable service=s endpoints=9 down=3 lastBytesMs=480
+ts=2026-05-28T10:00:05Z vm=a event=requestRefused request=r1 reason=unreachable service=s unreachableMs=2000 lastBytesMs=2480
+`).Explain("r1")
+	assert.Equal(t, string(lines[len(lines)-2].Event), "serviceUnreachable")
+	assert.DeepEqual(t, lines[len(lines)-1].Explanation, []string{
+		"This router had had no way of its own to any endpoint of the service for 2000 ms; the last bytes from one came 2480 ms before.",
+	})
+}
--- /dev/null
+++ b/core/reach/tracker.go
@@ -0,0 +1,169 @@
+package reach
+
+import (
+	"sync"
+	"time"
+
+	"savoryfall/core/directory"
+)
+
+// Tracker records the outcomes of connection attempts. A service is unreachable if this router's attempts at its
+// endpoints fail one after the other: then this router may be cut off, or the endpoints may all be lost. The zero value
+// knows no endpoint.
+type Tracker struct {
+	mu        sync.Mutex
+	services  map[string]*service
+	byAddress map[string]*target
+}
+
+// service is what this router knows of the way to the endpoints of a service.
+type service struct {
+	name    string
+	targets int
+	// failedInRow are the addresses at which attempts have failed since one last succeeded at any endpoint.
+	failedInRow map[string]bool
+	// unreachableSince is zero if the service is reachable.
+	unreachableSince time.Time
+}
+
+// target is what this router knows of the way to one endpoint.
+type target struct {
+	service *service
+	// down is set while the newest attempt at the endpoint has failed.
+	down bool
+}
+
+// minFailedInRow is the number of endpoints in a row at which attempts must fail, or all if the service has fewer. One
+// or two endpoints fail more often by themselves than a router is cut off.
+const minFailedInRow = 3
+
+// Change is a service that has become unreachable or reachable.
+type Change struct {
+	Service   string
+	Reachable bool
+	// After is how long the service was unreachable, if it has become reachable.
+	After time.Duration
+	// Endpoints is the number of endpoints, Down how many of them the newest attempts have failed at.
+	Endpoints, Down int
+}
+
+// Update sets the endpoints. What is known of the way to an address is kept while it belongs to the same service.
+func (t *Tracker) Update(entries []directory.Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.byAddress
+	t.byAddress = map[string]*target{}
+	for _, s := range t.services {
+		s.targets = 0
+	}
+	for _, e := range entries {
+		s := t.service(e.Service)
+		known := before[e.Address]
+		if known == nil || known.service != s {
+			known = &target{service: s}
+		}
+		t.byAddress[e.Address] = known
+		s.targets++
+	}
+	for name, s := range t.services {
+		if s.targets == 0 {
+			delete(t.services, name)
+			continue
+		}
+		s.forgetRemoved(t.byAddress)
+	}
+}
+
+func (t *Tracker) service(name string) (s *service) {
+	if t.services == nil {
+		t.services = map[string]*service{}
+	}
+	s = t.services[name]
+	if s == nil {
+		s = &service{name: name, failedInRow: map[string]bool{}}
+		t.services[name] = s
+	}
+	return s
+}
+
+// forgetRemoved drops failures at endpoints that the service no longer has.
+func (s *service) forgetRemoved(byAddress map[string]*target) {
+	for address := range s.failedInRow {
+		if known := byAddress[address]; known == nil || known.service != s {
+			delete(s.failedInRow, address)
+		}
+	}
+}
+
+// Record records the outcome of an attempt of this router to connect to the address, and returns the change that
+// follows from it, nil if there is none. A service that is unreachable is reachable again once an attempt succeeds at
+// an endpoint where the one before failed: an endpoint that could be reached all the time shows nothing of the others.
+func (t *Tracker) Record(address string, connected bool, now time.Time) *Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	to := t.byAddress[address]
+	if to == nil {
+		return nil
+	}
+	s := to.service
+	wasDown := to.down
+	to.down = !connected
+	if !connected {
+		s.failedInRow[address] = true
+		if !s.unreachableSince.IsZero() || len(s.failedInRow) < min(minFailedInRow, s.targets) {
+			return nil
+		}
+		s.unreachableSince = now
+		return t.change(s)
+	}
+	clear(s.failedInRow)
+	if s.unreachableSince.IsZero() || !wasDown {
+		return nil
+	}
+	c := t.change(s)
+	c.Reachable, c.After = true, now.Sub(s.unreachableSince)
+	s.unreachableSince = time.Time{}
+	t.clearDown(s)
+	return c
+}
+
+func (t *Tracker) change(s *service) *Change {
+	c := &Change{Service: s.name, Endpoints: s.targets}
+	for _, to := range t.byAddress {
+		if to.service == s && to.down {
+			c.Down++
+		}
+	}
+	return c
+}
+
+func (t *Tracker) clearDown(s *service) {
+	for _, to := range t.byAddress {
+		if to.service == s {
+			to.down = false
+		}
+	}
+}
+
+// UnreachableFor returns for how long the service has been unreachable, 0 if it is reachable.
+func (t *Tracker) UnreachableFor(name string, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	if s == nil || s.unreachableSince.IsZero() {
+		return 0
+	}
+	return now.Sub(s.unreachableSince)
+}
+
+// UnreachableServices returns the number of services that are unreachable.
+func (t *Tracker) UnreachableServices() (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.services {
+		if !s.unreachableSince.IsZero() {
+			n++
+		}
+	}
+	return n
+}
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -24,10 +24,12 @@
 	"savoryfall/core/freshness"
 	"savoryfall/core/lifecycle"
 	"savoryfall/core/members"
+	"savoryfall/core/reach"
 	"savoryfall/core/retrylimit"
 	"savoryfall/core/routetable"
 	"savoryfall/core/settings"
 	"savoryfall/io/bootclock"
+	"savoryfall/io/connect"
 	"savoryfall/io/draining"
 	"savoryfall/io/entry"
 	"savoryfall/io/follow"
@@ -49,14 +51,17 @@
 
 // entryVM runs the services of a router on an entry VM. All state that routers share comes from the platform's store.
 type entryVM struct {
-	manager       lifecycle.Manager
-	settings      *settings.Entry
-	logger        log.Logger
-	stopGrace     time.Duration
-	lease         freshness.Lease
-	retries       retrylimit.Limiter
-	limits        atomic.Pointer[retrylimit.Limits]
-	dispatcher    *dispatch.Dispatcher
+	manager    lifecycle.Manager
+	settings   *settings.Entry
+	logger     log.Logger
+	stopGrace  time.Duration
+	lease      freshness.Lease
+	retries    retrylimit.Limiter
+	limits     atomic.Pointer[retrylimit.Limits]
+	dispatcher *dispatch.Dispatcher
+	reach      reach.Tracker
+	// connector opens the connections to endpoints.
+	connector     *connect.Connector
 	endpoints     *registry.Tracker
 	configTracker *storeconfig.Tracker
 	hub           *hub.Agent
@@ -65,7 +70,9 @@
 	routers      atomic.Int64
 	handler      *entry.Handler
 	clientServer *entry.Server
-	metricSet    *metrics.Set
+	// reportedReady is the newest answer to the load balancer.
+	reportedReady atomic.Bool
+	metricSet     *metrics.Set
 }
 
 const (
@@ -204,17 +211,24 @@
 // storeDialTimeout bounds connecting to the store, which normally takes a few milliseconds.
 const storeDialTimeout = 500 * time.Millisecond
 
-func (vm *entryVM) onConfiguration(t *routetable.Table)   { vm.dispatcher.Configure(t) }
-func (vm *entryVM) setEndpoints(usable []directory.Entry) { vm.dispatcher.Update(usable, time.Now()) }
+func (vm *entryVM) onConfiguration(t *routetable.Table) { vm.dispatcher.Configure(t) }
+func (vm *entryVM) setEndpoints(usable []directory.Entry) {
+	vm.reach.Update(usable)
+	vm.dispatcher.Update(usable, time.Now())
+}
 
 func (vm *entryVM) buildHandler() (err error) {
 	tracer, err := vm.tracer()
 	if err != nil {
 		return err
 	}
+	vm.connector = &connect.Connector{
+		Dial: http1.DialTCP, Tracker: &vm.reach, Metrics: connect.NewMetrics(vm.metricSet, &vm.reach), Logger: vm.logger,
+		LastBytes: vm.dispatcher.LastBytesAt,
+	}
 	vm.handler = entry.New(entry.Config{
 		ClientProtocol: clientapi.Codec{}, EndpointProtocol: endpointapi.Codec{}, Configuration: vm.configTracker, Lease: &vm.lease,
-		Endpoints: vm.endpoints, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: &http1.Pool{}, Tracer: tracer,
+		Endpoints: vm.endpoints, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: http1.NewPool(vm.connector.Connect), Connections: vm.connector, Tracer: tracer,
 		Metrics: entry.NewMetrics(vm.metricSet), Logger: vm.logger, Clock: bootclock.Now,
 	})
 	vm.clientServer, err = entry.NewServer(vm.settings.ClientAddress(), vm.handler)
@@ -247,11 +261,7 @@
 
 func (vm *entryVM) buildOperatorServers() (err error) {
 	readinessHandler := mux.NewRouter()
-	readinessHandler.HandleFunc(readinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !vm.handler.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
+	readinessHandler.HandleFunc(readinessPath, vm.answerReadiness)
 	err = vm.addServer("readiness", vm.settings.ReadinessAddress(), readinessHandler)
 	if err != nil {
 		return err
@@ -267,6 +277,17 @@
 	return vm.addServer(metricsServerName, vm.settings.MetricsAddress(), metricsHandler)
 }
 
+// answerReadiness answers the load balancer, and logs when the answer changes.
+func (vm *entryVM) answerReadiness(w http.ResponseWriter, _ *http.Request) {
+	ready := vm.handler.Ready()
+	if vm.reportedReady.Swap(ready) != ready {
+		_ = vm.logger.Log(field.Event, event.ReadinessChanged, field.Ready, ready)
+	}
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // metricsAddress returns the address of the metrics server.
 func (vm *entryVM) metricsAddress() string {
 	return vm.manager.Find(metricsServerName).(*httpserver.Server).Address()
--- a/io/command/lognames_test.go
+++ b/io/command/lognames_test.go
@@ -255,8 +255,8 @@
 	checker := &logCallChecker{fset: token.NewFileSet(), fields: map[string]bool{}, events: map[string]bool{}}
 	files, packages := loggingFiles(t, checker.fset)
 	assert.DeepEqual(t, packages, []string{
-		"core/loganalysis", "io/clientconn", "io/command", "io/draining", "io/entry", "io/follow", "io/hub", "io/logwriter", "io/registry",
-		"io/storeconfig",
+		"core/loganalysis", "io/clientconn", "io/command", "io/connect", "io/draining", "io/entry", "io/follow", "io/hub", "io/logwriter",
+		"io/registry", "io/storeconfig",
 	})
 	for _, f := range files {
 		ast.Inspect(f, checker.visit)
--- /dev/null
+++ b/io/connect/doc.go
@@ -0,0 +1,2 @@
+// Package connect opens connections to endpoints.
+package connect
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -46,6 +46,12 @@
 	MarkLeaving(e directory.Entry)
 }
 
+// Connections are the connections to endpoints.
+type Connections interface {
+	// LogFields returns the fields of a log line on a request to the service that could not be connected to any endpoint.
+	LogFields(service string) []any
+}
+
 // Config are the dependencies of a Handler.
 type Config struct {
 	ClientProtocol   ClientProtocol
@@ -56,9 +62,11 @@
 	Dispatcher       *dispatch.Dispatcher
 	Retries          *retrylimit.Limiter
 	Pool             *http1.Pool
-	Tracer           trace.Tracer
-	Metrics          *Metrics
-	Logger           log.Logger
+	// Connections is nil if the log lines of unreachable endpoints need no further fields.
+	Connections Connections
+	Tracer      trace.Tracer
+	Metrics     *Metrics
+	Logger      log.Logger
 	// Clock returns the time since boot, including time in which the VM was suspended.
 	Clock func() time.Duration
 }
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -93,6 +93,9 @@
 	if p.Reason == request.Full || p.Reason == request.Reserved {
 		line = append(line, x.occupancyFields()...)
 	}
+	if p.Reason == request.Unreachable && x.handler.Connections != nil {
+		line = append(line, x.handler.Connections.LogFields(x.service)...)
+	}
 	if x.conn != nil && x.conn.CloseReason() != "" {
 		line = append(line, x.conn.LogFields()...)
 	}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -44,7 +44,7 @@
 // keepAlive detects within a few seconds that the peer no longer responds.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
-// NewPool creates a pool that opens connections with the given function, for tests without a network.
+// NewPool creates a pool that opens connections with the given function.
 func NewPool(connect func(ctx context.Context, address string) (net.Conn, error)) *Pool {
 	return &Pool{connect: connect}
 }
@@ -93,7 +93,7 @@
 	defer annotate.Error(&err, "connect to %s", address)
 	connect := p.connect
 	if connect == nil {
-		connect = connectTCP
+		connect = DialTCP
 	}
 	raw, err := connect(ctx, address)
 	if err != nil {
@@ -105,7 +105,8 @@
 	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBufferSize), address: address}, nil
 }
 
-func connectTCP(ctx context.Context, address string) (c net.Conn, err error) {
+// DialTCP opens a TCP connection to the address.
+func DialTCP(ctx context.Context, address string) (c net.Conn, err error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 	return d.DialContext(ctx, "tcp4", address)
 }
