--- a/io/command/entryvm_test.go
+++ b/io/command/entryvm_test.go
@@ -34,6 +34,8 @@
 	storeAddress string
 	endpoints    map[string]*fakeendpoint.Endpoint
 	vms          []*entryVM
+	// partitions are those of the routers from the endpoints.
+	partitions []*partition
 }
 
 func newEntryFleet(t testing.TB, vms int) *entryFleet {
@@ -111,6 +113,9 @@
 	assert.NilError(f.t, err)
 	vm, err := newEntryVM(cfg, logwriter.New(io.Discard))
 	assert.NilError(f.t, err)
+	cut := &partition{}
+	vm.connector.Dial = cut.dial
+	f.partitions = append(f.partitions, cut)
 	assert.NilError(f.t, vm.start(context.Background()))
 	f.vms = append(f.vms, vm)
 	f.t.Cleanup(func() {
