--- a/core/event/event.go
+++ b/core/event/event.go
@@ -40,4 +40,5 @@
 	StoreLost               Name = "storeLost"
 	StoreRegained           Name = "storeRegained"
 	StoreRestored           Name = "storeRestored"
+	TunnelRefused           Name = "tunnelRefused"
 )
--- a/core/members/list.go
+++ b/core/members/list.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"net"
 	"sort"
 	"sync"
 	"time"
@@ -105,6 +106,31 @@
 	return routers
 }
 
+// Others returns the known routers other than the one with the name that are not known to have failed.
+func (l *List) Others(self string) (routers []Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.ranked {
+		if k.member.Name != self && !k.suspect {
+			routers = append(routers, k.member)
+		}
+	}
+	return routers
+}
+
+// HasHost reports whether a router's address has the host, an IP address.
+func (l *List) HasHost(host string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.ranked {
+		h, _, err := net.SplitHostPort(k.member.Address)
+		if err == nil && h == host {
+			return true
+		}
+	}
+	return false
+}
+
 // NameHashes returns the name hashes of all known routers.
 func (l *List) NameHashes() (hashes []uint64) {
 	l.mu.Lock()
