connect, reach, entry: a router that is cut off from all endpoints serves through the other routers

Cause: the only way to an endpoint was a connection of the router's own. Four endpoints were tried, each request found out anew, and then there was nothing else to do.

Where other routers fail too, requests are refused at once. Two probes at a time find the end of the cut, and the idle connections of a service that has become unreachable are closed.

--- a/core/reach/tracker.go
+++ b/core/reach/tracker.go
@@ -26,11 +26,100 @@
 	unreachableSince time.Time
 }
 
-// target is what this router knows of the way to one endpoint.
+// target is what this router knows of the ways to one endpoint.
 type target struct {
-	service *service
+	service       *service
+	failureDomain string
 	// down is set while the newest attempt at the endpoint has failed.
 	down bool
+	// relayFailedAt is when other routers last failed to connect to the endpoint, zero if they have not or have
+	// succeeded since.
+	relayFailedAt time.Time
+	probedAt      time.Time
+}
+
+// Way is how a connection to an endpoint should be opened.
+type Way int
+
+// The ways.
+const (
+	// Direct means that this router connects by itself.
+	Direct Way = iota
+	// Relayed means that another router connects for this one.
+	Relayed
+	// Closed means that neither this router nor others reach the endpoint at present.
+	Closed
+)
+
+const (
+	// RelayRetryInterval is how long an endpoint that other routers could not connect to either is left alone.
+	RelayRetryInterval = 500 * time.Millisecond
+	// ProbeInterval is the time between two attempts of this router by itself at an endpoint that it cannot reach.
+	ProbeInterval = 300 * time.Millisecond
+	// minProbes is how many endpoints of a service may be probed at a time, and probesShare what part of all if that is
+	// more: not all may be back at the same time.
+	minProbes   = 2
+	probesShare = 0.05
+)
+
+// Way returns how to connect to the address.
+func (t *Tracker) Way(address string, now time.Time) Way {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	to := t.byAddress[address]
+	switch {
+	case to == nil || !to.down || to.service.unreachableSince.IsZero():
+		return Direct
+	case !to.relayFailedAt.IsZero() && now.Sub(to.relayFailedAt) < RelayRetryInterval:
+		return Closed
+	}
+	return Relayed
+}
+
+// Known reports whether an endpoint has the address, and its failure domain.
+func (t *Tracker) Known(address string) (failureDomain string, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	to := t.byAddress[address]
+	if to == nil {
+		return "", false
+	}
+	return to.failureDomain, true
+}
+
+// RecordRelayed records whether another router has connected to the address for this one.
+func (t *Tracker) RecordRelayed(address string, connected bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	to := t.byAddress[address]
+	switch {
+	case to == nil:
+	case connected:
+		to.relayFailedAt = time.Time{}
+	default:
+		to.relayFailedAt = now
+	}
+}
+
+// DueProbes returns the addresses that this router should try to connect to by itself now, to find out whether it
+// reaches a service again. more is set while a service is unreachable.
+func (t *Tracker) DueProbes(now time.Time) (addresses []string, more bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	due := map[*service]int{}
+	for address, to := range t.byAddress {
+		s := to.service
+		if s.unreachableSince.IsZero() {
+			continue
+		}
+		more = true
+		if to.down && due[s] < max(minProbes, int(probesShare*float64(s.targets))) && now.Sub(to.probedAt) >= ProbeInterval {
+			due[s]++
+			to.probedAt = now
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses, more
 }
 
 // minFailedInRow is the number of endpoints in a row at which attempts must fail, or all if the service has fewer. One
@@ -62,6 +151,7 @@
 		if known == nil || known.service != s {
 			known = &target{service: s}
 		}
+		known.failureDomain = e.FailureDomain
 		t.byAddress[e.Address] = known
 		s.targets++
 	}
@@ -145,6 +235,18 @@
 	}
 }
 
+// Addresses returns the addresses of the service's endpoints.
+func (t *Tracker) Addresses(name string) (addresses []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, to := range t.byAddress {
+		if to.service.name == name {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // UnreachableFor returns for how long the service has been unreachable, 0 if it is reachable.
 func (t *Tracker) UnreachableFor(name string, now time.Time) time.Duration {
 	t.mu.Lock()
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -41,6 +41,7 @@
 	"savoryfall/io/storeconfig"
 	"savoryfall/io/tracing"
 	"savoryfall/io/traffic"
+	"savoryfall/io/tunnel"
 	"savoryfall/platform/clientapi"
 	wiredesired "savoryfall/platform/desired"
 	"savoryfall/platform/endpointapi"
@@ -64,8 +65,11 @@
 	connector     *connect.Connector
 	endpoints     *registry.Tracker
 	configTracker *storeconfig.Tracker
+	members       members.List
 	hub           *hub.Agent
-	drainTracker  *draining.Tracker
+	// tunnels are the connections to endpoints that this router opens for others.
+	tunnels      tunnel.Server
+	drainTracker *draining.Tracker
 	// routers is the number of routers in the fleet, as far as known.
 	routers      atomic.Int64
 	handler      *entry.Handler
@@ -110,6 +114,7 @@
 	}
 	vm.manager.Register("stdout", logger)
 	vm.applySettings(cfg)
+	vm.buildConnector()
 	err = vm.buildStore()
 	if err != nil {
 		return nil, err
@@ -181,7 +186,7 @@
 			Bears:   members.VM{Cores: vm.settings.Cores(), MemoryMB: vm.settings.MemoryMB(), LinkMbps: vm.settings.LinkMbps()}.FollowerCapacity(),
 		},
 		ListenAddress: vm.settings.PeerAddress(),
-		Members:       &members.List{}, Configuration: configurationFollower, CurrentRecord: vm.configTracker.Record,
+		Members:       &vm.members, Split: vm.tunnels.Split, Configuration: configurationFollower, CurrentRecord: vm.configTracker.Record,
 		OtherRecords: vm.drainTracker.Records, Registry: registryFollower, Endpoints: vm.endpoints,
 		Loads: vm.dispatcher, RouterList: hub.NewRouterList(storeClient.Topic(store.RoutersTopic)), Bootstrap: vm.settings.Bootstrap(), Meter: meter,
 		Logger: vm.logger, Clock: bootclock.Now, StaleAfter: staleAfter, OnRoutersChanged: vm.setRouters,
@@ -222,13 +227,11 @@
 	if err != nil {
 		return err
 	}
-	vm.connector = &connect.Connector{
-		Dial: http1.DialTCP, Tracker: &vm.reach, Metrics: connect.NewMetrics(vm.metricSet, &vm.reach), Logger: vm.logger,
-		LastBytes: vm.dispatcher.LastBytesAt,
-	}
+	pool := http1.NewPool(vm.connector.Connect)
+	vm.connector.OnUnreachable = pool.DiscardIdle
 	vm.handler = entry.New(entry.Config{
 		ClientProtocol: clientapi.Codec{}, EndpointProtocol: endpointapi.Codec{}, Configuration: vm.configTracker, Lease: &vm.lease,
-		Endpoints: vm.endpoints, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: http1.NewPool(vm.connector.Connect), Connections: vm.connector, Tracer: tracer,
+		Endpoints: vm.endpoints, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: pool, Connections: vm.connector, Tracer: tracer,
 		Metrics: entry.NewMetrics(vm.metricSet), Logger: vm.logger, Clock: bootclock.Now,
 	})
 	vm.clientServer, err = entry.NewServer(vm.settings.ClientAddress(), vm.handler)
@@ -239,6 +242,31 @@
 	return nil
 }
 
+// buildConnector builds what opens connections to endpoints. It comes first, because other routers may ask for tunnels as
+// soon as this one listens for routers.
+func (vm *entryVM) buildConnector() {
+	vm.connector = &connect.Connector{
+		Dial: http1.DialTCP, Tracker: &vm.reach, Metrics: connect.NewMetrics(vm.metricSet, &vm.reach), Logger: vm.logger,
+		LastBytes: vm.dispatcher.LastBytesAt,
+		Relays: &connect.Relays{
+			Routers: func() []members.Member { return vm.members.Others(vm.settings.VM().Name()) },
+			Dial:    vm.dialRouter, FailureDomain: vm.settings.VM().FailureDomain(),
+		},
+	}
+	vm.manager.Register("connector", vm.connector)
+	vm.tunnels.Connect, vm.tunnels.FromRouter, vm.tunnels.Logger = vm.connector.ConnectFor, vm.members.HasHost, vm.logger
+}
+
+// dialRouter connects to another router, from the address on which this one listens for routers: the other router
+// knows this one by it.
+func (vm *entryVM) dialRouter(ctx context.Context, address string) (c net.Conn, err error) {
+	host, _, err := net.SplitHostPort(vm.settings.PeerAddress())
+	if err != nil {
+		return nil, err
+	}
+	return http1.DialTCPFrom(ctx, net.ParseIP(host), address)
+}
+
 // tracer returns a no-op tracer unless the settings name a destination for spans.
 func (vm *entryVM) tracer() (t trace.Tracer, err error) {
 	cfg := vm.settings.Traces()
@@ -345,7 +373,11 @@
 
 func (vm *entryVM) stop() (err error) {
 	_ = vm.logger.Log(field.Event, event.Stopping, field.Open, vm.handler.ActiveRequests())
+	vm.tunnels.RefuseNew()
+	tunnelsEnd, cancelTunnels := context.WithTimeout(context.Background(), time.Duration(entry.DrainShare*float64(vm.stopGrace)))
+	defer cancelTunnels()
 	vm.clientServer.Drain(vm.stopGrace)
+	vm.tunnels.Wait(tunnelsEnd)
 	remaining := vm.clientServer.Connections().Counts()
 	_ = vm.logger.Log(field.Event, event.Stopped, field.Open, vm.handler.ActiveRequests(),
 		field.Reading, remaining.Reading(), field.Serving, remaining.Serving())
--- a/io/command/partition_test.go
+++ b/io/command/partition_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -36,10 +37,7 @@
 	oneWayKind partitionKind = "oneWay"
 )
 
-var (
-	errReset   = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("connection reset by peer")}
-	errRefused = &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("connection refused")}
-)
+var errRefused = &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("connection refused")}
 
 // silenceTimeout is when the kernel closes a connection whose peer does not respond.
 const silenceTimeout = 2 * time.Second
@@ -129,6 +127,11 @@
 	return c.Conn.Write(b)
 }
 
+// SyscallConn lets the router look at the connection before it uses it again.
+func (c *partitionedConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(*net.TCPConn).SyscallConn()
+}
+
 func (p *partition) kindNow() partitionKind {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/io/connect/metrics.go
+++ b/io/connect/metrics.go
@@ -19,8 +19,11 @@
 	return &Metrics{set: set}
 }
 
-// bySelf is the value of the label by for connections that this router opens itself.
-const bySelf = "self"
+// The values of the label by: who opened the connection, this router or another one for it.
+const (
+	bySelf   = "self"
+	byRouter = "router"
+)
 
 func (m *Metrics) record(by string, err error, took time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_endpoint_connects_total{by=%q,outcome=%q}`, by, outcome(err))).Inc()
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -68,6 +68,14 @@
 	return max(x.handler.Dispatcher.PausedFor(x.service, time.Now()), retrySoon)
 }
 
+// retryAfterUnreachable returns how long the client should wait after no connection to an endpoint could be made.
+func (x *exchange) retryAfterUnreachable() time.Duration {
+	if x.handler.Connections == nil {
+		return retrySoon
+	}
+	return max(x.handler.Connections.RetryAfter(x.service), retrySoon)
+}
+
 // send sends the request and waits for the header of the response until the given time.
 func (x *exchange) send(a *attempt, until time.Time, lastEvent string) (err error) {
 	e := a.Endpoint()
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -50,6 +50,8 @@
 type Connections interface {
 	// LogFields returns the fields of a log line on a request to the service that could not be connected to any endpoint.
 	LogFields(service string) []any
+	// RetryAfter returns when this router may reach an endpoint of the service again, 0 if it reaches some now.
+	RetryAfter(service string) time.Duration
 }
 
 // Config are the dependencies of a Handler.
@@ -62,7 +64,7 @@
 	Dispatcher       *dispatch.Dispatcher
 	Retries          *retrylimit.Limiter
 	Pool             *http1.Pool
-	// Connections is nil if the log lines of unreachable endpoints need no further fields.
+	// Connections is nil if nothing is known of the ways to endpoints.
 	Connections Connections
 	Tracer      trace.Tracer
 	Metrics     *Metrics
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -55,7 +55,7 @@
 		v, ran := classifyError(err)
 		x.finishAttempt(a, v)
 		if !ran {
-			return nil, request.NotRun(request.Unreachable, retrySoon)
+			return nil, request.NotRun(request.Unreachable, x.retryAfterUnreachable())
 		}
 		x.sends++
 		return nil, x.unknownOutcome(v)
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -108,9 +108,9 @@
 // the load balancer takes to react. Requests started in that time have the rest of the period to finish.
 const leaveShare = 0.34
 
-// drainShare is the part of the grace period after which open connections are closed by force, so that the process
+// DrainShare is the part of the grace period after which open connections are closed by force, so that the process
 // exits by itself.
-const drainShare = 0.93
+const DrainShare = 0.93
 
 // lingerShare is the part of the grace period in which a router that refuses requests still accepts connections while
 // no request is being served: clients that keep connecting without sending anything must not delay the stop.
@@ -124,7 +124,7 @@
 // do not count as a request yet.
 func (s *Server) Drain(grace time.Duration) {
 	part := func(share float64) time.Duration { return time.Duration(share * float64(grace)) }
-	ctx, cancel := context.WithTimeout(context.Background(), part(drainShare))
+	ctx, cancel := context.WithTimeout(context.Background(), part(DrainShare))
 	defer cancel()
 	s.handler.SetUnready()
 	time.Sleep(part(leaveShare))
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -49,7 +49,7 @@
 		v, ran := classifyError(err)
 		x.finishAttempt(a, v)
 		if !ran {
-			return false, request.NotRun(request.Unreachable, retrySoon)
+			return false, request.NotRun(request.Unreachable, x.retryAfterUnreachable())
 		}
 		x.sends++
 		return false, x.unknownOutcome(v)
--- a/io/http1/exchange.go
+++ b/io/http1/exchange.go
@@ -200,7 +200,7 @@
 	}
 	c := r.conn
 	r.conn = nil
-	if !r.stop() || !r.complete || r.readFailed || r.raw.Close || !r.framed() || !r.requestWritten() || c.r.Buffered() > 0 {
+	if !r.stop() || c.singleUse() || !r.complete || r.readFailed || r.raw.Close || !r.framed() || !r.requestWritten() || c.r.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -107,7 +107,15 @@
 
 // DialTCP opens a TCP connection to the address.
 func DialTCP(ctx context.Context, address string) (c net.Conn, err error) {
+	return DialTCPFrom(ctx, nil, address)
+}
+
+// DialTCPFrom opens a TCP connection to the address from the given local IP address, or from any if it is nil.
+func DialTCPFrom(ctx context.Context, local net.IP, address string) (c net.Conn, err error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	if local != nil && !local.IsUnspecified() {
+		d.LocalAddr = &net.TCPAddr{IP: local}
+	}
 	return d.DialContext(ctx, "tcp4", address)
 }
 
@@ -143,6 +151,24 @@
 	return ok && err == nil
 }
 
+// singleUse reports whether the connection must not be kept for another request.
+func (c *conn) singleUse() bool {
+	_, is := c.Conn.(interface{ SingleUse() })
+	return is
+}
+
+// DiscardIdle closes the idle connections to the addresses.
+func (p *Pool) DiscardIdle(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, address := range addresses {
+		for _, c := range p.idle[address] {
+			_ = c.Close()
+		}
+		delete(p.idle, address)
+	}
+}
+
 // put returns a connection to the pool. keep is how long the endpoint keeps it, or 0 if it does not say.
 func (p *Pool) put(c *conn, keep time.Duration) {
 	if keep > 0 {
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -80,8 +80,10 @@
 	Bootstrap bool
 	// Network defaults to TCP.
 	Network Network
-	Meter   *traffic.Meter
-	Logger  log.Logger
+	// Split returns a listener for the connections that are for the hub, if the listener also gets others. It may be nil.
+	Split  func(l net.Listener) net.Listener
+	Meter  *traffic.Meter
+	Logger log.Logger
 	// Clock returns the time since boot, including time suspended.
 	Clock func() time.Duration
 	// StaleAfter is the age from which a hub's reads are too old to use if another router can read the store.
@@ -138,6 +140,9 @@
 	}
 	a.Members.Put(c.Self)
 	a.listener, err = a.Network.Listen(c.ListenAddress)
+	if err == nil && a.Split != nil {
+		a.listener = a.Split(a.listener)
+	}
 	return a, err
 }
 
