--- a/core/reach/tracker.go
+++ b/core/reach/tracker.go
@@ -20,8 +20,8 @@
 type service struct {
 	name    string
 	targets int
-	// failedInRow are the addresses at which attempts have failed since one last succeeded at any endpoint.
-	failedInRow map[string]bool
+	// failedInRow are the addresses at which attempts have failed since one last succeeded at any endpoint, and when.
+	failedInRow map[string]time.Time
 	// unreachableSince is zero if the service is reachable.
 	unreachableSince time.Time
 }
@@ -122,9 +122,27 @@
 	return addresses, more
 }
 
-// minFailedInRow is the number of endpoints in a row at which attempts must fail, or all if the service has fewer. One
-// or two endpoints fail more often by themselves than a router is cut off.
-const minFailedInRow = 3
+const (
+	// minFailedInRow is the number of endpoints in a row at which attempts must fail: one or two endpoints fail more often
+	// by themselves than a router is cut off. In a small service it is all but one, because a request that was sent to one
+	// endpoint has only the others left.
+	minFailedInRow = 3
+	// failureWindow is the time within which they must fail.
+	failureWindow = 5 * time.Second
+)
+
+// failuresNeeded returns the number of endpoints at which attempts must fail for the service to be unreachable.
+func (s *service) failuresNeeded() int { return max(1, min(minFailedInRow, s.targets-1)) }
+
+// recentFailures returns the number of endpoints at which attempts have failed in a row, and forgets older ones.
+func (s *service) recentFailures(now time.Time) int {
+	for address, at := range s.failedInRow {
+		if now.Sub(at) > failureWindow {
+			delete(s.failedInRow, address)
+		}
+	}
+	return len(s.failedInRow)
+}
 
 // Change is a service that has become unreachable or reachable.
 type Change struct {
@@ -170,7 +188,7 @@
 	}
 	s = t.services[name]
 	if s == nil {
-		s = &service{name: name, failedInRow: map[string]bool{}}
+		s = &service{name: name, failedInRow: map[string]time.Time{}}
 		t.services[name] = s
 	}
 	return s
@@ -199,8 +217,8 @@
 	wasDown := to.down
 	to.down = !connected
 	if !connected {
-		s.failedInRow[address] = true
-		if !s.unreachableSince.IsZero() || len(s.failedInRow) < min(minFailedInRow, s.targets) {
+		s.failedInRow[address] = now
+		if !s.unreachableSince.IsZero() || s.recentFailures(now) < s.failuresNeeded() {
 			return nil
 		}
 		s.unreachableSince = now
--- a/core/reach/tracker_test.go
+++ b/core/reach/tracker_test.go
@@ -37,7 +37,7 @@
 
 // Guards against a router that is cut off from a service and does not notice.
 func TestPartitionIsDetected(t *testing.T) {
-	for endpoints, failures := range map[int]int{1: 1, 2: 2, 3: 3, 9: 3, 100: 3} {
+	for endpoints, failures := range map[int]int{1: 1, 2: 1, 3: 2, 4: 3, 9: 3, 100: 3} {
 		var tr Tracker
 		tr.Update(append(entries("models", endpoints), entries("plain", 3)...))
 		var c *Change
@@ -76,6 +76,15 @@
 	assert.Equal(t, tr.UnreachableFor("models", at(800)), time.Duration(0))
 }
 
+// Guards against failures that have nothing to do with each other and count as one partition.
+func TestOldFailuresDoNotCount(t *testing.T) {
+	var tr Tracker
+	tr.Update(entries("models", 9))
+	for i := range 9 {
+		assert.Assert(t, tr.Record(address("models", i), false, at(3000*i)) == nil)
+	}
+}
+
 // Guards against failures that are kept for an address which another service's endpoint has taken over, or for endpoints
 // that were removed.
 func TestFailuresEndWithTheEndpoint(t *testing.T) {
@@ -83,10 +92,11 @@
 	tr.Update(entries("models", 4))
 	tr.Record(address("models", 0), false, at(0))
 	tr.Record(address("models", 1), false, at(0))
-	moved := entries("models", 4)
+	moved := entries("models", 5)
 	moved[0].Service = "plain"
-	tr.Update(moved[:3])
-	assert.Assert(t, tr.Record(address("models", 2), false, at(10)) != nil, "both endpoints of the service failed")
+	tr.Update(moved)
+	assert.Assert(t, tr.Record(address("models", 2), false, at(10)) == nil)
+	assert.Assert(t, tr.Record(address("models", 3), false, at(10)) != nil)
 	tr.Update(entries("plain", 2))
 	assert.Equal(t, tr.UnreachableServices(), 0)
 	assert.Assert(t, tr.Record("elsewhere:1", false, at(20)) == nil)
--- a/io/connect/connector.go
+++ b/io/connect/connector.go
@@ -172,7 +172,7 @@
 		return nil, tunnel.UnknownEndpoint
 	}
 	if c.Tracker.Way(address, time.Now()) != reach.Direct {
-		return nil, tunnel.Unreachable
+		return nil, tunnel.CutOff
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayedDialTimeout)
 	defer cancel()
--- a/io/connect/connector_test.go
+++ b/io/connect/connector_test.go
@@ -385,7 +385,7 @@
 		}
 		before := n.dialCount("r1")
 		_, err := n.nodes["r1"].ConnectFor(context.Background(), endpoint(0))
-		assert.Equal(t, err, error(tunnel.Unreachable))
+		assert.Equal(t, err, error(tunnel.CutOff))
 		_, err = n.nodes["r1"].ConnectFor(context.Background(), "10.9.9.9:1")
 		assert.Equal(t, err, error(tunnel.UnknownEndpoint))
 		assert.Equal(t, n.dialCount("r1"), before)
--- a/io/tunnel/line.go
+++ b/io/tunnel/line.go
@@ -23,6 +23,8 @@
 const (
 	// Unreachable means that the router cannot connect to the endpoint either.
 	Unreachable Refusal = "unreachable"
+	// CutOff means that the router reaches no endpoint of the service.
+	CutOff Refusal = "cutOff"
 	// UnknownEndpoint means that no endpoint is known at the address.
 	UnknownEndpoint Refusal = "unknownEndpoint"
 	// Busy means that the router has as many tunnels as it may have.
