entry, http1: an attempt after a lost connection opens a new one

Callers saw: streams that ended, and calls that failed, when connections to several endpoints were lost together: the second attempt was sent on an idle connection that had been lost too, and no third was left. An idle connection that went silent looks sound.

--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -87,7 +87,7 @@
 	x.tried = append(x.tried, e.ID)
 	a.response, err = x.handler.Pool.Do(ctx, http1.Request{
 		Address: e.Address, Method: x.request.Method, Target: x.request.Target, Host: x.request.Host, Header: h,
-		Body: x.body, HasBody: x.r.ContentLength != 0 || len(x.body) > 0, Deadline: until,
+		Fresh: x.lostConnection, Body: x.body, HasBody: x.r.ContentLength != 0 || len(x.body) > 0, Deadline: until,
 		Permit:  func() error { return checkWithdrawn(a) },
 		Matches: func(h http.Header) bool { return x.handler.EndpointProtocol.MatchesRequest(h, x.request.ID) },
 	})
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -32,6 +32,8 @@
 	bodyRead bool
 	tried    []string
 	sends    int
+	// lostConnection is set if an attempt has ended without the complete response.
+	lostConnection bool
 }
 
 // serve processes the request: it decodes it, checks whether it may be served, reads the body, and forwards it to
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -102,7 +102,9 @@
 	return a.reply.FromEndpoint || a.response.Status >= http.StatusMultipleChoices
 }
 
+// unknownOutcome returns the problem of an attempt that ended without the complete response.
 func (x *exchange) unknownOutcome(v dispatch.Verdict) *request.Problem {
+	x.lostConnection = true
 	if v == dispatch.Silent {
 		return request.Unknown(request.DeadlineExceeded)
 	}
--- a/io/http1/exchange.go
+++ b/io/http1/exchange.go
@@ -25,6 +25,8 @@
 	HasBody bool
 	// Deadline is the deadline for the complete response. Response.SetDeadline changes it.
 	Deadline time.Time
+	// Fresh requests a connection of its own instead of an idle one, which may have been cut off without a sign of it.
+	Fresh bool
 	// Permit is called right before the request is written. If it returns an error, nothing is sent.
 	Permit func() error
 	// Matches reports whether a response with this header belongs to the request. Others are skipped.
@@ -75,7 +77,11 @@
 // Do sends the request once and returns when the header of the response has arrived. An error is always an
 // *AttemptError.
 func (p *Pool) Do(ctx context.Context, r Request) (resp *Response, err error) {
-	c, err := p.get(ctx, r.Address)
+	connect := p.get
+	if r.Fresh {
+		connect = p.dial
+	}
+	c, err := connect(ctx, r.Address)
 	if err != nil {
 		return nil, &AttemptError{Err: err, Timeout: isTimeout(err)}
 	}
