entry: a retry that reaches no endpoint is counted once

Callers saw: streams that ended with sends=1 while endpoints were free, when connections were refused: each refused connection took one of this router's retries, although nothing was sent.

--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -219,10 +219,14 @@
 	if x.sends >= x.route.MaxAttempts || x.deadline.Sub(now) < minAttemptTime {
 		return false
 	}
-	if x.sends == 0 {
+	if x.sends == x.retriesCounted {
 		return true
 	}
-	return x.handler.Retries.Allow(x.service, now)
+	if !x.handler.Retries.Allow(x.service, now) {
+		return false
+	}
+	x.retriesCounted = x.sends
+	return true
 }
 
 // minAttemptTime is the minimum time left for another attempt. A plain call takes longer than this.
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -32,6 +32,8 @@
 	bodyRead bool
 	tried    []string
 	sends    int
+	// retriesCounted is how many retries have been counted. One that reached no endpoint is not counted again.
+	retriesCounted int
 	// lostConnection is set if an attempt has ended without the complete response.
 	lostConnection bool
 }
