dispatch, endpointapi, entry: endpoints that fall over when they turn too many away get no more than their slots hold

On the users' platform the endpoints of a service may say, in all answers, that they fall over if they have to turn away too many requests in a second (Server-Brittle), and then let fewer wait. Routers counted two turns of the slots as capacity, sent beyond it where all looked full, and learned of each other's requests too late.

While answers say so, an endpoint is given what its slots hold and none that waits. Once half of an engine's slots, or a quarter of those of a plain endpoint, are taken (chosen), by what was heard or by what this router alone would make of the fleet, each router keeps to its part of them, by the division that cold endpoints have. After a refusal the endpoint gets nothing from that router for a second.

The value in the header is not used: no refusal is aimed at.

--- a/core/coldlimit/fleet.go
+++ b/core/coldlimit/fleet.go
@@ -31,6 +31,9 @@
 // New returns the fleet of the routers, given by the hashes of their names. self is one of them.
 func New(self uint64, routers []uint64) Fleet { return Fleet{self: self, routers: routers} }
 
+// Size returns the number of routers.
+func (f Fleet) Size() int { return len(f.routers) }
+
 // Share returns how many requests of the limit this router may send in a second to the endpoint, given by the hash of
 // its id.
 //
--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -157,6 +157,7 @@
 	a.answered()
 	if v == Refused {
 		a.e.pause.shrink()
+		a.e.refusedAt = now
 	}
 	a.d.demand(a.q.Service).ended(a.q.Rank, v, took, now)
 	a.finishReading()
--- /dev/null
+++ b/core/dispatch/brittle.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import "time"
+
+const (
+	// freelyUsedShare is the share of a brittle engine's slots up to which every router may use it, whatever its part of
+	// the slots: up to there, what the other routers send before they are heard of still finds a slot. Calls of plain
+	// endpoints end before anything is heard of them, so that for them it is freelyUsedByCalls.
+	freelyUsedShare   = 0.5
+	freelyUsedByCalls = 0.25
+	// brittleTimeout is how long after the last answer that said so a service is no longer brittle, once answers say
+	// nothing of it. Answers on different connections overtake each other.
+	brittleTimeout = time.Second
+	// refusedPause is how long a brittle endpoint that had no capacity for a request gets no further ones.
+	refusedPause = time.Second
+)
+
+// brittleness is whether the endpoints of a service fall over if they have to turn away too many requests. The zero
+// value is a service whose endpoints do not.
+type brittleness struct {
+	brittle bool
+	// saidAt is when an answer last said so.
+	saidAt time.Time
+}
+
+// RecordBrittle records whether an answer said that the endpoint falls over if it has to turn away more than a number of
+// requests in a second.
+func (a *Attempt) RecordBrittle(brittle bool, now time.Time) {
+	a.d.mu.Lock()
+	defer a.d.mu.Unlock()
+	b, known := a.d.brittle[a.q.Service]
+	switch {
+	case brittle && !known:
+		b = &brittleness{}
+		if a.d.brittle == nil {
+			a.d.brittle = map[string]*brittleness{}
+		}
+		a.d.brittle[a.q.Service] = b
+		fallthrough
+	case brittle:
+		b.brittle, b.saidAt = true, now
+	case known && now.Sub(b.saidAt) > brittleTimeout:
+		b.brittle = false
+	}
+}
+
+func (d *Dispatcher) isBrittle(service string) bool {
+	b := d.brittle[service]
+	return b != nil && b.brittle
+}
+
+// brittleLimitReached reports whether a request to a brittle endpoint might find no slot there. Routers learn some hundred
+// milliseconds late what the others send, and by then an endpoint that all of them saw empty has fallen over. So each
+// keeps to its part of the slots once a share of them is taken, by what was heard or by what it sends itself.
+func (c *scoring) brittleLimitReached(i int) bool {
+	e := c.pool[i]
+	if !c.brittle {
+		return false
+	}
+	if c.now.Sub(e.refusedAt) < refusedPause {
+		return true
+	}
+	slots := c.capacity(e)
+	free := freelyUsedByCalls
+	if c.engine {
+		free = freelyUsedShare
+	}
+	if slots == 0 || max(c.loads[i], c.projectedLoad) < free*float64(slots) {
+		return false
+	}
+	return e.running >= c.d.fleet.Share(e.hash, slots)
+}
+
+// projectLoad sets the mean load of an endpoint if all routers have as many requests at the service as this one.
+func (c *scoring) projectLoad() {
+	own := 0
+	for _, e := range c.pool {
+		own += e.running
+	}
+	c.projectedLoad = float64(own*c.d.fleet.Size()) / float64(max(len(c.pool), 1))
+}
--- a/core/dispatch/capacity.go
+++ b/core/dispatch/capacity.go
@@ -4,13 +4,13 @@
 // waits for more than one turn is late.
 const queueFactor = 2
 
-// capacity returns how many requests an endpoint may be given, 0 if unknown.
+// capacity returns how many requests an endpoint may be given, 0 if unknown. A brittle endpoint may let none wait.
 func (c *scoring) capacity(e *endpoint) int {
 	slots := e.entry.Slots
 	if slots == 0 {
 		slots = c.slots
 	}
-	if !c.engine {
+	if !c.engine && !c.brittle {
 		slots *= queueFactor
 	}
 	return slots
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -38,7 +38,9 @@
 	drainedAt      map[string]time.Time
 	drainFetchTerm time.Duration
 	fleet          coldlimit.Fleet
-	coldBound      coldlimit.Bound
+	// brittle has the services whose endpoints have said that they are brittle.
+	brittle   map[string]*brittleness
+	coldBound coldlimit.Bound
 	// withdrawals counts the events by which an endpoint may have been withdrawn, so that requests which are about to be
 	// sent need the lock only after one.
 	withdrawals atomic.Uint64
@@ -189,7 +191,8 @@
 	defer d.mu.Unlock()
 	c := d.scoring(Query{Service: service}, d.pools[service], now)
 	return slices.ContainsFunc(c.pool, func(e *endpoint) bool {
-		return e.entry.ID != id && !e.replaced && !e.breaker.isOpen(now) && !c.saturated(e) && !c.coldLimitReached(e) && !e.pause.limited()
+		return e.entry.ID != id && !e.replaced && !e.breaker.isOpen(now) && !c.saturated(e) && !c.coldLimitReached(e) &&
+			!c.brittleLimitReached(c.index(e)) && !e.pause.limited()
 	})
 }
 
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -16,6 +16,8 @@
 	entry directory.Entry
 	// hash identifies the endpoint's id between routers and in rankings.
 	hash uint64
+	// refusedAt is when the endpoint last refused a request of this router.
+	refusedAt time.Time
 	// running counts this router's own requests at the endpoint, unreadTokens the prompt tokens of those that have not
 	// been answered yet.
 	running int
--- a/core/dispatch/scoring.go
+++ b/core/dispatch/scoring.go
@@ -45,6 +45,10 @@
 	// coldPerSecond is how many requests a second an endpoint of the service can take while it is cold, 0 for no
 	// limit.
 	coldPerSecond float64
+	// brittle is set if the endpoints of the service fall over when they have to turn away too many requests.
+	brittle bool
+	// projectedLoad is the mean load of an endpoint if all routers send as much as this one.
+	projectedLoad float64
 }
 
 func (d *Dispatcher) scoring(q Query, pool []*endpoint, now time.Time) *scoring {
@@ -52,6 +56,7 @@
 	c := &scoring{d: d, q: q, pool: withoutSilent(accepting, now), draining: append(withdrawn, d.departing(q.Service, now)...), now: now}
 	pool = c.pool
 	c.slots, _, c.engine = d.serviceCapacity(q.Service)
+	c.brittle = d.isBrittle(q.Service)
 	if s := d.service(q.Service); s != nil {
 		c.coldPerSecond = s.ColdPerSecond
 	}
@@ -70,6 +75,9 @@
 	}
 	c.estimateUnreported()
 	c.computeLoads()
+	if c.brittle {
+		c.projectLoad()
+	}
 	c.computeFailureRates()
 	if len(q.Prompt) > 0 {
 		c.home = c.findHome()
@@ -224,7 +232,7 @@
 // counts what it sends itself, so only the others' share is spread.
 func (c *scoring) tooFewEligible(eligible int) bool {
 	admissibleShare := maxConcentration * float64(eligible) / float64(max(len(c.pool), 1))
-	if admissibleShare >= 1 || len(c.q.Tried) > 0 {
+	if admissibleShare >= 1 || len(c.q.Tried) > 0 || c.brittle {
 		return false
 	}
 	return c.d.randomFloat() < (1-admissibleShare)*c.d.demand(c.q.Service).othersShare(c.now)
@@ -239,7 +247,7 @@
 		if e.replaced || slices.Contains(c.q.Tried, e.entry.ID) {
 			continue
 		}
-		if !ignoreSaturation && c.saturated(e) || c.coldLimitReached(e) || e.pause.limited() {
+		if !ignoreSaturation && c.saturated(e) || c.coldLimitReached(e) || c.brittleLimitReached(i) || e.pause.limited() {
 			reason = ReasonAllFull
 			continue
 		}
--- a/core/dispatch/surge_test.go
+++ b/core/dispatch/surge_test.go
@@ -9,9 +9,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"savoryfall/core/coldlimit"
 	"savoryfall/core/directory"
 	"savoryfall/core/dispatch"
 	"savoryfall/core/fleetload"
+	"savoryfall/core/members"
 	"savoryfall/core/routetable"
 )
 
@@ -48,6 +50,12 @@
 	pause        time.Duration
 	refused      int
 	ended        int
+	// brittle is how many requests the server may turn away in a second for lack of capacity before it falls over, 0 if it
+	// does not. turnedAway are the times of those, downUntil is the end of the last fall, and falls counts the falls.
+	brittle    int
+	turnedAway []time.Time
+	downUntil  time.Time
+	falls      int
 	// lost are the requests whose answers were lost and that were not retried yet.
 	lost []job
 }
@@ -78,8 +86,13 @@
 	table := routetable.New(routetable.Config{Services: []routetable.Service{
 		{Name: models, Engine: true, Slots: slots, CacheTokens: 300000}, {Name: plain},
 	}})
+	var names []uint64
+	for i := range routers {
+		names = append(names, members.Hash(fmt.Sprint("router", i)))
+	}
 	for i := range routers {
 		d := dispatch.New("a")
+		d.SetFleet(coldlimit.New(names[i], names))
 		d.Seed(seed*1000 + uint64(i))
 		d.Configure(table)
 		d.Update(entries, start)
@@ -135,9 +148,15 @@
 		}
 		v := s.byID[a.Endpoint().ID]
 		s.countArrival(v)
+		if s.now.Before(v.downUntil) {
+			a.End(dispatch.Unreachable, s.now)
+			q.Tried = append(q.Tried, v.id)
+			continue
+		}
 		if v.accept(job{attempt: a, q: q, work: work}, s.now) {
 			return true
 		}
+		v.answered(a, s.now)
 		if v.pause > 0 {
 			a.Pause(v.pause, s.now)
 		}
@@ -188,11 +207,40 @@
 	case len(v.waiting) < v.queue:
 		v.waiting = append(v.waiting, j)
 	default:
+		v.countTurnedAway(now)
 		return false
 	}
 	return true
 }
 
+// downTime is how long a server is down after it fell over.
+const downTime = 3 * time.Second
+
+// countTurnedAway makes a brittle server fall over if it turns too many requests away.
+func (v *server) countTurnedAway(now time.Time) {
+	if v.brittle == 0 {
+		return
+	}
+	v.turnedAway = append(v.turnedAway, now)
+	for now.Sub(v.turnedAway[0]) > time.Second {
+		v.turnedAway = v.turnedAway[1:]
+	}
+	if len(v.turnedAway) <= v.brittle {
+		return
+	}
+	v.falls++
+	v.downUntil, v.turnedAway = now.Add(downTime), nil
+	for _, j := range append(v.running, v.waiting...) {
+		j.attempt.End(dispatch.Broken, now)
+	}
+	v.running, v.waiting = nil, nil
+}
+
+// answered records what each answer of the server says.
+func (v *server) answered(a *dispatch.Attempt, now time.Time) {
+	a.RecordBrittle(v.brittle > 0, now)
+}
+
 // begin starts a request: it reads the prompt when those before it are read, and then answers.
 func (v *server) begin(j job, now time.Time) {
 	if v.readsUntil.Before(now) {
@@ -212,6 +260,7 @@
 			j := &v.running[i]
 			if !j.first.IsZero() && !j.first.After(now) {
 				j.attempt.RecordFirstBytes(dispatch.Load{Running: len(v.running), Waiting: len(v.waiting), Known: true}, j.first)
+				v.answered(j.attempt, j.first)
 				j.first = time.Time{}
 			}
 			if !j.ends.After(now) && (next < 0 || j.ends.Before(v.running[next].ends)) {
--- a/core/request/endpointrequest.go
+++ b/core/request/endpointrequest.go
@@ -35,6 +35,8 @@
 	ContentEncoded bool
 	// Leaving means that the process that answered is about to stop and must get no new requests.
 	Leaving bool
+	// Brittle means that the endpoint falls over if it has to turn away too many requests in a second.
+	Brittle bool
 	// Pause is for how long the endpoint wants no further requests from this router, 0 if it does not say.
 	Pause time.Duration
 	// Running and Waiting are the endpoint's load. They are valid only if HasLoad is set.
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -95,7 +95,7 @@
 		return err
 	}
 	a.reply = x.handler.EndpointProtocol.Decode(a.response.Status, a.response.Header)
-	x.recordWithdrawal(a)
+	x.recordAnnouncements(a)
 	return nil
 }
 
@@ -109,12 +109,14 @@
 	return nil
 }
 
-// recordWithdrawal records that the endpoint wants no further requests. Another instance at the endpoint's address
+// recordAnnouncements records what the answer says of the endpoint: that it wants no further requests, or cannot bear to
+// turn many away. Another instance at the endpoint's address
 // speaks for itself only.
-func (x *exchange) recordWithdrawal(a *attempt) {
+func (x *exchange) recordAnnouncements(a *attempt) {
 	if a.reply.WrongInstance {
 		return
 	}
+	a.RecordBrittle(a.reply.Brittle, time.Now())
 	e := a.Endpoint()
 	if a.reply.Leaving && a.MarkLeaving() {
 		_ = x.handler.Logger.Log(field.Event, event.EndpointLeaving, field.Endpoint, e.ID, field.Service, e.Service, field.Born, e.Born,
