entry: a second of silence does not move a stream to another engine

A sound endpoint may be silent for a second and go on. Streams were continued elsewhere after 0.5 s without a first event, or 0.7 s between two, while the engine went on with them: each was sent twice, also when all engines were silent at once, and the moved prompts were read again.

Now 1.1 s (chosen), still well below the two seconds after which clients give up.

--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -62,7 +62,7 @@
 	if a.response.Status != http.StatusOK || !x.fromEndpoint(a) {
 		return s.forwardNonStream(a)
 	}
-	return s.forwardEvents(a, w)
+	return s.forwardEvents(a)
 }
 
 // forwardNonStream handles a response that is not a stream.
@@ -106,9 +106,9 @@
 var errNotForwardable = errors.New("events cannot be forwarded")
 
 // forwardEvents forwards complete events until the stream ends or fails.
-func (s *relay) forwardEvents(a *attempt, w *silenceWatch) (done bool, p *request.Problem) {
+func (s *relay) forwardEvents(a *attempt) (done bool, p *request.Problem) {
 	var split sse.Splitter
-	err := s.copy(a, w, &split)
+	err := s.copy(a, &split)
 	if errors.Is(err, io.EOF) {
 		return s.finish(a, &split)
 	}
@@ -116,13 +116,14 @@
 }
 
 // copy reads until the stream fails or the body ends, for which it returns io.EOF.
-func (s *relay) copy(a *attempt, w *silenceWatch, split *sse.Splitter) (err error) {
+func (s *relay) copy(a *attempt, split *sse.Splitter) (err error) {
 	if s.buf == nil {
 		s.buf = make([]byte, streamReadSize)
 	}
-	for {
+	for receiving := false; ; {
 		n, err := a.response.Read(s.buf)
-		if n > 0 && !w.receiving.Swap(true) {
+		if n > 0 && !receiving {
+			receiving = true
 			a.firstBytesReceived()
 		}
 		if n > 0 && !s.writeEvents(a, split, s.buf[:n]) {
--- a/io/entry/watch.go
+++ b/io/entry/watch.go
@@ -2,16 +2,15 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 const (
-	// maxFirstSilence is how long to wait at the start of a resumable stream for an endpoint that sends this router
-	// nothing at all, in addition to the time that it is expected to need for reading prompts. maxEventSilence is the
-	// same between two events. Both leave time for a second endpoint before the client gives up.
-	maxFirstSilence = 500 * time.Millisecond
-	maxEventSilence = 700 * time.Millisecond
+	// minSilence is how long to wait in a resumable stream for an endpoint that sends this router nothing at all, in
+	// addition to the time that it is expected to need for reading prompts. A sound endpoint may be silent for a second and
+	// go on, and must not still work on a stream that another one has continued. It leaves time for a second endpoint
+	// before the client gives up.
+	minSilence = 1100 * time.Millisecond
 	// slowPrefillTokensPerMs is how many prompt tokens a slow engine reads in a millisecond.
 	slowPrefillTokensPerMs = 40
 	// maxSilence limits the wait regardless of how many prompt tokens the endpoint has to read: clients cancel a stream
@@ -29,11 +28,10 @@
 type silenceWatch struct {
 	attempt *attempt
 	// canMove reports whether another endpoint could take the stream now.
-	canMove   func() bool
-	receiving atomic.Bool
-	mu        sync.Mutex
-	timer     *time.Timer
-	done      bool
+	canMove func() bool
+	mu      sync.Mutex
+	timer   *time.Timer
+	done    bool
 }
 
 func (w *silenceWatch) start() {
@@ -71,10 +69,6 @@
 }
 
 func (w *silenceWatch) limit(now time.Time) time.Duration {
-	wait := maxFirstSilence
-	if w.receiving.Load() {
-		wait = maxEventSilence
-	}
 	prefill := time.Duration(w.attempt.UnreadPromptTokens(now)/slowPrefillTokensPerMs) * time.Millisecond
-	return min(wait+prefill, maxSilence)
+	return min(minSilence+prefill, maxSilence)
 }
