http1: a connection outlasts a peer that is silent for two seconds

A user timeout decides when keep-alive probes give up, whatever their count: with 1.5 s, connections to sound endpoints that were silent for 1.5 s were closed, and idle ones after 2 s instead of the 3 s that two probes were meant to take. Now 2.5 s (chosen): unacknowledged bytes close a connection after that, probes after 3 s.

TestDeadPeersAreNoticed reads the options of the sockets back, to endpoints, routers and the store, from clients and operators: 2 s at those to endpoints before, where more was due.

--- /dev/null
+++ b/io/command/sockets_test.go
@@ -0,0 +1,124 @@
+package command
+
+import (
+	"context"
+	"net"
+	"os"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+
+	"savoryfall/io/http1"
+	"savoryfall/io/traffic"
+)
+
+// deadPeerTime returns how long after its last bytes a connection without unacknowledged ones is closed because its peer
+// does not respond, as Linux computes it: a user timeout decides in place of the number of probes.
+func deadPeerTime(t *testing.T, fd int) time.Duration {
+	option := func(name int) int {
+		v, err := unix.GetsockoptInt(fd, unix.IPPROTO_TCP, name)
+		assert.NilError(t, err)
+		return v
+	}
+	enabled, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE)
+	assert.NilError(t, err)
+	assert.Equal(t, enabled, 1)
+	userTimeout := time.Duration(option(unix.TCP_USER_TIMEOUT)) * time.Millisecond
+	interval, count := time.Duration(option(unix.TCP_KEEPINTVL))*time.Second, option(unix.TCP_KEEPCNT)
+	elapsed := time.Duration(option(unix.TCP_KEEPIDLE)) * time.Second
+	for probes := 0; ; probes++ {
+		if userTimeout > 0 && probes > 0 && elapsed >= userTimeout || userTimeout == 0 && probes >= count {
+			return elapsed
+		}
+		elapsed += interval
+	}
+}
+
+// descriptor returns the descriptor of a connection.
+func descriptor(t *testing.T, c net.Conn) (fd int) {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	assert.NilError(t, err)
+	assert.NilError(t, raw.Control(func(f uintptr) { fd = int(f) }))
+	return fd
+}
+
+// acceptedDescriptor returns the descriptor of this process for the other end of the connection.
+func (f *entryFleet) acceptedDescriptor(c net.Conn) (fd int) {
+	local := c.LocalAddr().(*net.TCPAddr)
+	f.waitFor("the connection is accepted", func() bool {
+		entries, err := os.ReadDir("/proc/self/fd")
+		assert.NilError(f.t, err)
+		for _, e := range entries {
+			n, err := strconv.Atoi(e.Name())
+			if err != nil {
+				continue
+			}
+			peer, err := unix.Getpeername(n)
+			if in, is := peer.(*unix.SockaddrInet4); err == nil && is && in.Port == local.Port && net.IP(in.Addr[:]).Equal(local.IP) {
+				fd = n
+				return true
+			}
+		}
+		return false
+	})
+	return fd
+}
+
+// socketTo returns the descriptor of this end of the connection.
+func (f *entryFleet) socketTo(c net.Conn) (fd int) {
+	local := c.LocalAddr().(*net.TCPAddr)
+	for n := range 1 << 16 {
+		name, err := unix.Getsockname(n)
+		if in, is := name.(*unix.SockaddrInet4); err == nil && is && in.Port == local.Port && net.IP(in.Addr[:]).Equal(local.IP) {
+			return n
+		}
+	}
+	f.t.Fatal("the socket has no descriptor")
+	return 0
+}
+
+// silence is how long a sound peer may be silent, without acknowledging anything.
+const silence = 2 * time.Second
+
+// Guards against connections that outlast a dead peer, or that a second of silence ends, because a socket does not have the
+// options that were meant for it.
+func TestDeadPeersAreNoticed(t *testing.T) {
+	t.Parallel()
+	f := newEntryFleet(t, 2)
+	vm := f.vms[0]
+	dialed := func(c net.Conn, err error) func() int {
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return func() int { return descriptor(t, c) }
+	}
+	accepted := func(address string) func() int {
+		c, err := net.Dial("tcp4", address)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return func() int { return f.acceptedDescriptor(c) }
+	}
+	transport := storeTransport(traffic.New(vm.metricSet))
+	store, err := transport.DialContext(context.Background(), "tcp4", f.storeAddress)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = store.Close() })
+	// The store's connection counts its bytes and does not show its socket. The other end finds it.
+	storeSocket := func() int { return f.socketTo(store) }
+	peer := f.vms[1].settings.PeerAddress()
+	for name, socket := range map[string]struct {
+		fd   func() int
+		most time.Duration
+	}{
+		"to an endpoint": {fd: dialed(http1.DialTCP(context.Background(), f.endpoints["p0"].Address())), most: contactTime},
+		"to a router":    {fd: dialed(vm.dialRouter(context.Background(), peer)), most: contactTime},
+		"to the store":   {fd: storeSocket, most: contactTime},
+		"from a client":  {fd: accepted(vm.clientServer.Address()), most: 15 * time.Second},
+		"from operators": {fd: accepted(vm.metricsAddress()), most: 3 * time.Minute},
+	} {
+		noticed := deadPeerTime(t, socket.fd())
+		assert.Assert(t, noticed > silence && noticed <= socket.most, "%s: after %v", name, noticed)
+	}
+}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -30,8 +30,9 @@
 	// an endpoint that needs longer than this, another one can be used.
 	dialTimeout = 400 * time.Millisecond
 	// userTimeout is the time after which a connection with unacknowledged bytes is closed (TCP_USER_TIMEOUT): a
-	// network partition gives no other sign.
-	userTimeout = 1500 * time.Millisecond
+	// network partition gives no other sign. It also decides, in place of their count, when unanswered keep-alive probes
+	// close a connection, and it exceeds the second or so for which a sound endpoint may be silent.
+	userTimeout = 2500 * time.Millisecond
 	// maxIdleTime is how long an idle connection is kept at most. idleMargin is how much earlier than the endpoint it
 	// is closed if the endpoint sends a timeout: a request that is sent while the endpoint closes the connection is
 	// lost.
@@ -41,8 +42,8 @@
 	maxIdleConns = 32
 )
 
-// keepAlive detects within a few seconds that the peer no longer responds.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+// keepAlive and userTimeout close a connection three seconds after the last bytes of a peer that no longer responds.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
 // NewPool creates a pool that opens connections with the given function.
 func NewPool(connect func(ctx context.Context, address string) (net.Conn, error)) *Pool {
