soak: routers are cut off from all endpoints, in series that overlap with all other faults

The router of TestSoakWithPartitions is built with a file that cuts it off in four ways; a proxy on loopback cannot drop or refuse the connections of one router only. Beside the checks of every run, a phase without other faults holds a cut-off router to the users' rule.

--- a/io/command/partition_test.go
+++ b/io/command/partition_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"regexp"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -55,6 +56,8 @@
 	for c := range p.conns {
 		switch {
 		case !p.covers(c.address):
+		case kind == healed && c.lost.Load():
+			_ = c.Conn.Close()
 		case kind == resetKind:
 			_ = c.Conn.(*net.TCPConn).SetLinger(0)
 			_ = c.Conn.Close()
@@ -111,19 +114,28 @@
 	net.Conn
 	partition *partition
 	address   string
+	// lost is set once bytes that were written in a partition have been dropped: the connection ends with the partition.
+	lost atomic.Bool
 }
 
 func (c *partitionedConn) Read(b []byte) (n int, err error) {
 	n, err = c.Conn.Read(b)
+	// Bytes that are held up arrive when the partition ends, unless the connection was closed meanwhile.
 	for err == nil && c.partition.silent(c.address) {
-		// The bytes are lost. A read of no bytes returns once the connection is closed or its deadline has passed.
-		n, err = c.Conn.Read(b)
+		<-time.After(10 * time.Millisecond)
+		if c.Conn.(*net.TCPConn).SetNoDelay(true) != nil {
+			return 0, net.ErrClosed
+		}
+	}
+	if c.lost.Load() {
+		return 0, syscall.ECONNRESET
 	}
 	return n, err
 }
 
 func (c *partitionedConn) Write(b []byte) (n int, err error) {
 	if c.partition.silent(c.address) && c.partition.kindNow() == silentKind {
+		c.lost.Store(true)
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -63,6 +63,9 @@
 // stopFault is the kind of a planned stop, whose duration is stopGrace.
 const stopFault = "told to stop"
 
+// endpointPartition is the first kind of fault that stands for a partition from all endpoints.
+const endpointPartition = 17
+
 const (
 	faultPhase = 4 * time.Second
 	// maxFaultDuration limits a single fault. It exceeds keyTerm, so that a fault can outlast the use of a withdrawn
@@ -76,7 +79,12 @@
 	running.Go(h.isolateRouter)
 	running.Go(h.resetEndpoints)
 	for end := time.Now().Add(faultPhase); time.Now().Before(end); {
-		kind, r := h.random.IntN(17), h.routers[h.random.IntN(len(h.routers))]
+		kinds := endpointPartition
+		if h.partitions {
+			// Each third fault is a partition, so that several overlap.
+			kinds = endpointPartition * 3 / 2
+		}
+		kind, r := h.random.IntN(kinds), h.routers[h.random.IntN(len(h.routers))]
 		duration := 100*time.Millisecond + time.Duration(h.random.Int64N(int64(maxFaultDuration)))
 		faultRandom := rand.New(rand.NewPCG(h.random.Uint64(), 0))
 		running.Go(func() { h.injectFault(kind, r, duration, faultRandom) })
@@ -185,6 +193,8 @@
 		}
 	case 16:
 		h.restoreStore(duration)
+	default:
+		h.partitionFromEndpoints(r, duration, random)
 	}
 }
 
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -55,7 +55,9 @@
 	binary string
 	seed   uint64
 	// runIndex distinguishes the runs of this test process, for example in loopback addresses.
-	runIndex     int64
+	runIndex int64
+	// partitions is set if the binary can be cut off from the endpoints.
+	partitions   bool
 	random       *rand.Rand
 	store        fakestore.Service
 	storeAddress string
@@ -103,8 +105,13 @@
 
 // runSeed performs one run with the seed, and checks what clients and endpoints observed.
 func runSeed(t *testing.T, binary string, seed uint64) (h *harness) {
+	return runSeedWith(t, binary, seed, false)
+}
+
+// runSeedWith performs one run, with partitions of routers from all endpoints if the binary supports that.
+func runSeedWith(t *testing.T, binary string, seed uint64, partitions bool) (h *harness) {
 	h = &harness{
-		t: t, dir: runDir(t, seed), binary: binary, seed: seed, runIndex: runs.Add(1), random: rand.New(rand.NewPCG(seed, seed)), done: make(chan struct{}),
+		t: t, dir: runDir(t, seed), binary: binary, seed: seed, partitions: partitions, runIndex: runs.Add(1), random: rand.New(rand.NewPCG(seed, seed)), done: make(chan struct{}),
 		keyWritten: map[string]time.Time{}, keyWithdrawn: map[string]time.Time{},
 	}
 	s := httptest.NewServer(&h.store)
@@ -133,6 +140,9 @@
 		h.injectFaults()
 		h.recover()
 		h.makePlannedChanges()
+		if partitions {
+			h.servePartitioned()
+		}
 	}
 	close(h.done)
 	running.Wait()
--- a/soak/router_test.go
+++ b/soak/router_test.go
@@ -15,8 +15,10 @@
 
 // router is a router process together with its addresses and links, which are kept when the process is replaced.
 type router struct {
-	name          string
-	settingsFile  string
+	name         string
+	settingsFile string
+	// partitionFile holds the kind of the router's partition from the endpoints.
+	partitionFile string
 	clientAddress string
 	store         *link
 	peers         *link
@@ -55,6 +57,7 @@
 		name: fmt.Sprintf("vm%d", i), settingsFile: filepath.Join(h.dir, fmt.Sprintf("vm%d.toml", i)), clientAddress: addresses[0],
 		store: h.link(h.storeAddress), peers: h.link(addresses[3]),
 	}
+	r.partitionFile = r.settingsFile + ".partition"
 	h.writeSettings(r, addresses)
 	return r
 }
@@ -90,6 +93,7 @@
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command(h.binary, "entry", "--settings", r.settingsFile)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = append(os.Environ(), "SOAK_PARTITION="+r.partitionFile)
 	assert.NilError(h.t, cmd.Start())
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/soak/variants_test.go
+++ b/soak/variants_test.go
@@ -75,14 +75,25 @@
 // overlay returns the path of a go build overlay file that replaces the source file by its changed version.
 func (v variant) overlay(t *testing.T) (file string) {
 	t.Helper()
+	path, changed := v.write(t)
+	return writeOverlay(t, map[string]string{path: changed})
+}
+
+// write writes the changed version of the source file, and returns the paths of both.
+func (v variant) write(t *testing.T) (path, changed string) {
 	path, err := filepath.Abs(filepath.Join("..", v.file))
 	assert.NilError(t, err)
 	source, err := os.ReadFile(path)
 	assert.NilError(t, err)
 	assert.Equal(t, strings.Count(string(source), v.text), 1, "%s does not contain this text exactly once: %s", v.file, v.text)
-	changed := filepath.Join(t.TempDir(), "changed.go")
+	changed = filepath.Join(t.TempDir(), "changed.go")
 	assert.NilError(t, os.WriteFile(changed, []byte(strings.Replace(string(source), v.text, v.replacement, 1)), 0o600))
-	text, err := json.Marshal(map[string]map[string]string{"Replace": {path: changed}})
+	return path, changed
+}
+
+// writeOverlay writes a go build overlay file that replaces or adds source files.
+func writeOverlay(t *testing.T, replace map[string]string) (file string) {
+	text, err := json.Marshal(map[string]map[string]string{"Replace": replace})
 	assert.NilError(t, err)
 	file = filepath.Join(t.TempDir(), "overlay.json")
 	assert.NilError(t, os.WriteFile(file, text, 0o600))
