tunnel, connect: refused tunnels are counted, and without a relay a whole service is closed at once

While all routers are cut off, each endpoint of a service was asked for again at up to six others, and each refusal wrote a line. Now the service is left alone for half a second once no router was found that reaches it, refusals are counted by reason, and the bytes on tunnels are told.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -40,5 +40,4 @@
 	StoreLost               Name = "storeLost"
 	StoreRegained           Name = "storeRegained"
 	StoreRestored           Name = "storeRestored"
-	TunnelRefused           Name = "tunnelRefused"
 )
--- a/core/reach/tracker.go
+++ b/core/reach/tracker.go
@@ -24,6 +24,8 @@
 	failedInRow map[string]time.Time
 	// unreachableSince is zero if the service is reachable.
 	unreachableSince time.Time
+	// noRelayAt is when there was last no router that reaches the service, zero if there has been one since.
+	noRelayAt time.Time
 }
 
 // target is what this router knows of the ways to one endpoint.
@@ -70,12 +72,16 @@
 	switch {
 	case to == nil || !to.down || to.service.unreachableSince.IsZero():
 		return Direct
-	case !to.relayFailedAt.IsZero() && now.Sub(to.relayFailedAt) < RelayRetryInterval:
+	case within(to.relayFailedAt, now), within(to.service.noRelayAt, now):
 		return Closed
 	}
 	return Relayed
 }
 
+func within(failedAt, now time.Time) bool {
+	return !failedAt.IsZero() && now.Sub(failedAt) < RelayRetryInterval
+}
+
 // Known reports whether an endpoint has the address, and its failure domain.
 func (t *Tracker) Known(address string) (failureDomain string, ok bool) {
 	t.mu.Lock()
@@ -87,17 +93,34 @@
 	return to.failureDomain, true
 }
 
-// RecordRelayed records whether another router has connected to the address for this one.
-func (t *Tracker) RecordRelayed(address string, connected bool, now time.Time) {
+// Relaying is how an attempt to connect through other routers ended.
+type Relaying int
+
+// The outcomes.
+const (
+	// Opened means that another router has connected.
+	Opened Relaying = iota
+	// EndpointLost means that routers which reach others of the service do not reach the endpoint.
+	EndpointLost
+	// NoRelay means that no other router was found that reaches the service.
+	NoRelay
+)
+
+// RecordRelayed records how an attempt to connect to the address through other routers ended.
+func (t *Tracker) RecordRelayed(address string, how Relaying, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	to := t.byAddress[address]
-	switch {
-	case to == nil:
-	case connected:
-		to.relayFailedAt = time.Time{}
-	default:
+	if to == nil {
+		return
+	}
+	switch how {
+	case Opened:
+		to.relayFailedAt, to.service.noRelayAt = time.Time{}, time.Time{}
+	case EndpointLost:
 		to.relayFailedAt = now
+	case NoRelay:
+		to.service.noRelayAt = now
 	}
 }
 
--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -32,6 +32,7 @@
 	vm.metricSet.NewGauge("savoryfall_connections_made", func() float64 { return float64(vm.handler.Pool.ConnectionsOpened()) })
 	vm.metricSet.NewGauge("savoryfall_tunnels_open", func() float64 { return float64(vm.tunnels.Open()) })
 	vm.metricSet.NewGauge("savoryfall_tunnels_total", func() float64 { return float64(vm.tunnels.Total()) })
+	vm.metricSet.NewGauge("savoryfall_tunnel_bytes_total", func() float64 { return float64(vm.tunnels.Bytes()) })
 	for state, count := range map[string]func(c clientconn.Counts) int{
 		"idle": clientconn.Counts.Idle, "reading": clientconn.Counts.Reading, "serving": clientconn.Counts.Serving,
 	} {
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -254,7 +255,11 @@
 		},
 	}
 	vm.manager.Register("connector", vm.connector)
-	vm.tunnels.Connect, vm.tunnels.FromRouter, vm.tunnels.Logger = vm.connector.ConnectFor, vm.members.HasHost, vm.logger
+	vm.tunnels.Connect, vm.tunnels.FromRouter, vm.tunnels.OnRefused = vm.connector.ConnectFor, vm.members.HasHost, vm.countRefusedTunnel
+}
+
+func (vm *entryVM) countRefusedTunnel(r tunnel.Refusal) {
+	vm.metricSet.GetOrCreateCounter(fmt.Sprintf("savoryfall_tunnels_refused_total{reason=%q}", r)).Inc()
 }
 
 // dialRouter connects to another router, from the address on which this one listens for routers: the other router
--- a/io/connect/connector.go
+++ b/io/connect/connector.go
@@ -162,7 +162,14 @@
 		return nil, err
 	}
 	c.Metrics.record(byRouter, err, time.Since(began))
-	c.Tracker.RecordRelayed(address, err == nil, time.Now())
+	how := reach.Opened
+	switch {
+	case errors.Is(err, errUnreachable):
+		how = reach.EndpointLost
+	case err != nil:
+		how = reach.NoRelay
+	}
+	c.Tracker.RecordRelayed(address, how, time.Now())
 	return conn, err
 }
 
--- a/io/connect/connector_test.go
+++ b/io/connect/connector_test.go
@@ -98,7 +98,7 @@
 			return n.dialRouter(address)
 		}},
 	}
-	router.server = &tunnel.Server{Connect: router.ConnectFor, FromRouter: func(string) bool { return true }, Logger: log.NewNopLogger()}
+	router.server = &tunnel.Server{Connect: router.ConnectFor, FromRouter: func(string) bool { return true }, OnRefused: func(tunnel.Refusal) {}}
 	n.nodes[name] = router
 }
 
--- a/io/connect/relays.go
+++ b/io/connect/relays.go
@@ -57,11 +57,11 @@
 	errUnreachable = errors.New("other routers do not reach the endpoint either")
 )
 
-// connect has another router connect to the endpoint in the failure domain.
+// connect has another router connect to the endpoint in the failure domain. The error is errUnreachable if routers were
+// found that reach others of the service.
 func (r *Relays) connect(ctx context.Context, endpoint, failureDomain string) (c net.Conn, err error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
-	err = errNoRelay
 	unreachable := 0
 	for i, m := range r.candidates(failureDomain, time.Now()) {
 		if i == maxRelayAttempts || unreachable == maxUnreachable || ctx.Err() != nil {
@@ -79,12 +79,14 @@
 		refused := errors.As(err, &refusal)
 		if refusal == tunnel.Unreachable || refusal == tunnel.UnknownEndpoint {
 			unreachable++
-			err = errUnreachable
 			continue
 		}
 		r.avoid(m.Name, !refused, time.Now())
 	}
-	return nil, err
+	if unreachable > 0 {
+		return nil, errUnreachable
+	}
+	return nil, errNoRelay
 }
 
 func (r *Relays) open(ctx context.Context, m members.Member, endpoint string) (c net.Conn, err error) {
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -9,12 +9,8 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
-
-	"github.com/go-kit/log"
-
-	"savoryfall/core/event"
-	"savoryfall/core/field"
 )
 
 const (
@@ -35,12 +31,14 @@
 	Connect func(ctx context.Context, endpoint string) (net.Conn, error)
 	// FromRouter reports whether a router runs at the host, an IP address.
 	FromRouter func(host string) bool
-	Logger     log.Logger
+	// OnRefused is called with the reason for each tunnel that is refused.
+	OnRefused func(r Refusal)
 
 	mu       sync.Mutex
 	open     map[net.Conn]bool
 	stopping bool
 	total    uint64
+	bytes    atomic.Uint64
 	// idle is closed when the last tunnel of a server that is stopping has ended.
 	idle chan struct{}
 }
@@ -59,6 +57,9 @@
 	return s.total
 }
 
+// Bytes returns the number of bytes that tunnels have carried, in both directions.
+func (s *Server) Bytes() uint64 { return s.bytes.Load() }
+
 // RefuseNew refuses further tunnels. Those that are open go on.
 func (s *Server) RefuseNew() {
 	s.mu.Lock()
@@ -131,7 +132,7 @@
 		refusal = s.carry(raw, r, endpoint)
 	}
 	if refusal != "" {
-		_ = s.Logger.Log(field.Event, event.TunnelRefused, field.From, raw.RemoteAddr(), field.Address, endpoint, field.Reason, refusal)
+		s.OnRefused(refusal)
 		_, _ = raw.Write(encodeLine(string(refusal)))
 	}
 }
@@ -158,21 +159,22 @@
 	}
 	_ = raw.SetDeadline(time.Time{})
 	go func() {
-		copyRequest(to, r)
+		s.copyRequest(to, r)
 		// The router has received all it wants, or has left. Either ends the exchange with the endpoint.
 		_ = to.Close()
 	}()
-	copyResponse(raw, to)
+	s.copyResponse(raw, to)
 	return ""
 }
 
 // copyRequest passes on the router's bytes until it closes the tunnel.
-func copyRequest(to net.Conn, from *bufio.Reader) {
+func (s *Server) copyRequest(to net.Conn, from *bufio.Reader) {
 	buf := make([]byte, maxFrame)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
 			_ = to.SetWriteDeadline(time.Now().Add(writeTimeout))
+			s.bytes.Add(uint64(n))
 			_, writeErr := to.Write(buf[:n])
 			if writeErr != nil {
 				return
@@ -185,10 +187,11 @@
 }
 
 // copyResponse passes on the endpoint's bytes in frames. If its connection breaks, the tunnel is reset.
-func copyResponse(to, from net.Conn) {
+func (s *Server) copyResponse(to, from net.Conn) {
 	buf := make([]byte, frameHeaderLength+maxFrame)
 	for {
 		n, err := from.Read(buf[frameHeaderLength:])
+		s.bytes.Add(uint64(n))
 		if n > 0 && !writeFrame(to, buf[:frameHeaderLength+n]) {
 			return
 		}
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -42,7 +41,7 @@
 			var d net.Dialer
 			return d.DialContext(ctx, "tcp4", address)
 		},
-		FromRouter: func(host string) bool { return host == "127.0.0.1" }, Logger: log.NewNopLogger(),
+		FromRouter: func(host string) bool { return host == "127.0.0.1" }, OnRefused: func(Refusal) {},
 	}
 	f.listener = f.server.Split(listen(t))
 	return f
@@ -108,6 +107,7 @@
 	_ = c.Close()
 	f.waitForNoneOpen()
 	assert.Equal(t, f.server.Total(), uint64(1))
+	assert.Equal(t, f.server.Bytes(), uint64(2*size))
 }
 
 // Guards against a truncated response that looks like one whose end was reached.
