--- a/io/connect/connector.go
+++ b/io/connect/connector.go
@@ -68,73 +68,59 @@
 
 // result is how an attempt to connect ended.
 type result struct {
-	conn    net.Conn
-	err     error
-	relayed bool
+	conn net.Conn
+	err  error
+}
+
+// start begins an attempt to connect. The channel receives its result.
+func start(ctx context.Context, connect func(ctx context.Context, address string) (net.Conn, error), address string) <-chan result {
+	done := make(chan result, 1)
+	go func() {
+		conn, err := connect(ctx, address)
+		done <- result{conn: conn, err: err}
+	}()
+	return done
+}
+
+// discard closes the connection of an attempt that is no longer needed.
+func discard(done <-chan result) {
+	if r := <-done; r.err == nil {
+		_ = r.conn.Close()
+	}
 }
 
 // hedged connects directly, and has another router connect too if that takes long. The connection that is open first is
 // used.
 func (c *Connector) hedged(ctx context.Context, address string) (conn net.Conn, err error) {
-	results := make(chan result, 2)
-	go func() {
-		conn, err := c.direct(ctx, address)
-		results <- result{conn: conn, err: err}
-	}()
+	direct := start(ctx, c.direct, address)
 	timer := time.NewTimer(hedgeDelay)
 	defer timer.Stop()
+	select {
+	case r := <-direct:
+		return r.conn, r.err
+	case <-timer.C:
+	}
 	relayCtx, cancel := context.WithCancel(ctx)
-	pending := 1
-	for {
-		select {
-		case r := <-results:
-			pending--
-			if r.err != nil && pending > 0 {
-				err = r.err
-				continue
-			}
-			if r.err != nil && err == nil {
-				err = r.err
-			}
-			if r.err != nil {
-				cancel()
-				return nil, err
-			}
-			if r.relayed {
-				// The endpoint is up, and this router has not reached it.
-				c.record(address, false)
-			} else {
-				cancel()
-			}
-			closeLater(results, pending, cancel)
-			return r.conn, nil
-		case <-timer.C:
-			if c.Relays == nil {
-				continue
-			}
-			pending++
-			go func() {
-				conn, err := c.relayed(relayCtx, address)
-				results <- result{conn: conn, err: err, relayed: true}
-			}()
+	defer cancel()
+	relayed := start(relayCtx, c.relayed, address)
+	select {
+	case r := <-direct:
+		if r.err != nil {
+			r = <-relayed
+			return r.conn, r.err
 		}
-	}
-}
-
-// closeLater closes the connections of the attempts that are still pending.
-func closeLater(results <-chan result, pending int, cancel context.CancelFunc) {
-	if pending == 0 {
-		cancel()
-		return
-	}
-	go func() {
-		defer cancel()
-		for range pending {
-			if r := <-results; r.conn != nil {
-				_ = r.conn.Close()
-			}
+		go discard(relayed)
+		return r.conn, nil
+	case r := <-relayed:
+		if r.err != nil {
+			r = <-direct
+			return r.conn, r.err
 		}
-	}()
+		// The endpoint is up, and this router has not reached it.
+		c.record(address, false)
+		go discard(direct)
+		return r.conn, nil
+	}
 }
 
 // direct connects by itself.
