--- a/core/dispatch/brittle.go
+++ b/core/dispatch/brittle.go
@@ -6,7 +6,7 @@
 	// freelyUsedShare is the share of a brittle engine's slots up to which every router may use it, whatever its part of
 	// the slots: up to there, what the other routers send before they are heard of still finds a slot. Calls of plain
 	// endpoints end before anything is heard of them, so that for them it is freelyUsedByCalls.
-	freelyUsedShare   = 0.5
+	freelyUsedShare   = 0.35
 	freelyUsedByCalls = 0.25
 	// brittleTimeout is how long after the last answer that said so a service is no longer brittle, once answers say
 	// nothing of it. Answers on different connections overtake each other.
