reach: a partition ends when the endpoints that failed are replaced

A service whose failed endpoints had all left the list counted as unreachable for good, with a probe check each 0.1 s and refusals that named the wrong time.

--- a/core/dispatch/brittle.go
+++ b/core/dispatch/brittle.go
@@ -15,38 +15,22 @@
 	refusedPause = time.Second
 )
 
-// brittleness is whether the endpoints of a service fall over if they have to turn away too many requests. The zero
-// value is a service whose endpoints do not.
-type brittleness struct {
-	brittle bool
-	// saidAt is when an answer last said so.
-	saidAt time.Time
-}
-
-// RecordBrittle records whether an answer said that the endpoint falls over if it has to turn away more than a number of
-// requests in a second.
+// RecordBrittle records whether an answer said that the endpoint falls over if it has to turn away too many requests in a
+// second. It holds for the service.
 func (a *Attempt) RecordBrittle(brittle bool, now time.Time) {
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
-	b, known := a.d.brittle[a.q.Service]
 	switch {
-	case brittle && !known:
-		b = &brittleness{}
-		if a.d.brittle == nil {
-			a.d.brittle = map[string]*brittleness{}
-		}
-		a.d.brittle[a.q.Service] = b
-		fallthrough
 	case brittle:
-		b.brittle, b.saidAt = true, now
-	case known && now.Sub(b.saidAt) > brittleTimeout:
-		b.brittle = false
+		a.d.brittleAt[a.q.Service] = now
+	case now.Sub(a.d.brittleAt[a.q.Service]) > brittleTimeout:
+		delete(a.d.brittleAt, a.q.Service)
 	}
 }
 
 func (d *Dispatcher) isBrittle(service string) bool {
-	b := d.brittle[service]
-	return b != nil && b.brittle
+	_, brittle := d.brittleAt[service]
+	return brittle
 }
 
 // brittleLimitReached reports whether a request to a brittle endpoint might find no slot there. Routers learn some hundred
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -38,8 +38,8 @@
 	drainedAt      map[string]time.Time
 	drainFetchTerm time.Duration
 	fleet          coldlimit.Fleet
-	// brittle has the services whose endpoints have said that they are brittle.
-	brittle   map[string]*brittleness
+	// brittleAt has the services whose endpoints are brittle, and when an answer last said so.
+	brittleAt map[string]time.Time
 	coldBound coldlimit.Bound
 	// withdrawals counts the events by which an endpoint may have been withdrawn, so that requests which are about to be
 	// sent need the lock only after one.
@@ -48,7 +48,7 @@
 
 // New returns a dispatcher for a router of the failure domain.
 func New(failureDomain string) *Dispatcher {
-	return &Dispatcher{failureDomain: failureDomain, drainedAt: map[string]time.Time{}, byID: map[string]*endpoint{}, pools: map[string][]*endpoint{}}
+	return &Dispatcher{failureDomain: failureDomain, drainedAt: map[string]time.Time{}, brittleAt: map[string]time.Time{}, byID: map[string]*endpoint{}, pools: map[string][]*endpoint{}}
 }
 
 // Seed makes all random choices from now on the same in every run. Without it the routers of a fleet choose
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -219,7 +219,7 @@
 
 func (vm *entryVM) onConfiguration(t *routetable.Table) { vm.dispatcher.Configure(t) }
 func (vm *entryVM) setEndpoints(usable []directory.Entry) {
-	vm.reach.Update(usable)
+	vm.connector.Update(usable)
 	vm.dispatcher.Update(usable, time.Now())
 }
 
--- a/io/connect/connector.go
+++ b/io/connect/connector.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 
 	"savoryfall/core/background"
+	"savoryfall/core/directory"
 	"savoryfall/core/event"
 	"savoryfall/core/field"
 	"savoryfall/core/reach"
@@ -172,6 +173,13 @@
 	return c.direct(ctx, address)
 }
 
+// Update sets the endpoints.
+func (c *Connector) Update(entries []directory.Entry) {
+	for _, change := range c.Tracker.Update(entries, time.Now()) {
+		c.logReachable(change)
+	}
+}
+
 func (c *Connector) record(address string, connected bool) {
 	now := time.Now()
 	change := c.Tracker.Record(address, connected, now)
@@ -179,8 +187,7 @@
 		return
 	}
 	if change.Reachable {
-		_ = c.Logger.Log(field.Event, event.ServiceReachable, field.Service, change.Service, field.Endpoints, change.Endpoints,
-			field.AfterMs, change.After.Milliseconds())
+		c.logReachable(change)
 		return
 	}
 	_ = c.Logger.Log(field.Event, event.ServiceUnreachable, field.Service, change.Service, field.Endpoints, change.Endpoints,
@@ -190,6 +197,11 @@
 	c.startProbing()
 }
 
+func (c *Connector) logReachable(change *reach.Change) {
+	_ = c.Logger.Log(field.Event, event.ServiceReachable, field.Service, change.Service, field.Endpoints, change.Endpoints,
+		field.AfterMs, change.After.Milliseconds())
+}
+
 // startProbing tries to connect to endpoints of the services that are unreachable, until there is none.
 func (c *Connector) startProbing() {
 	if c.stopping.Load() || c.probing.Swap(true) {
--- a/io/connect/connector_test.go
+++ b/io/connect/connector_test.go
@@ -87,7 +87,7 @@
 	for i := range endpoints {
 		entries = append(entries, directory.Entry{ID: endpoint(i), Service: "s", Address: endpoint(i), FailureDomain: "a"})
 	}
-	tracker.Update(entries)
+	tracker.Update(entries, time.Now())
 	set := metrics.NewSet()
 	router := &node{name: name}
 	router.Connector = &Connector{
