registry, entry, core: software versions of endpoints in entries and log lines, and a line for each stream that goes on

The logs could not tell which version and start of an endpoint a stream was sent to, whether the client had events before a move, and which attempt it took up. Endpoint choice is unchanged.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -16,8 +16,10 @@
 	Service       string
 	Address       string
 	FailureDomain string
-	Slots         int
-	Leaving       bool
+	// Version is the version of the endpoint's software, a text without order. It is empty if the entry does not give one.
+	Version string
+	Slots   int
+	Leaving bool
 	// Cold is how much longer the endpoint can only handle few requests, measured from the time of writing.
 	Cold time.Duration
 	// ColdUnknown is set when the entry has no readable value for Cold; the previous value stays in force.
@@ -83,6 +85,10 @@
 	if e.Born == r.entry.Born && r.entry.Leaving {
 		e.Leaving = true
 	}
+	// A router of an earlier release passes entries on without the version.
+	if e.Version == "" && e.Born == r.entry.Born {
+		e.Version = r.entry.Version
+	}
 	if e.ColdUnknown && e.Born == r.entry.Born {
 		e.Cold = r.entry.Cold
 	}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -37,6 +37,7 @@
 	Started                 Name = "started"
 	Stopped                 Name = "stopped"
 	Stopping                Name = "stopping"
+	StreamContinued         Name = "streamContinued"
 	StoreLost               Name = "storeLost"
 	StoreRegained           Name = "storeRegained"
 	StoreRestored           Name = "storeRestored"
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -33,6 +33,8 @@
 	Sends Name = "sends"
 	// Endpoints lists the endpoints that were chosen, in order.
 	Endpoints Name = "endpoints"
+	// Software lists the software versions of the endpoints of Endpoints, in the same order; of a single endpoint, its own.
+	Software Name = "software"
 	// Version is the version of the configuration that was applied to the request, or that is in force.
 	Version Name = "version"
 	// ReadAgeMs is the time since the newest read of the configuration was sent.
@@ -41,6 +43,16 @@
 	Ms Name = "ms"
 )
 
+// Fields of a stream that goes on at another endpoint or in another attempt.
+const (
+	// Way is how it goes on: within one answer, or over the client's next attempt.
+	Way Name = "way"
+	// Resumes is the client's attempt that brought the first event, as the client states it.
+	Resumes Name = "resumes"
+	// LastEvent is the id of the last event that the client has.
+	LastEvent Name = "lastEvent"
+)
+
 // Fields of a refusal for lack of capacity.
 const (
 	// Service is the endpoint service.
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -21,6 +21,8 @@
 	Timeout time.Duration
 	// LastEventID is the id of the last event of a stream that the client has received, empty for a new stream.
 	LastEventID string
+	// Resumes is the id of the client's attempt that brought the first event of the stream, empty if the client does not say.
+	Resumes string
 	// Model, Prompt and MaxOutputTokens describe a generation.
 	Model           string
 	Prompt          prompt.Chain
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -84,7 +84,7 @@
 	))
 	defer span.End()
 	h := x.handler.EndpointProtocol.Encode(forwardedHeader(x.r.Header), x.endpointRequest(a, lastEvent))
-	x.tried = append(x.tried, e.ID)
+	x.tried, x.software = append(x.tried, e.ID), append(x.software, e.Version)
 	a.response, err = x.handler.Pool.Do(ctx, http1.Request{
 		Address: e.Address, Method: x.request.Method, Target: x.request.Target, Host: x.request.Host, Header: h,
 		Fresh: x.lostConnection, Body: x.body, HasBody: x.r.ContentLength != 0 || len(x.body) > 0, Deadline: until,
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -31,6 +31,8 @@
 	body     []byte
 	bodyRead bool
 	tried    []string
+	// software are the software versions of the endpoints in tried.
+	software []string
 	sends    int
 	// retriesCounted is how many retries have been counted. One that reached no endpoint is not counted again.
 	retriesCounted int
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"savoryfall/core/event"
@@ -72,7 +73,7 @@
 	x.handler.Metrics.recordServed(x.kind(), status, time.Since(x.began))
 	if x.sends > 1 {
 		_ = x.handler.Logger.Log(field.Event, event.RequestServed, field.Request, x.request.ID, field.Route, x.routeName(), field.Status, status,
-			field.Sends, x.sends, field.Endpoints, x.endpoints(), field.Version, x.version(), field.Ms, time.Since(x.began).Milliseconds())
+			field.Sends, x.sends, field.Endpoints, x.endpoints(), field.Software, strings.Join(x.software, ","), field.Version, x.version(), field.Ms, time.Since(x.began).Milliseconds())
 	}
 	if status >= http.StatusInternalServerError {
 		_ = x.handler.Logger.Log(field.Event, event.RequestFailed, field.Request, x.request.ID, field.Route, x.routeName(), field.Status, status,
@@ -87,7 +88,7 @@
 	line := []any{
 		field.Event, event.RequestRefused, field.Request, x.request.ID, field.Route, x.routeName(), field.Status, status,
 		field.Reason, p.Reason, field.Outcome, p.Outcome, field.BackMs, p.RetryAfter.Milliseconds(), field.Sends, x.sends,
-		field.Endpoints, x.endpoints(), field.Version, x.version(), field.ReadAgeMs, age.Milliseconds(),
+		field.Endpoints, x.endpoints(), field.Software, strings.Join(x.software, ","), field.Version, x.version(), field.ReadAgeMs, age.Milliseconds(),
 		field.Ms, time.Since(x.began).Milliseconds(),
 	}
 	if p.Reason == request.Full || p.Reason == request.Reserved {
@@ -127,12 +128,4 @@
 }
 
 // endpoints returns the ids of the endpoints that were tried, in order.
-func (x *exchange) endpoints() (list string) {
-	for i, id := range x.tried {
-		if i > 0 {
-			list += ","
-		}
-		list += id
-	}
-	return list
-}
+func (x *exchange) endpoints() string { return strings.Join(x.tried, ",") }
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -42,6 +42,7 @@
 // try forwards the stream of one attempt. done reports that the client has its complete response.
 func (s *relay) try(a *attempt) (done bool, p *request.Problem) {
 	x := s.x
+	s.recordContinued(a)
 	w := s.startSilenceWatch(a)
 	defer w.stop()
 	err := x.send(a, x.deadline.Add(responseSlack), s.lastEvent)
--- a/io/registry/tracker.go
+++ b/io/registry/tracker.go
@@ -193,7 +193,8 @@
 		}
 		t.changes.Add(fleetload.Change{Entry: e, Usable: true})
 		if !known {
-			_ = t.logger.Log(field.Event, event.EndpointUsable, field.Endpoint, e.ID, field.Service, e.Service, field.Address, e.Address, field.Born, e.Born)
+			_ = t.logger.Log(field.Event, event.EndpointUsable, field.Endpoint, e.ID, field.Service, e.Service, field.Address, e.Address, field.Born, e.Born,
+				field.Software, e.Version)
 		}
 	}
 	for id, e := range t.published {
@@ -203,7 +204,7 @@
 		e.Leaving = t.directory.Leaving(id)
 		t.changes.Add(fleetload.Change{Entry: e})
 		_ = t.logger.Log(field.Event, event.EndpointGone, field.Endpoint, id, field.Service, e.Service, field.Address, e.Address, field.Born, e.Born,
-			field.Leaving, e.Leaving, field.Source, from)
+			field.Software, e.Version, field.Leaving, e.Leaving, field.Source, from)
 	}
 	t.published = current
 	t.changed(usable)
