requestpath, command, standin: streams that are joined from two versions, failing

Endpoints of the stand-in run a version and say in each event which one wrote it; test clients take streams up with Last-Event-Id and Resumes.

--- a/io/command/entryvm_test.go
+++ b/io/command/entryvm_test.go
@@ -45,7 +45,7 @@
 	f.storeAddress = strings.TrimPrefix(storeServer.URL, "http://")
 	f.putConfiguration(1, "good", "plain")
 	for i := range 3 {
-		f.addEndpoint(fmt.Sprint("m", i), fakeendpoint.Options{Service: "models", Slots: 32, Events: 5, EventTime: time.Millisecond})
+		f.addEndpoint(fmt.Sprint("m", i), fakeendpoint.Options{Service: "models", Version: "v1", Slots: 32, Events: 5, EventTime: time.Millisecond})
 		f.addEndpoint(fmt.Sprint("p", i), fakeendpoint.Options{Service: "plain", Slots: 8})
 	}
 	f.addEndpoint("q0", fakeendpoint.Options{Service: "other", Slots: 8})
@@ -220,7 +220,7 @@
 	for _, kind := range []string{"log", "peer"} {
 		assert.Assert(t, regexp.MustCompile(`savoryfall_control_calls_total\{kind="`+kind+`"\} [1-9]`).MatchString(body), body)
 	}
-	boundedLabels := []string{"", "kind", "status", "outcome", "reason", "service", "verdict", "state", "by", "direction", "vmrange"}
+	boundedLabels := []string{"", "kind", "status", "outcome", "reason", "service", "verdict", "way", "state", "by", "direction", "vmrange"}
 	sample := regexp.MustCompile(`(?m)^(savoryfall_\w+?)(?:_bucket|_sum|_count)?(?:\{(.*)\})? \S+$`)
 	rows := regexp.MustCompile("(?m)^\\| `savoryfall_.*$")
 	documented := strings.Join(rows.FindAllString(string(page), -1), "\n")
--- a/io/command/loglines_test.go
+++ b/io/command/loglines_test.go
@@ -114,18 +114,18 @@
 ts=<time> vm=vm0 event=configurationInForce version=1 from=0 offset=<n> routes=3 idleMs=15000 headerMs=3000
 ts=<time> vm=vm0 event=configurationInForce version=4 from=1 offset=<n> routes=3 idleMs=15000 headerMs=3000
 ts=<time> vm=vm0 event=configurationUnreadable offset=<n> err="<text>"
-ts=<time> vm=vm0 event=endpointGone endpoint=q0 service=other address=<address> born=<n> leaving=false source=registry
-ts=<time> vm=vm0 event=endpointUsable endpoint=m0 service=models address=<address> born=<n>
-ts=<time> vm=vm0 event=endpointUsable endpoint=m1 service=models address=<address> born=<n>
-ts=<time> vm=vm0 event=endpointUsable endpoint=m2 service=models address=<address> born=<n>
-ts=<time> vm=vm0 event=endpointUsable endpoint=p0 service=plain address=<address> born=<n>
-ts=<time> vm=vm0 event=endpointUsable endpoint=p1 service=plain address=<address> born=<n>
-ts=<time> vm=vm0 event=endpointUsable endpoint=p2 service=plain address=<address> born=<n>
-ts=<time> vm=vm0 event=endpointUsable endpoint=q0 service=other address=<address> born=<n>
+ts=<time> vm=vm0 event=endpointGone endpoint=q0 service=other address=<address> born=<n> software=v1 leaving=false source=registry
+ts=<time> vm=vm0 event=endpointUsable endpoint=m0 service=models address=<address> born=<n> software=v1
+ts=<time> vm=vm0 event=endpointUsable endpoint=m1 service=models address=<address> born=<n> software=v1
+ts=<time> vm=vm0 event=endpointUsable endpoint=m2 service=models address=<address> born=<n> software=v1
+ts=<time> vm=vm0 event=endpointUsable endpoint=p0 service=plain address=<address> born=<n> software=v1
+ts=<time> vm=vm0 event=endpointUsable endpoint=p1 service=plain address=<address> born=<n> software=v1
+ts=<time> vm=vm0 event=endpointUsable endpoint=p2 service=plain address=<address> born=<n> software=v1
+ts=<time> vm=vm0 event=endpointUsable endpoint=q0 service=other address=<address> born=<n> software=v1
 ts=<time> vm=vm0 event=entryUnreadable endpoint=odd offset=<n> err="<text>"
 ts=<time> vm=vm0 event=hubFollowed hub=vm0 self=true reads=true routers=1
-ts=<time> vm=vm0 event=requestRefused request=wrong-key route=read status=401 reason=unknownKey outcome=notRun backMs=0 sends=0 endpoints= version=1 readAgeMs=<n> ms=<n>
-ts=<time> vm=vm0 event=requestRefused request=wrong-path route= status=404 reason=unknownRoute outcome=notRun backMs=0 sends=0 endpoints= version=1 readAgeMs=<n> ms=<n>
+ts=<time> vm=vm0 event=requestRefused request=wrong-key route=read status=401 reason=unknownKey outcome=notRun backMs=0 sends=0 endpoints= software= version=1 readAgeMs=<n> ms=<n>
+ts=<time> vm=vm0 event=requestRefused request=wrong-path route= status=404 reason=unknownRoute outcome=notRun backMs=0 sends=0 endpoints= software= version=1 readAgeMs=<n> ms=<n>
 ts=<time> vm=vm0 event=settingsRefused err="<text>"
 ts=<time> vm=vm0 event=settingsReloaded keyTerm=5s grace=1.5s
 ts=<time> vm=vm0 event=started clients=<address> store=<address>
--- /dev/null
+++ b/io/command/version_test.go
@@ -0,0 +1,128 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryfall/platform/standin/fakeendpoint"
+	"savoryfall/platform/standin/testclient"
+)
+
+var writtenEvent = regexp.MustCompile(`(?m)^id: (\d+)\ndata: piece \d+ by (\S+)$`)
+
+// stream is what a client holds of a stream over its attempts.
+type stream struct {
+	first    string
+	attempts int
+	events   []string
+	versions map[string]bool
+	// refused counts the attempts that brought nothing.
+	refused  int
+	complete bool
+}
+
+// attempt sends the client's next attempt to the router and adds what it brings.
+func (f *entryFleet) attempt(s *stream, vm *entryVM) testclient.Response {
+	s.attempts++
+	r := testclient.Request{Method: "POST", Host: "shop.example", Path: "/draft/x", Key: "good", ID: s.first}
+	if len(s.events) > 0 {
+		r.ID, r.LastEventID, r.Resumes = fmt.Sprintf("%s-%d", s.first, s.attempts), s.events[len(s.events)-1], s.first
+	}
+	a := testclient.Send(vm.clientServer.Address(), r)
+	found := writtenEvent.FindAllStringSubmatch(a.Body, -1)
+	for _, m := range found {
+		s.events = append(s.events, m[1])
+		s.versions[m[2]] = true
+	}
+	if len(found) == 0 {
+		s.refused++
+	}
+	s.complete = a.Complete && a.Status == 200
+	return a
+}
+
+// newVersionFleet is a fleet with three engines of v1 and two of v2, whose streams take half a second.
+func newVersionFleet(t *testing.T, routers int) *entryFleet {
+	f := newEntryFleet(t, routers)
+	for i := range 2 {
+		f.addEndpoint(fmt.Sprint("n", i), fakeendpoint.Options{Service: "models", Version: "v2", Slots: 32, Events: 5})
+	}
+	for id, e := range f.endpoints {
+		if strings.Contains("mn", id[:1]) {
+			e.SetEventTime(100 * time.Millisecond)
+		}
+	}
+	for _, vm := range f.vms {
+		f.waitFor("endpoints of both versions", func() bool { return strings.Contains(f.metrics(vm), "savoryfall_endpoints 9") })
+	}
+	return f
+}
+
+// begin begins streams at the router, which is killed while they run.
+func (f *entryFleet) begin(vm *entryVM, name string, n int, running time.Duration) (streams []*stream) {
+	var clients sync.WaitGroup
+	for i := range n {
+		s := &stream{first: fmt.Sprint(name, i), versions: map[string]bool{}}
+		streams = append(streams, s)
+		clients.Go(func() { f.attempt(s, vm) })
+	}
+	<-time.After(running)
+	f.kill(vm)
+	clients.Wait()
+	return streams
+}
+
+// kill ends the router without a drain.
+func (f *entryFleet) kill(vm *entryVM) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = vm.manager.Stop(ctx)
+}
+
+// checkVersions checks that no stream holds events of two versions, and that of those that were taken up at least half as
+// large a share goes on as of new streams begins, which is all.
+func checkVersions(t *testing.T, streams []*stream) {
+	t.Helper()
+	joined, takenUp, wentOn := 0, 0, 0
+	for _, s := range streams {
+		if len(s.versions) > 1 {
+			joined++
+		}
+		if s.attempts > 1 {
+			takenUp++
+			if s.refused == 0 && s.complete {
+				wentOn++
+				assert.Check(t, strings.Join(s.events, "") == "12345", "%s: %v", s.first, s.events)
+			}
+		}
+	}
+	t.Logf("%d streams, %d taken up, %d went on, %d joined", len(streams), takenUp, wentOn, joined)
+	assert.Check(t, takenUp >= 12, "%d taken up", takenUp)
+	assert.Equal(t, joined, 0)
+	assert.Assert(t, 2*wentOn >= takenUp, "%d of %d went on", wentOn, takenUp)
+}
+
+// Guards against a stream that goes on at another software version at another router, because its first router was killed.
+func TestStreamOfKilledRouterStaysAtItsVersion(t *testing.T) {
+	t.Parallel()
+	for name, running := range map[string]time.Duration{"after the first event": 130 * time.Millisecond, "midway": 330 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newVersionFleet(t, 3)
+			streams := f.begin(f.vms[1], "k"+name[:1], 24, running)
+			for i, s := range streams {
+				if len(s.events) > 0 && !s.complete {
+					f.attempt(s, f.vms[i%2*2])
+				}
+			}
+			checkVersions(t, streams)
+		})
+	}
+}
--- a/io/command/withdrawallines_test.go
+++ b/io/command/withdrawallines_test.go
@@ -47,7 +47,7 @@
 }
 
 const wantWithdrawalLines = `
-ts=<time> vm=vm0 event=endpointGone endpoint=p1 service=plain address=<address> born=<n> leaving=true source=answer
+ts=<time> vm=vm0 event=endpointGone endpoint=p1 service=plain address=<address> born=<n> software=v1 leaving=true source=answer
 ts=<time> vm=vm0 event=endpointLeaving endpoint=p1 service=plain born=<n> source=answer request=<any> status=200
 ts=<time> vm=vm0 event=endpointPaused endpoint=p0 service=plain born=<n> pauseMs=300 source=answer request=<any> status=503
 ts=<time> vm=vm0 event=endpointResumed endpoint=p0 service=plain born=<n> afterMs=<n> refusals=<any>
