--- /dev/null
+++ b/core/origin/doc.go
@@ -0,0 +1,2 @@
+// Package origin describes where a stream began, which decides at which endpoints it may go on.
+package origin
--- /dev/null
+++ b/core/origintable/doc.go
@@ -0,0 +1,2 @@
+// Package origintable keeps the origins of recent streams.
+package origintable
--- /dev/null
+++ b/core/versionhistory/history.go
@@ -0,0 +1,152 @@
+package versionhistory
+
+import (
+	"sync"
+	"time"
+
+	"savoryfall/core/directory"
+)
+
+// History keeps, for each service, the versions that are listed and when others were last seen. A service with one version
+// needs no record of where streams began. The zero value is empty.
+type History struct {
+	mu       sync.Mutex
+	began    time.Time
+	services map[string]*service
+}
+
+type service struct {
+	// seen is when an endpoint of the version was last listed or reported.
+	seen map[string]time.Time
+	// listed are the versions of the listed endpoints.
+	listed map[string]bool
+	// youngest is the newest start of a process in the first list, in Unix milliseconds. It shows for how long before that
+	// list no endpoint was replaced.
+	youngest int64
+}
+
+func (h *History) service(name string) *service {
+	if h.services == nil {
+		h.services = map[string]*service{}
+	}
+	s := h.services[name]
+	if s == nil {
+		s = &service{seen: map[string]time.Time{}, listed: map[string]bool{}}
+		h.services[name] = s
+	}
+	return s
+}
+
+// Saw records an endpoint that is or was in use, also one that is leaving or gone.
+func (h *History) Saw(e directory.Entry, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.service(e.Service).seen[e.Version] = now
+}
+
+// SetListed sets the endpoints that may get new work.
+func (h *History) SetListed(entries []directory.Entry, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	first := h.began.IsZero()
+	if first {
+		h.began = now
+	}
+	for _, s := range h.services {
+		for version := range s.listed {
+			s.seen[version] = now
+		}
+		s.listed = map[string]bool{}
+	}
+	for _, e := range entries {
+		s := h.service(e.Service)
+		s.seen[e.Version], s.listed[e.Version] = now, true
+		if first {
+			s.youngest = max(s.youngest, e.Born)
+		}
+	}
+	h.forget(now)
+}
+
+// retention is how long a version that is no longer listed is kept; it bounds the window of Only.
+const retention = 10 * time.Minute
+
+// forget drops the versions that were seen too long ago, so that a service keeps few of them.
+func (h *History) forget(now time.Time) {
+	for _, s := range h.services {
+		for version, at := range s.seen {
+			if !s.listed[version] && now.Sub(at) > retention {
+				delete(s.seen, version)
+			}
+		}
+	}
+}
+
+// Only returns the version of all endpoints that the service has had within the window, which must be below ten minutes. ok
+// is false if there were several, none, or one that is unknown, or if this router does not know the whole window.
+func (h *History) Only(name string, window time.Duration, now time.Time) (version string, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.services[name]
+	if s == nil || !h.knows(s, window, now) {
+		return "", false
+	}
+	return s.only(window, now)
+}
+
+// OnlySeen is Only for the part of the window that this router knows.
+func (h *History) OnlySeen(name string, window time.Duration, now time.Time) (version string, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.services[name]
+	if s == nil {
+		return "", false
+	}
+	return s.only(window, now)
+}
+
+func (s *service) only(window time.Duration, now time.Time) (version string, ok bool) {
+	found := 0
+	for v, at := range s.seen {
+		if s.listed[v] || now.Sub(at) <= window {
+			version = v
+			found++
+		}
+	}
+	return version, found == 1 && version != "" && s.listed[version]
+}
+
+// clockSlack is how far the clocks of endpoints may differ from this router's.
+const clockSlack = 5 * time.Second
+
+// knows reports whether the history reaches back to the beginning of the window. Endpoints that had not been replaced for
+// long when the first list was read stand for the time before it.
+func (h *History) knows(s *service, window time.Duration, now time.Time) bool {
+	from := now.Add(-window)
+	return !h.began.After(from) || s.youngest > 0 && s.youngest <= from.Add(-clockSlack).UnixMilli()
+}
+
+// Settled reports whether the service has had a single known version for a while, by what this router has itself seen.
+func (h *History) Settled(name string, now time.Time) bool {
+	h.mu.Lock()
+	began := h.began
+	h.mu.Unlock()
+	if began.IsZero() || now.Sub(began) < settleTime {
+		return false
+	}
+	_, ok := h.OnlySeen(name, settleTime, now)
+	return ok
+}
+
+// Services returns the names of all services that have had endpoints.
+func (h *History) Services() (names []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name := range h.services {
+		names = append(names, name)
+	}
+	return names
+}
+
+// settleTime is longer than the lists of two routers that are in touch with the store may differ.
+const settleTime = 5 * time.Second
