entry, dispatch, origins: a stream goes on at the software version that began it

Cause: routers did not read versions, and nothing was kept of how a stream began, so that both ways chose among all endpoints of the service.

The router notes the endpoint before the first event is forwarded, and chooses later endpoints of the same version only. While a service has several versions, three other routers keep the note as soon as the request is sent; the first event waits for one of them, 80 ms at most. A router where the client takes the stream up asks them by the attempt in Resumes. Where nobody knows and the service has not had a single version for as long as a stream takes, or no endpoint of the version is left, the request is refused at once.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -10,6 +10,7 @@
 	"savoryfall/core/coldlimit"
 	"savoryfall/core/directory"
 	"savoryfall/core/fleetload"
+	"savoryfall/core/origin"
 	"savoryfall/core/prompt"
 	"savoryfall/core/routetable"
 )
@@ -116,6 +117,8 @@
 	Account string
 	// Tried are the endpoints that this request must not be sent to again.
 	Tried []string
+	// Origin is where the stream began that the request continues, nil if it begins one.
+	Origin *origin.Origin
 }
 
 // Reason is why no endpoint was chosen, or why this one was.
@@ -132,6 +135,10 @@
 	ReasonAllFull  Reason = "allFull"
 	// ReasonReserved means that the remaining capacity is reserved for more urgent requests.
 	ReasonReserved Reason = "reserved"
+	// ReasonNoVersion means that no endpoint of the version that began the stream may be chosen, ReasonDoubtfulVersion that
+	// it is not certain which version that was.
+	ReasonNoVersion       Reason = "noVersion"
+	ReasonDoubtfulVersion Reason = "doubtfulVersion"
 )
 
 // Choose begins an attempt at the endpoint where the request costs least. The attempt is nil if there is none.
@@ -145,6 +152,9 @@
 		}
 		return nil, ReasonNoEndpoint
 	}
+	if reason, ok := c.checkOrigin(); !ok {
+		return nil, reason
+	}
 	if len(q.Tried) > 0 {
 		// A retry may take reserved capacity: the request has used capacity already, and its client has waited.
 		return c.beginCheapest()
@@ -184,14 +194,14 @@
 	return d.demand(service).fullFor(rank, now)
 }
 
-// HasCapacityElsewhere reports whether an endpoint of the service other than the one with the id could take a request
-// now.
-func (d *Dispatcher) HasCapacityElsewhere(service, id string, now time.Time) bool {
+// HasCapacityElsewhere reports whether an endpoint of the query's service, other than those that it was sent to, could take
+// it now.
+func (d *Dispatcher) HasCapacityElsewhere(q Query, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	c := d.scoring(Query{Service: service}, d.pools[service], now)
+	c := d.scoring(q, d.pools[q.Service], now)
 	return slices.ContainsFunc(c.pool, func(e *endpoint) bool {
-		return e.entry.ID != id && !e.replaced && !e.breaker.isOpen(now) && !c.saturated(e) && !c.coldLimitReached(e) &&
+		return !slices.Contains(q.Tried, e.entry.ID) && c.mayContinue(e) && !e.replaced && !e.breaker.isOpen(now) && !c.saturated(e) && !c.coldLimitReached(e) &&
 			!c.brittleLimitReached(c.index(e)) && !e.pause.limited()
 	})
 }
--- a/core/dispatch/drain_test.go
+++ b/core/dispatch/drain_test.go
@@ -58,7 +58,7 @@
 	a, why := d.Choose(dispatch.Query{Service: models}, start)
 	assert.Assert(t, a == nil)
 	assert.Equal(t, why, dispatch.ReasonNoEndpoint)
-	assert.Assert(t, !d.HasCapacityElsewhere(models, "", start))
+	assert.Assert(t, !d.HasCapacityElsewhere(dispatch.Query{Service: models}, start))
 }
 
 // Guards against prompts that are read again because only engines of a domain that was just drained have them cached.
--- a/core/dispatch/scoring.go
+++ b/core/dispatch/scoring.go
@@ -53,7 +53,7 @@
 
 func (d *Dispatcher) scoring(q Query, pool []*endpoint, now time.Time) *scoring {
 	accepting, withdrawn := d.split(pool, now)
-	c := &scoring{d: d, q: q, pool: withoutSilent(accepting, now), draining: append(withdrawn, d.departing(q.Service, now)...), now: now}
+	c := &scoring{d: d, q: q, pool: q.withContinuing(withoutSilent(accepting, now), accepting), draining: append(withdrawn, d.departing(q.Service, now)...), now: now}
 	pool = c.pool
 	c.slots, _, c.engine = d.serviceCapacity(q.Service)
 	c.brittle = d.isBrittle(q.Service)
@@ -232,7 +232,7 @@
 // counts what it sends itself, so only the others' share is spread.
 func (c *scoring) tooFewEligible(eligible int) bool {
 	admissibleShare := maxConcentration * float64(eligible) / float64(max(len(c.pool), 1))
-	if admissibleShare >= 1 || len(c.q.Tried) > 0 || c.brittle {
+	if admissibleShare >= 1 || len(c.q.Tried) > 0 || c.brittle || c.restricted() {
 		return false
 	}
 	return c.d.randomFloat() < (1-admissibleShare)*c.d.demand(c.q.Service).othersShare(c.now)
@@ -244,7 +244,7 @@
 	reason = ReasonAllTried
 	lowestCost, foundWithinBound := math.Inf(1), false
 	for i, e := range c.pool {
-		if e.replaced || slices.Contains(c.q.Tried, e.entry.ID) {
+		if e.replaced || slices.Contains(c.q.Tried, e.entry.ID) || !c.mayContinue(e) {
 			continue
 		}
 		if !ignoreSaturation && c.saturated(e) || c.coldLimitReached(e) || c.brittleLimitReached(i) || e.pause.limited() {
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -38,6 +38,7 @@
 	Stopped                 Name = "stopped"
 	Stopping                Name = "stopping"
 	StreamContinued         Name = "streamContinued"
+	StreamNotContinued      Name = "streamNotContinued"
 	StoreLost               Name = "storeLost"
 	StoreRegained           Name = "storeRegained"
 	StoreRestored           Name = "storeRestored"
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -49,6 +49,12 @@
 	Way Name = "way"
 	// Resumes is the client's attempt that brought the first event, as the client states it.
 	Resumes Name = "resumes"
+	// BeganAt is the endpoint that wrote the first event, empty if only its software version is known.
+	BeganAt Name = "beganAt"
+	// BeganBorn is the start time of the process that wrote the first event.
+	BeganBorn Name = "beganBorn"
+	// BeganSoftware is the software version that wrote the first event.
+	BeganSoftware Name = "beganSoftware"
 	// LastEvent is the id of the last event that the client has.
 	LastEvent Name = "lastEvent"
 )
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -28,3 +28,6 @@
 	Prompt          prompt.Chain
 	MaxOutputTokens int
 }
+
+// TakesUp reports whether the client takes up a stream of which it has events.
+func (r *Request) TakesUp() bool { return r.LastEventID != "" || r.Resumes != "" }
--- a/core/routetable/table.go
+++ b/core/routetable/table.go
@@ -1,6 +1,7 @@
 package routetable
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -167,6 +168,11 @@
 	return best
 }
 
+// HasTarget reports whether the route may send requests to the service.
+func (r *Route) HasTarget(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
 // ChooseService chooses a service by weight; draw is uniform in [0, 1).
 func (r *Route) ChooseService(draw float64) string {
 	total := 0.0
--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -30,6 +30,7 @@
 	vm.registerDispatchGauges()
 	vm.metricSet.NewGauge("savoryfall_open_requests", func() float64 { return float64(vm.handler.ActiveRequests()) })
 	vm.metricSet.NewGauge("savoryfall_connections_made", func() float64 { return float64(vm.handler.Pool.ConnectionsOpened()) })
+	vm.metricSet.NewGauge("savoryfall_stream_origins", func() float64 { return float64(vm.origins.Records()) })
 	vm.metricSet.NewGauge("savoryfall_tunnels_open", func() float64 { return float64(vm.tunnels.Open()) })
 	vm.metricSet.NewGauge("savoryfall_tunnels_total", func() float64 { return float64(vm.tunnels.Total()) })
 	vm.metricSet.NewGauge("savoryfall_tunnel_bytes_total", func() float64 { return float64(vm.tunnels.Bytes()) })
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -38,6 +38,7 @@
 	"savoryfall/io/httpserver"
 	"savoryfall/io/hub"
 	"savoryfall/io/logwriter"
+	"savoryfall/io/origins"
 	"savoryfall/io/registry"
 	"savoryfall/io/storeconfig"
 	"savoryfall/io/tracing"
@@ -67,6 +68,7 @@
 	endpoints     *registry.Tracker
 	configTracker *storeconfig.Tracker
 	members       members.List
+	origins       origins.Keeper
 	hub           *hub.Agent
 	// tunnels are the connections to endpoints that this router opens for others.
 	tunnels      tunnel.Server
@@ -180,6 +182,9 @@
 		end, _, _ := registryFollower.Position()
 		return float64(end.Generation)
 	})
+	vm.origins.Others = func() []members.Member { return vm.members.Others(vm.settings.VM().Name()) }
+	vm.origins.Dial, vm.origins.History, vm.origins.Meter = vm.dialRouter, vm.endpoints.Versions(), meter
+	vm.manager.Register("origins", &vm.origins)
 	vm.hub, err = hub.New(hub.Config{
 		Self: members.Member{
 			Name: vm.settings.VM().Name(), Address: vm.settings.AdvertisedAddress(), FailureDomain: vm.settings.VM().FailureDomain(),
@@ -187,7 +192,7 @@
 			Bears:   members.VM{Cores: vm.settings.Cores(), MemoryMB: vm.settings.MemoryMB(), LinkMbps: vm.settings.LinkMbps()}.FollowerCapacity(),
 		},
 		ListenAddress: vm.settings.PeerAddress(),
-		Members:       &vm.members, Split: vm.tunnels.Split, Configuration: configurationFollower, CurrentRecord: vm.configTracker.Record,
+		Members:       &vm.members, Split: vm.tunnels.Split, Register: vm.origins.Register, Configuration: configurationFollower, CurrentRecord: vm.configTracker.Record,
 		OtherRecords: vm.drainTracker.Records, Registry: registryFollower, Endpoints: vm.endpoints,
 		Loads: vm.dispatcher, RouterList: hub.NewRouterList(storeClient.Topic(store.RoutersTopic)), Bootstrap: vm.settings.Bootstrap(), Meter: meter,
 		Logger: vm.logger, Clock: bootclock.Now, StaleAfter: staleAfter, OnRoutersChanged: vm.setRouters,
@@ -221,6 +226,7 @@
 func (vm *entryVM) setEndpoints(usable []directory.Entry) {
 	vm.connector.Update(usable)
 	vm.dispatcher.Update(usable, time.Now())
+	vm.origins.EndpointsChanged()
 }
 
 func (vm *entryVM) buildHandler() (err error) {
@@ -232,7 +238,7 @@
 	vm.connector.OnUnreachable = pool.DiscardIdle
 	vm.handler = entry.New(entry.Config{
 		ClientProtocol: clientapi.Codec{}, EndpointProtocol: endpointapi.Codec{}, Configuration: vm.configTracker, Lease: &vm.lease,
-		Endpoints: vm.endpoints, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: pool, Connections: vm.connector, Tracer: tracer,
+		Endpoints: vm.endpoints, Origins: &vm.origins, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: pool, Connections: vm.connector, Tracer: tracer,
 		Metrics: entry.NewMetrics(vm.metricSet), Logger: vm.logger, Clock: bootclock.Now,
 	})
 	vm.clientServer, err = entry.NewServer(vm.settings.ClientAddress(), vm.handler)
@@ -383,6 +389,7 @@
 	defer cancelTunnels()
 	vm.clientServer.Drain(vm.stopGrace)
 	vm.tunnels.Wait(tunnelsEnd)
+	vm.origins.HandOver()
 	remaining := vm.clientServer.Connections().Counts()
 	_ = vm.logger.Log(field.Event, event.Stopped, field.Open, vm.handler.ActiveRequests(),
 		field.Reading, remaining.Reading(), field.Serving, remaining.Serving())
--- a/io/command/version_test.go
+++ b/io/command/version_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +23,8 @@
 type stream struct {
 	first    string
 	attempts int
+	// received counts the events as they arrive.
+	received atomic.Int64
 	events   []string
 	versions map[string]bool
 	// refused counts the attempts that brought nothing.
@@ -35,7 +39,14 @@
 	if len(s.events) > 0 {
 		r.ID, r.LastEventID, r.Resumes = fmt.Sprintf("%s-%d", s.first, s.attempts), s.events[len(s.events)-1], s.first
 	}
-	a := testclient.Send(vm.clientServer.Address(), r)
+	c, err := testclient.Dial(vm.clientServer.Address())
+	if err != nil {
+		s.refused++
+		return testclient.Response{Err: err}
+	}
+	defer c.Close()
+	assert.Check(f.t, c.Send(r) == nil)
+	a := c.ReadStream(r.Method, func(part string) { s.received.Add(int64(strings.Count(part, "id: "))) })
 	found := writtenEvent.FindAllStringSubmatch(a.Body, -1)
 	for _, m := range found {
 		s.events = append(s.events, m[1])
@@ -65,20 +76,33 @@
 	return f
 }
 
-// begin begins streams at the router, which is killed while they run.
-func (f *entryFleet) begin(vm *entryVM, name string, n int, running time.Duration) (streams []*stream) {
+// begin begins streams at the router, which is killed once all have the number of events.
+func (f *entryFleet) begin(vm *entryVM, name string, n int, events int64) (streams []*stream) {
 	var clients sync.WaitGroup
 	for i := range n {
 		s := &stream{first: fmt.Sprint(name, i), versions: map[string]bool{}}
 		streams = append(streams, s)
 		clients.Go(func() { f.attempt(s, vm) })
 	}
-	<-time.After(running)
+	f.waitFor("events", func() bool {
+		return !slices.ContainsFunc(streams, func(s *stream) bool { return s.received.Load() < events })
+	})
 	f.kill(vm)
 	clients.Wait()
 	return streams
 }
 
+// takeUp has the clients of incomplete streams make their next attempts, spread over the routers.
+func (f *entryFleet) takeUp(streams []*stream, vms ...*entryVM) {
+	var clients sync.WaitGroup
+	for i, s := range streams {
+		if len(s.events) > 0 && !s.complete {
+			clients.Go(func() { f.attempt(s, vms[i%len(vms)]) })
+		}
+	}
+	clients.Wait()
+}
+
 // kill ends the router without a drain.
 func (f *entryFleet) kill(vm *entryVM) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -112,16 +136,12 @@
 // Guards against a stream that goes on at another software version at another router, because its first router was killed.
 func TestStreamOfKilledRouterStaysAtItsVersion(t *testing.T) {
 	t.Parallel()
-	for name, running := range map[string]time.Duration{"after the first event": 130 * time.Millisecond, "midway": 330 * time.Millisecond} {
+	for name, events := range map[string]int64{"after the first event": 1, "midway": 3} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newVersionFleet(t, 3)
-			streams := f.begin(f.vms[1], "k"+name[:1], 24, running)
-			for i, s := range streams {
-				if len(s.events) > 0 && !s.complete {
-					f.attempt(s, f.vms[i%2*2])
-				}
-			}
+			streams := f.begin(f.vms[1], "k"+name[:1], 24, events)
+			f.takeUp(streams, f.vms[0], f.vms[2])
 			checkVersions(t, streams)
 		})
 	}
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -13,6 +13,7 @@
 	"savoryfall/core/dispatch"
 	"savoryfall/core/event"
 	"savoryfall/core/field"
+	"savoryfall/core/origin"
 	"savoryfall/core/request"
 	"savoryfall/core/retryafter"
 	"savoryfall/io/http1"
@@ -26,6 +27,10 @@
 	// ctx is done when the request's context is done or cancel is called. cancel may be called from any goroutine.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// origin is where the stream begins if this attempt brings its first event. originStored is closed once another router
+	// knows it.
+	origin       origin.Origin
+	originStored <-chan struct{}
 }
 
 // firstBytesReceived records the first bytes of the response and the load reported in its header.
@@ -41,6 +46,7 @@
 func (x *exchange) chooseEndpoint() (a *attempt, p *request.Problem) {
 	d, reason := x.handler.Dispatcher.Choose(dispatch.Query{
 		Service: x.service, Prompt: x.request.Prompt, Rank: x.rank(), Account: x.accountName(), Tried: x.tried,
+		Origin: x.origin.Load(),
 	}, time.Now())
 	switch {
 	case d != nil:
@@ -52,6 +58,10 @@
 		return nil, request.NotRun(request.Full, x.retryAfterFull())
 	case reason == dispatch.ReasonReserved:
 		return nil, request.NotRun(request.Reserved, x.retryAfterFull())
+	case reason == dispatch.ReasonNoVersion:
+		return nil, request.NotRun(request.NoVersion, retryLater)
+	case reason == dispatch.ReasonDoubtfulVersion:
+		return nil, request.NotRun(request.UnknownVersion, retryLater)
 	}
 	return nil, request.NotRun(request.NoEndpoint, retryLater)
 }
@@ -195,9 +205,13 @@
 	p = request.NotRun(request.NoEndpoint, retryLater)
 	for range maxChoices {
 		if !x.allowAttempt(time.Now()) {
+			x.recordNotContinued(request.NoAttemptLeft)
 			return false, p
 		}
 		a, notChosen := x.chooseEndpoint()
+		if notChosen != nil {
+			x.recordNotContinued(notChosen.Reason)
+		}
 		if notChosen != nil && x.sends == 0 {
 			return false, notChosen
 		}
--- a/io/entry/continued.go
+++ b/io/entry/continued.go
@@ -2,9 +2,15 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
 	"savoryfall/core/event"
 	"savoryfall/core/field"
+	"savoryfall/core/origin"
+	"savoryfall/core/origintable"
+	"savoryfall/core/request"
+	"savoryfall/io/origins"
 )
 
 // way is how a stream goes on at a further endpoint.
@@ -16,29 +22,133 @@
 	byClient     way = "client"
 )
 
-// continues returns how the attempt that is about to be made continues a stream of which the client has events, or "" if it
-// begins one.
-func (s *relay) continues() way {
+// continues returns how the next attempt continues a stream of which the client has events, or "" if it begins one.
+func (x *exchange) continues() way {
 	switch {
-	case s.headerWritten:
+	case x.origin.Load() == nil:
+		return ""
+	case x.firstEventSent:
 		return withinAnswer
-	case s.x.request.LastEventID != "":
-		return byClient
 	}
-	return ""
+	return byClient
+}
+
+// findOrigin finds where the stream began that the client takes up. It may go on only at the service and the software
+// version that began it.
+func (x *exchange) findOrigin() *request.Problem {
+	if !x.route.Kind.Streaming() || !x.request.TakesUp() {
+		return nil
+	}
+	o, from, ok := x.handler.Origins.Find(origins.Query{
+		Key: origin.Key(x.accountName(), x.request.Resumes), HasKey: x.request.Resumes != "", Service: x.service, Window: x.streamWindow(),
+	})
+	reason := request.UnknownVersion
+	if ok && !x.route.HasTarget(o.Service) {
+		ok, reason = false, request.NoVersion
+	}
+	if !ok {
+		x.handler.Metrics.recordContinued(byClient, string(reason))
+		return request.NotRun(reason, retryLater)
+	}
+	x.service, x.originSource = o.Service, from
+	x.origin.Store(&o)
+	return nil
+}
+
+// streamSlack is how much longer than its timeout a stream is remembered: attempts of one client overlap a little.
+const streamSlack = 5 * time.Second
+
+// streamWindow is how long ago a stream may have begun whose next attempt this request is.
+func (x *exchange) streamWindow() time.Duration {
+	return min(max(x.timeout(), x.request.Timeout, x.route.Timeout)+streamSlack, origins.MaxRetention)
+}
+
+// recordOrigin records that the stream is about to be sent to the endpoint, unless it began earlier. Other routers have the
+// record before the endpoint has read the prompt.
+func (x *exchange) recordOrigin(a *attempt) {
+	if x.origin.Load() != nil {
+		return
+	}
+	a.origin = origin.Of(a.Endpoint(), time.Now())
+	a.originStored = x.handler.Origins.Begin(origintable.Record{
+		Key: origin.Key(x.accountName(), x.request.ID), Origin: a.origin, Attempt: len(x.tried), Remaining: x.streamWindow(),
+	})
+}
+
+// maxOriginWait is how long the first event is held back until another router has the record.
+const maxOriginWait = 80 * time.Millisecond
+
+// bindOrigin is called before the first event is forwarded: from then on the stream may go on only at the version of this
+// endpoint.
+func (x *exchange) bindOrigin(a *attempt) {
+	x.firstEventSent = true
+	if x.origin.Load() != nil {
+		return
+	}
+	timer := time.NewTimer(maxOriginWait)
+	defer timer.Stop()
+	select {
+	case <-a.originStored:
+	case <-timer.C:
+		x.handler.Metrics.recordOriginNotStored()
+	case <-x.ctx.Done():
+	}
+	x.origin.Store(&a.origin)
 }
 
 // recordContinued logs and counts an attempt that continues a stream.
-func (s *relay) recordContinued(a *attempt) {
-	w, x, e := s.continues(), s.x, a.Endpoint()
+func (x *exchange) recordContinued(a *attempt, lastEvent string) {
+	w, e := x.continues(), a.Endpoint()
 	if w == "" {
 		return
 	}
-	x.handler.Metrics.recordContinued(w)
-	_ = x.handler.Logger.Log(field.Event, event.StreamContinued, field.Request, x.request.ID, field.Way, w, field.Resumes, x.request.Resumes,
-		field.LastEvent, s.lastEvent, field.Endpoint, e.ID, field.Software, e.Version, field.Born, e.Born, field.Endpoints, x.endpoints())
+	x.handler.Metrics.recordContinued(w, "sent")
+	_ = x.handler.Logger.Log(slices.Concat([]any{
+		field.Event, event.StreamContinued, field.Request, x.request.ID, field.Way, w, field.LastEvent, lastEvent, field.Endpoint, e.ID,
+		field.Software, e.Version, field.Born, e.Born,
+	}, x.originFields())...)
 }
 
-func (m *Metrics) recordContinued(w way) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_streams_continued_total{way=%q}`, w)).Inc()
+// recordNotContinued logs and counts a stream of which the client has events and which goes on at no further endpoint.
+func (x *exchange) recordNotContinued(r request.Reason) {
+	w := x.continues()
+	if w == "" {
+		return
+	}
+	x.handler.Metrics.recordContinued(w, string(r))
+	_ = x.handler.Logger.Log(slices.Concat([]any{
+		field.Event, event.StreamNotContinued, field.Request, x.request.ID, field.Way, w, field.Reason, r, field.Endpoints, x.endpoints(),
+	}, x.originFields())...)
+}
+
+// originFields are the log fields with where the stream began, as far as known, and with what the client states.
+func (x *exchange) originFields() (fields []any) {
+	if x.request.TakesUp() {
+		fields = []any{field.Resumes, shortened(x.request.Resumes), field.Source, x.originSource}
+	}
+	if o := x.origin.Load(); o != nil {
+		fields = slices.Concat(fields, []any{field.BeganAt, o.Endpoint, field.BeganBorn, o.Born, field.BeganSoftware, o.Version})
+	}
+	return fields
+}
+
+// maxLoggedID is how many bytes of an id that a client states are logged.
+const maxLoggedID = 64
+
+func shortened(id string) string { return id[:min(len(id), maxLoggedID)] }
+
+func (m *Metrics) recordContinued(w way, result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_streams_continued_total{way=%q,result=%q}`, w, result)).Inc()
+}
+
+func (m *Metrics) recordOriginNotStored() {
+	m.set.GetOrCreateCounter("savoryfall_stream_origins_late_total").Inc()
+}
+
+// takenUpFields are the log fields of a refused request by which a client takes a stream up.
+func (x *exchange) takenUpFields() []any {
+	if x.route == nil || !x.route.Kind.Streaming() || !x.request.TakesUp() {
+		return nil
+	}
+	return slices.Concat([]any{field.LastEvent, shortened(x.request.LastEventID)}, x.originFields())
 }
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -5,13 +5,16 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"savoryfall/core/origin"
 	"savoryfall/core/request"
 	"savoryfall/core/routetable"
 	"savoryfall/io/clientconn"
+	"savoryfall/io/origins"
 )
 
 // exchange is the processing of one request.
@@ -31,6 +34,12 @@
 	body     []byte
 	bodyRead bool
 	tried    []string
+	// origin is where the stream began that the client has events of, nil for none.
+	origin atomic.Pointer[origin.Origin]
+	// firstEventSent is set once an event of this answer has been forwarded.
+	firstEventSent bool
+	// originSource is how the origin of a stream that the client takes up became known.
+	originSource origins.Source
 	// software are the software versions of the endpoints in tried.
 	software []string
 	sends    int
@@ -182,7 +191,11 @@
 func (x *exchange) forward() *request.Problem {
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeSlack))
 	x.service = x.route.ChooseService(routeFraction(x.request.ID))
+	p := x.findOrigin()
 	x.handler.Retries.RecordFirst(x.service, time.Now())
+	if p != nil {
+		return p
+	}
 	if x.route.Kind.Streaming() {
 		return x.forwardStream()
 	}
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -15,11 +15,14 @@
 	"savoryfall/core/event"
 	"savoryfall/core/field"
 	"savoryfall/core/freshness"
+	"savoryfall/core/origin"
+	"savoryfall/core/origintable"
 	"savoryfall/core/request"
 	"savoryfall/core/retrylimit"
 	"savoryfall/core/routetable"
 	"savoryfall/io/clientconn"
 	"savoryfall/io/http1"
+	"savoryfall/io/origins"
 )
 
 // ClientProtocol implements the protocol of the clients.
@@ -54,6 +57,15 @@
 	RetryAfter(service string) time.Duration
 }
 
+// Origins keeps where streams began, in this router and in others.
+type Origins interface {
+	// Begin records that a stream is sent to an endpoint. The channel is closed once another router has the record, or if
+	// none needs it.
+	Begin(r origintable.Record) (stored <-chan struct{})
+	// Find returns where a stream began. ok is false if this is not known.
+	Find(q origins.Query) (o origin.Origin, from origins.Source, ok bool)
+}
+
 // Config are the dependencies of a Handler.
 type Config struct {
 	ClientProtocol   ClientProtocol
@@ -61,6 +73,7 @@
 	Configuration    Configuration
 	Lease            *freshness.Lease
 	Endpoints        Endpoints
+	Origins          Origins
 	Dispatcher       *dispatch.Dispatcher
 	Retries          *retrylimit.Limiter
 	Pool             *http1.Pool
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -42,7 +42,8 @@
 // try forwards the stream of one attempt. done reports that the client has its complete response.
 func (s *relay) try(a *attempt) (done bool, p *request.Problem) {
 	x := s.x
-	s.recordContinued(a)
+	x.recordOrigin(a)
+	x.recordContinued(a, s.lastEvent)
 	w := s.startSilenceWatch(a)
 	defer w.stop()
 	err := x.send(a, x.deadline.Add(responseSlack), s.lastEvent)
@@ -90,7 +91,7 @@
 // another endpoint.
 func (s *relay) startSilenceWatch(a *attempt) (w *silenceWatch) {
 	x := s.x
-	w = &silenceWatch{attempt: a, canMove: func() bool { return x.handler.canMove(x.service, a) }}
+	w = &silenceWatch{attempt: a, canMove: func() bool { return x.canMove(a) }}
 	if x.route.Kind.Repeatable() && x.sends+1 < x.route.MaxAttempts {
 		w.start()
 	}
@@ -98,9 +99,10 @@
 }
 
 // canMove reports whether another endpoint of the service could continue the stream of the attempt now.
-func (h *Handler) canMove(service string, a *attempt) bool {
+func (x *exchange) canMove(a *attempt) bool {
 	now := time.Now()
-	return h.Retries.Remaining(service, now) >= 1 && h.Dispatcher.HasCapacityElsewhere(service, a.Endpoint().ID, now)
+	q := dispatch.Query{Service: x.service, Origin: x.origin.Load(), Tried: []string{a.Endpoint().ID}}
+	return x.handler.Retries.Remaining(x.service, now) >= 1 && x.handler.Dispatcher.HasCapacityElsewhere(q, now)
 }
 
 // errNotForwardable is returned if the events could not be forwarded to the client as received.
@@ -188,6 +190,9 @@
 		if e.HasID && s.hasLast && e.ID <= s.lastID {
 			continue
 		}
+		if !s.x.firstEventSent {
+			s.x.bindOrigin(a)
+		}
 		s.writeHeader(a)
 		_, err := s.x.w.Write(e.Bytes)
 		if err != nil {
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -81,9 +81,11 @@
 	// Network defaults to TCP.
 	Network Network
 	// Split returns a listener for the connections that are for the hub, if the listener also gets others. It may be nil.
-	Split  func(l net.Listener) net.Listener
-	Meter  *traffic.Meter
-	Logger log.Logger
+	Split func(l net.Listener) net.Listener
+	// Register registers further services for other routers. It may be nil.
+	Register func(s *rpc.Server) error
+	Meter    *traffic.Meter
+	Logger   log.Logger
 	// Clock returns the time since boot, including time suspended.
 	Clock func() time.Duration
 	// StaleAfter is the age from which a hub's reads are too old to use if another router can read the store.
--- a/io/hub/server.go
+++ b/io/hub/server.go
@@ -24,6 +24,9 @@
 func (a *Agent) serve() {
 	server := rpc.NewServer()
 	err := server.RegisterName(serviceName, &Service{agent: a})
+	if err == nil && a.Register != nil {
+		err = a.Register(server)
+	}
 	if err != nil {
 		panic("hub: " + err.Error())
 	}
--- /dev/null
+++ b/io/origins/keeper.go
@@ -0,0 +1,303 @@
+package origins
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"slices"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"savoryfall/core/background"
+	"savoryfall/core/hashmix"
+	"savoryfall/core/members"
+	"savoryfall/core/origin"
+	"savoryfall/core/origintable"
+	"savoryfall/core/versionhistory"
+	"savoryfall/io/traffic"
+)
+
+const (
+	// MaxRetention bounds for how long a record is kept.
+	MaxRetention = 2 * time.Minute
+	// copies is how many other routers keep a record.
+	copies = 3
+	// asked is how many routers are asked for a record. It is more than copies, because routers that did not answer were
+	// replaced by the next ones.
+	asked = 8
+	// maxPutRecords limits the records of one call.
+	maxPutRecords = 2000
+)
+
+// Keeper keeps where streams began, here and at other routers. The exported fields are set before its use.
+type Keeper struct {
+	// Others returns the other routers that are not known to have failed.
+	Others func() []members.Member
+	// Dial connects to another router.
+	Dial    func(ctx context.Context, address string) (net.Conn, error)
+	History *versionhistory.History
+	Meter   *traffic.Meter
+
+	table   origintable.Table
+	stopped atomic.Bool
+	cancel  context.CancelFunc
+	running background.Group
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// Register adds the service for other routers.
+func (k *Keeper) Register(s *rpc.Server) error {
+	return s.RegisterName(serviceName, &Service{keeper: k})
+}
+
+// Start closes unused connections in the background.
+func (k *Keeper) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	k.cancel = cancel
+	k.running.Go(func() {
+		background.Every(ctx, idleTimeout/4, func(now time.Time) { k.closePeers(now.Add(-idleTimeout)) })
+	})
+	return nil
+}
+
+// Stop closes all connections.
+func (k *Keeper) Stop(context.Context) error {
+	k.stopped.Store(true)
+	k.cancel()
+	k.running.Stop()
+	k.closePeers(time.Now())
+	return nil
+}
+
+func (k *Keeper) closePeers(unusedSince time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name, p := range k.peers {
+		p.close(unusedSince)
+		if !p.usedAfter(unusedSince) {
+			delete(k.peers, name)
+		}
+	}
+}
+
+func (p *peer) usedAfter(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usedAt.After(at)
+}
+
+// Records returns the number of records that this router has.
+func (k *Keeper) Records() int { return k.table.Len() }
+
+// ranked returns the other routers in the order in which they keep the record of the stream. All routers compute the same
+// order.
+func (k *Keeper) ranked(key uint64) (peers []*peer) {
+	if k.stopped.Load() {
+		return nil
+	}
+	others := k.Others()
+	scores := make([]uint64, len(others))
+	k.mu.Lock()
+	for i, m := range others {
+		scores[i] = hashmix.Mix(key ^ members.Hash(m.Name))
+		peers = append(peers, k.peer(m))
+	}
+	k.mu.Unlock()
+	sort.Sort(&byScore{peers, scores})
+	return peers
+}
+
+// byScore sorts peers by score, the highest first.
+type byScore struct {
+	peers  []*peer
+	scores []uint64
+}
+
+func (s *byScore) Len() int           { return len(s.peers) }
+func (s *byScore) Less(i, j int) bool { return s.scores[i] > s.scores[j] }
+func (s *byScore) Swap(i, j int) {
+	s.peers[i], s.peers[j] = s.peers[j], s.peers[i]
+	s.scores[i], s.scores[j] = s.scores[j], s.scores[i]
+}
+
+// keepers returns the routers that are to keep the record of the stream, without those that did not answer lately.
+func (k *Keeper) keepers(key uint64) (peers []*peer) {
+	now := time.Now()
+	return slices.DeleteFunc(k.ranked(key), func(p *peer) bool { return !p.usable(now) })
+}
+
+// peer returns the connection to the router. The caller holds the lock.
+func (k *Keeper) peer(m members.Member) *peer {
+	if k.peers == nil {
+		k.peers = map[string]*peer{}
+	}
+	p := k.peers[m.Name]
+	if p == nil || p.member.Address != m.Address || p.member.Started != m.Started {
+		if p != nil {
+			p.close(time.Now())
+		}
+		p = &peer{keeper: k, member: m}
+		k.peers[m.Name] = p
+	}
+	return p
+}
+
+var closed = func() chan struct{} { c := make(chan struct{}); close(c); return c }()
+
+// Begin records that a stream is sent to an endpoint. The channel is closed once another router has the record, or if none
+// is needed or can be reached.
+func (k *Keeper) Begin(r origintable.Record) (stored <-chan struct{}) {
+	now := time.Now()
+	shared := !k.History.Settled(r.Origin.Service, now)
+	k.table.Begin(r, shared, now)
+	if !shared {
+		return closed
+	}
+	return k.share(r)
+}
+
+// share has other routers keep the record, and replaces those that fail by the next ones.
+func (k *Keeper) share(r origintable.Record) (stored <-chan struct{}) {
+	peers := k.keepers(r.Key)
+	if len(peers) == 0 {
+		return closed
+	}
+	ack := make(chan struct{})
+	var once sync.Once
+	var next atomic.Int64
+	var calls sync.WaitGroup
+	for range min(copies, len(peers)) {
+		calls.Go(func() {
+			for i := int(next.Add(1)) - 1; i < min(len(peers), asked); i = int(next.Add(1)) - 1 {
+				var reply PutReply
+				err := peers[i].call("Put", &PutArgs{Records: []origintable.Record{r}}, &reply)
+				if err == nil && reply.Kept > 0 {
+					once.Do(func() { close(ack) })
+					return
+				}
+			}
+		})
+	}
+	go func() {
+		calls.Wait()
+		once.Do(func() { close(ack) })
+	}()
+	return ack
+}
+
+// EndpointsChanged shares the records of services that no longer have a single version.
+func (k *Keeper) EndpointsChanged() {
+	now := time.Now()
+	for _, service := range k.History.Services() {
+		if k.History.Settled(service, now) {
+			continue
+		}
+		if records := k.table.TakeUnshared(service, now); len(records) > 0 {
+			go k.shareAll(records)
+		}
+	}
+}
+
+// HandOver gives the records that this router keeps to others, because it is about to stop.
+func (k *Keeper) HandOver() { k.shareAll(k.table.Shared(time.Now())) }
+
+// shareAll has other routers keep the records, with few calls.
+func (k *Keeper) shareAll(records []origintable.Record) {
+	byPeer := map[*peer][]origintable.Record{}
+	for _, r := range records {
+		peers := k.keepers(r.Key)
+		// The first ones may have the record already, so one more is given it.
+		for _, p := range peers[:min(copies+1, len(peers))] {
+			byPeer[p] = append(byPeer[p], r)
+		}
+	}
+	var calls sync.WaitGroup
+	for p, list := range byPeer {
+		calls.Go(func() {
+			for part := range slices.Chunk(list, maxPutRecords) {
+				if p.call("Put", &PutArgs{Records: part}, &PutReply{}) != nil {
+					return
+				}
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// Source is how the origin of a stream became known.
+type Source string
+
+// The sources of an origin.
+const (
+	// Own means that this router had the record, Router that another one did.
+	Own    Source = "own"
+	Router Source = "router"
+	// OnlyVersion means that the service has had endpoints of one version only.
+	OnlyVersion Source = "onlyVersion"
+)
+
+// Query asks where a stream began.
+type Query struct {
+	// Key identifies the stream. It is valid only if HasKey is set.
+	Key    uint64
+	HasKey bool
+	// Service is the service that the request is for, and Window how long ago the stream may have begun.
+	Service string
+	Window  time.Duration
+}
+
+// Find returns where the stream began. ok is false if this is not known.
+func (k *Keeper) Find(q Query) (o origin.Origin, from Source, ok bool) {
+	only := ""
+	if q.HasKey {
+		r, own := k.table.Find(q.Key, time.Now())
+		if own {
+			return r.Origin, Own, true
+		}
+		r, only, ok = k.ask(q)
+		if ok {
+			k.table.Put(r, time.Now())
+			return r.Origin, Router, true
+		}
+	}
+	now := time.Now()
+	if version, ok := k.History.Only(q.Service, q.Window, now); ok {
+		return origin.Origin{Service: q.Service, Version: version}, OnlyVersion, true
+	}
+	// A router that has just started may learn the rest of the window from another one.
+	if version, ok := k.History.OnlySeen(q.Service, q.Window, now); ok && version == only {
+		return origin.Origin{Service: q.Service, Version: version}, OnlyVersion, true
+	}
+	return origin.Origin{}, "", false
+}
+
+// ask asks the routers that may have the record. If none has it, only is the version of all endpoints that the service has
+// had, if one of them knows.
+func (k *Keeper) ask(q Query) (r origintable.Record, only string, ok bool) {
+	peers := k.ranked(q.Key)
+	peers = peers[:min(asked, len(peers))]
+	replies := make(chan *FindReply, len(peers))
+	for _, p := range peers {
+		go func() {
+			var reply FindReply
+			if p.call("Find", &FindArgs{Key: q.Key, Service: q.Service, Window: q.Window}, &reply) != nil {
+				reply = FindReply{}
+			}
+			replies <- &reply
+		}()
+	}
+	for range peers {
+		reply := <-replies
+		if reply.Found {
+			return reply.Record, "", true
+		}
+		if reply.Only != "" {
+			only = reply.Only
+		}
+	}
+	return origintable.Record{}, only, false
+}
--- a/io/registry/tracker.go
+++ b/io/registry/tracker.go
@@ -11,6 +11,7 @@
 	"savoryfall/core/event"
 	"savoryfall/core/field"
 	"savoryfall/core/fleetload"
+	"savoryfall/core/versionhistory"
 )
 
 // Decoder decodes the entry of an endpoint from a record.
@@ -22,8 +23,10 @@
 type Tracker struct {
 	decoder Decoder
 	changes fleetload.ChangeLog
-	changed func(usable []directory.Entry)
-	logger  log.Logger
+	// versions has the software versions that the entries have named.
+	versions versionhistory.History
+	changed  func(usable []directory.Entry)
+	logger   log.Logger
 
 	mu        sync.Mutex
 	directory directory.Directory
@@ -43,6 +46,9 @@
 // Changes returns the changes to send to routers that follow the endpoints through this one.
 func (t *Tracker) Changes() *fleetload.ChangeLog { return &t.changes }
 
+// Versions returns the history of the endpoints' software versions.
+func (t *Tracker) Versions() *versionhistory.History { return &t.versions }
+
 // ApplyChanges applies changes received from another router; complete is set if they are the complete list.
 func (t *Tracker) ApplyChanges(changes []fleetload.Change, complete bool) {
 	t.mu.Lock()
@@ -50,6 +56,7 @@
 	now := time.Now()
 	changed := complete && t.directory.Replace(usableEntries(changes), now)
 	for _, c := range changes {
+		t.versions.Saw(c.Entry, now)
 		switch {
 		case !c.Usable:
 			changed = t.directory.RemoveProcess(c.Entry, now) || changed
@@ -89,6 +96,7 @@
 			continue
 		}
 		t.logColdUnknown(r, e)
+		t.versions.Saw(e, time.Now())
 		entries = append(entries, e)
 	}
 	t.publish(t.directory.Replace(entries, time.Now()), sourceRegistry)
@@ -117,6 +125,7 @@
 		return t.directory.Remove(r.Key, now)
 	}
 	t.logColdUnknown(r, e)
+	t.versions.Saw(e, now)
 	return t.directory.Put(e)
 }
 
@@ -207,5 +216,6 @@
 			field.Software, e.Version, field.Leaving, e.Leaving, field.Source, from)
 	}
 	t.published = current
+	t.versions.SetListed(usable, time.Now())
 	t.changed(usable)
 }
