--- a/io/origins/keeper_test.go
+++ b/io/origins/keeper_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/rpc"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,6 +48,7 @@
 // fleet is a number of routers that are connected in memory.
 type fleet struct {
 	t       *testing.T
+	mu      sync.Mutex
 	routers []*router
 }
 
@@ -60,7 +62,7 @@
 		}
 		test(f)
 		for _, r := range f.routers {
-			r.kill()
+			f.kill(r)
 		}
 		time.Sleep(time.Minute)
 	})
@@ -88,6 +90,8 @@
 }
 
 func (f *fleet) others(name string) (list []members.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, r := range f.routers {
 		if r.name != name {
 			list = append(list, members.Member{Name: r.name, Address: r.name})
@@ -97,6 +101,8 @@
 }
 
 func (f *fleet) dial(_ context.Context, address string) (net.Conn, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, r := range f.routers {
 		if r.name != address {
 			continue
@@ -118,18 +124,23 @@
 	return nil, errors.New("no such router")
 }
 
-func (r *router) kill() {
+func (f *fleet) kill(r *router) {
+	f.mu.Lock()
 	r.condition = killed
 	for _, c := range r.conns {
 		_ = c.Close()
 	}
+	f.mu.Unlock()
 	_ = r.Stop(context.Background())
 }
 
 // restart replaces a router by a new process.
 func (f *fleet) restart(i int, versions ...string) {
-	f.routers[i].kill()
-	f.routers[i] = f.start(f.routers[i].name, versions)
+	f.kill(f.routers[i])
+	started := f.start(f.routers[i].name, versions)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.routers[i] = started
 }
 
 const ttl = 20 * time.Second
@@ -165,7 +176,7 @@
 			for i := range 20 {
 				f.routers[0].begin(fmt.Sprint("s", i), "v2")
 			}
-			f.routers[0].kill()
+			f.kill(f.routers[0])
 			for i := range 20 {
 				version, _ := f.routers[1+i%(n-1)].find(fmt.Sprint("s", i))
 				assert.Equal(t, version, "v2", "%d routers, stream %d", n, i)
@@ -182,7 +193,7 @@
 		}
 		time.Sleep(time.Second)
 		for i := range 3 {
-			f.routers[i].kill()
+			f.kill(f.routers[i])
 		}
 		for i := range 20 {
 			version, _ := f.routers[5].find(fmt.Sprint("s", i))
@@ -205,7 +216,7 @@
 					assert.Assert(t, held <= time.Second, "%v", held)
 				}
 				time.Sleep(time.Second)
-				f.routers[0].kill()
+				f.kill(f.routers[0])
 				for i := range 20 {
 					version, _ := f.routers[4].find(fmt.Sprint("s", i))
 					assert.Equal(t, version, "v1")
@@ -264,7 +275,7 @@
 			r.EndpointsChanged()
 		}
 		time.Sleep(100 * time.Millisecond)
-		f.routers[0].kill()
+		f.kill(f.routers[0])
 		version, from := f.routers[3].find("s")
 		assert.Equal(t, version, "v1")
 		assert.Assert(t, from != origins.OnlyVersion)
@@ -278,7 +289,7 @@
 		time.Sleep(time.Minute)
 		f.routers[0].list(several...)
 		f.routers[0].begin("s", "v2")
-		f.routers[0].kill()
+		f.kill(f.routers[0])
 		version, from := f.routers[1].find("s")
 		assert.Equal(t, version, "v2")
 		assert.Assert(t, from != origins.OnlyVersion)
@@ -324,7 +335,7 @@
 		r.Remaining = 24 * time.Hour
 		<-f.routers[0].Begin(r)
 		time.Sleep(origins.MaxRetention + time.Second)
-		f.routers[0].kill()
+		f.kill(f.routers[0])
 		version, _ := f.routers[1].find("s")
 		assert.Equal(t, version, "?")
 	})
