origins, entry: an attempt at another version replaces the record of the one before everywhere, or does not begin the stream

A retry prefers the version of the first attempt; at another one, the first event waits until every router that was given the earlier record has the new one, and is not forwarded if one does not answer. A router that asks takes the record of the latest attempt.

soak: engines of three versions, some of which start again under the same id with another version, clients that take streams up at any router, checks of both rules, and a variant that ignores versions.

--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -27,10 +27,8 @@
 	// ctx is done when the request's context is done or cancel is called. cancel may be called from any goroutine.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// origin is where the stream begins if this attempt brings its first event. originStored is closed once another router
-	// knows it.
-	origin       origin.Origin
-	originStored <-chan struct{}
+	// origin is where the stream begins if this attempt brings its first event.
+	origin origin.Origin
 }
 
 // firstBytesReceived records the first bytes of the response and the load reported in its header.
@@ -44,10 +42,14 @@
 
 // chooseEndpoint selects the endpoint for the next attempt. If there is none, the problem gives the reason.
 func (x *exchange) chooseEndpoint() (a *attempt, p *request.Problem) {
-	d, reason := x.handler.Dispatcher.Choose(dispatch.Query{
-		Service: x.service, Prompt: x.request.Prompt, Rank: x.rank(), Account: x.accountName(), Tried: x.tried,
-		Origin: x.origin.Load(),
-	}, time.Now())
+	q := dispatch.Query{
+		Service: x.service, Prompt: x.request.Prompt, Rank: x.rank(), Account: x.accountName(), Tried: x.tried, Origin: x.preferredOrigin(),
+	}
+	d, reason := x.handler.Dispatcher.Choose(q, time.Now())
+	if d == nil && q.Origin != x.origin.Load() {
+		q.Origin = nil
+		d, reason = x.handler.Dispatcher.Choose(q, time.Now())
+	}
 	switch {
 	case d != nil:
 		ctx, cancel := context.WithCancel(x.ctx)
--- a/io/entry/continued.go
+++ b/io/entry/continued.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -70,30 +71,42 @@
 		return
 	}
 	a.origin = origin.Of(a.Endpoint(), time.Now())
-	a.originStored = x.handler.Origins.Begin(origintable.Record{
+	x.recorded = &a.origin
+	x.placement = x.handler.Origins.Begin(origintable.Record{
 		Key: origin.Key(x.accountName(), x.request.ID), Origin: a.origin, Attempt: len(x.tried), Remaining: x.streamWindow(),
-	})
+	}, x.placement)
+}
+
+// preferredOrigin returns where the stream began, or where an attempt has failed to begin it, if other routers may know of
+// that attempt: one at another version has to replace the record everywhere.
+func (x *exchange) preferredOrigin() *origin.Origin {
+	o := x.origin.Load()
+	if o == nil && x.placement.Shared() {
+		return x.recorded
+	}
+	return o
 }
 
 // maxOriginWait is how long the first event is held back until another router has the record.
 const maxOriginWait = 80 * time.Millisecond
 
 // bindOrigin is called before the first event is forwarded: from then on the stream may go on only at the version of this
-// endpoint.
-func (x *exchange) bindOrigin(a *attempt) {
-	x.firstEventSent = true
-	if x.origin.Load() != nil {
-		return
+// endpoint. It returns false if another router may know another version, so that the event must not be forwarded.
+func (x *exchange) bindOrigin(a *attempt) (ok bool) {
+	if x.origin.Load() == nil {
+		ctx, cancel := context.WithTimeout(x.ctx, maxOriginWait)
+		defer cancel()
+		stored, safe := x.placement.Wait(ctx)
+		if !stored {
+			x.handler.Metrics.recordOriginNotStored()
+		}
+		if !safe {
+			return false
+		}
+		x.origin.Store(&a.origin)
 	}
-	timer := time.NewTimer(maxOriginWait)
-	defer timer.Stop()
-	select {
-	case <-a.originStored:
-	case <-timer.C:
-		x.handler.Metrics.recordOriginNotStored()
-	case <-x.ctx.Done():
-	}
-	x.origin.Store(&a.origin)
+	x.firstEventSent = true
+	return true
 }
 
 // recordContinued logs and counts an attempt that continues a stream.
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -38,6 +38,9 @@
 	origin atomic.Pointer[origin.Origin]
 	// firstEventSent is set once an event of this answer has been forwarded.
 	firstEventSent bool
+	// recorded is the endpoint of the newest attempt to begin the stream, and placement where other routers were told of it.
+	recorded  *origin.Origin
+	placement *origins.Placement
 	// originSource is how the origin of a stream that the client takes up became known.
 	originSource origins.Source
 	// software are the software versions of the endpoints in tried.
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -59,9 +59,9 @@
 
 // Origins keeps where streams began, in this router and in others.
 type Origins interface {
-	// Begin records that a stream is sent to an endpoint. The channel is closed once another router has the record, or if
-	// none needs it.
-	Begin(r origintable.Record) (stored <-chan struct{})
+	// Begin records that a stream is sent to an endpoint. earlier is the placement of the record of an earlier attempt of the
+	// same request, nil for the first one.
+	Begin(r origintable.Record, earlier *origins.Placement) *origins.Placement
 	// Find returns where a stream began. ok is false if this is not known.
 	Find(q origins.Query) (o origin.Origin, from origins.Source, ok bool)
 }
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -190,8 +190,8 @@
 		if e.HasID && s.hasLast && e.ID <= s.lastID {
 			continue
 		}
-		if !s.x.firstEventSent {
-			s.x.bindOrigin(a)
+		if !s.x.firstEventSent && !s.x.bindOrigin(a) {
+			return false
 		}
 		s.writeHeader(a)
 		_, err := s.x.w.Write(e.Bytes)
--- a/io/origins/keeper.go
+++ b/io/origins/keeper.go
@@ -146,37 +146,45 @@
 	return p
 }
 
-var closed = func() chan struct{} { c := make(chan struct{}); close(c); return c }()
-
-// Begin records that a stream is sent to an endpoint. The channel is closed once another router has the record, or if none
-// is needed or can be reached.
-func (k *Keeper) Begin(r origintable.Record) (stored <-chan struct{}) {
+// Begin records that a stream is sent to an endpoint. earlier is the placement of the record of an earlier attempt of the same
+// request, nil for the first one.
+func (k *Keeper) Begin(r origintable.Record, earlier *Placement) *Placement {
 	now := time.Now()
-	shared := !k.History.Settled(r.Origin.Service, now)
+	shared := !k.History.Settled(r.Origin.Service, now) || earlier.Shared()
 	k.table.Begin(r, shared, now)
 	if !shared {
-		return closed
+		return &Placement{}
 	}
-	return k.share(r)
+	p := &Placement{version: r.Origin.Version, any: make(chan struct{}), all: make(chan struct{})}
+	p.supersede(earlier)
+	k.share(r, p)
+	return p
 }
 
-// share has other routers keep the record, and replaces those that fail by the next ones.
-func (k *Keeper) share(r origintable.Record) (stored <-chan struct{}) {
-	peers := k.keepers(r.Key)
-	if len(peers) == 0 {
-		return closed
+// share has other routers keep the record: all that may have an earlier one of the stream, and as many as keep copies. Those
+// that fail are replaced by the next ones.
+func (k *Keeper) share(r origintable.Record, p *Placement) {
+	args := &PutArgs{Records: []origintable.Record{r}}
+	var calls sync.WaitGroup
+	var failed atomic.Bool
+	for _, earlier := range p.earlier {
+		calls.Go(func() {
+			if earlier.call("Put", args, &PutReply{}) != nil {
+				failed.Store(true)
+				return
+			}
+			p.acked()
+		})
 	}
-	ack := make(chan struct{})
-	var once sync.Once
+	peers := slices.DeleteFunc(k.keepers(r.Key), func(c *peer) bool { return slices.Contains(p.earlier, c) })
+	peers = peers[:min(len(peers), asked)]
 	var next atomic.Int64
-	var calls sync.WaitGroup
-	for range min(copies, len(peers)) {
+	for range min(copies-len(p.earlier), len(peers)) {
 		calls.Go(func() {
-			for i := int(next.Add(1)) - 1; i < min(len(peers), asked); i = int(next.Add(1)) - 1 {
+			for i := int(next.Add(1)) - 1; i < len(peers) && p.contact(peers[i]); i = int(next.Add(1)) - 1 {
 				var reply PutReply
-				err := peers[i].call("Put", &PutArgs{Records: []origintable.Record{r}}, &reply)
-				if err == nil && reply.Kept > 0 {
-					once.Do(func() { close(ack) })
+				if peers[i].call("Put", args, &reply) == nil && reply.Kept > 0 {
+					p.acked()
 					return
 				}
 			}
@@ -184,9 +192,8 @@
 	}
 	go func() {
 		calls.Wait()
-		once.Do(func() { close(ack) })
+		p.finish(!failed.Load())
 	}()
-	return ack
 }
 
 // EndpointsChanged shares the records of services that no longer have a single version.
@@ -290,14 +297,29 @@
 			replies <- &reply
 		}()
 	}
+	var late <-chan time.Time
 	for range peers {
-		reply := <-replies
-		if reply.Found {
-			return reply.Record, "", true
-		}
-		if reply.Only != "" {
-			only = reply.Only
+		select {
+		case reply := <-replies:
+			if reply.Only != "" {
+				only = reply.Only
+			}
+			if !reply.Found {
+				continue
+			}
+			if !ok || reply.Record.Attempt > r.Attempt {
+				r, ok = reply.Record, true
+			}
+			if late == nil {
+				late = time.After(moreReplies)
+			}
+		case <-late:
+			return r, "", true
 		}
 	}
-	return origintable.Record{}, only, false
+	return r, only, ok
 }
+
+// moreReplies is for how long further replies are waited for once a router had the record. One that was handed over may be of
+// an earlier attempt.
+const moreReplies = 30 * time.Millisecond
--- a/io/origins/keeper_test.go
+++ b/io/origins/keeper_test.go
@@ -154,7 +154,7 @@
 // begin records a stream and returns how long its first event was held back.
 func (r *router) begin(id, version string) (held time.Duration) {
 	sent := time.Now()
-	<-r.Begin(record(id, version))
+	r.Begin(record(id, version), nil).Wait(context.Background())
 	return time.Since(sent)
 }
 
@@ -333,10 +333,51 @@
 	runFleet(t, 2, several, func(f *fleet) {
 		r := record("s", "v1")
 		r.Remaining = 24 * time.Hour
-		<-f.routers[0].Begin(r)
+		f.routers[0].Begin(r, nil).Wait(context.Background())
 		time.Sleep(origins.MaxRetention + time.Second)
 		f.kill(f.routers[0])
 		version, _ := f.routers[1].find("s")
 		assert.Equal(t, version, "?")
 	})
 }
+
+// Guards against a router that knows the version of an attempt that failed before its first event, and not that of the next
+// one, because it could not be reached in between.
+func TestRecordOfFailedAttemptIsReplacedEverywhere(t *testing.T) {
+	for name, c := range map[string]condition{"running": running, "killed": killed, "frozen": frozen} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, 6, several, func(f *fleet) {
+				for i := range 20 {
+					ctx, cancel := context.WithTimeout(context.Background(), 80*time.Millisecond)
+					first, next := record(fmt.Sprint("s", i), "v1"), record(fmt.Sprint("s", i), "v2")
+					next.Attempt++
+					placement := f.routers[0].Begin(first, nil)
+					placement.Wait(ctx)
+					f.disturb(f.routers[4], c)
+					_, safe := f.routers[0].Begin(next, placement).Wait(ctx)
+					cancel()
+					f.disturb(f.routers[4], running)
+					time.Sleep(2 * time.Second)
+					for _, r := range f.routers[1:] {
+						version, _ := r.find(fmt.Sprint("s", i))
+						assert.Assert(t, version == "v2" || !safe, "%s knows %s", r.name, version)
+					}
+					assert.Assert(t, safe || c != running)
+				}
+			})
+		})
+	}
+}
+
+// disturb changes the condition of a router, which keeps what it knows, and ends its connections.
+func (f *fleet) disturb(r *router, c condition) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.condition == c {
+		return
+	}
+	r.condition = c
+	for _, conn := range r.conns {
+		_ = conn.Close()
+	}
+}
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -63,6 +63,7 @@
 	h.checkMarkInAnswers()
 	h.checkPauses()
 	h.checkRetryBudget(arrivals)
+	h.checkVersions()
 	h.t.Logf("seed %d: %d requests, %d after idling for more than a second, %d sent in parts, %d served completely, %d faults injected", h.seed,
 		len(h.requests), afterIdle, inParts, servedWhole, len(h.faults))
 	if servedWhole == 0 {
@@ -73,11 +74,16 @@
 // checkAnswer verifies that a client gets the complete answer to its own request, or can tell that the answer is
 // incomplete.
 func (h *harness) checkAnswer(q *request) {
-	if q.route == "draft" || q.route == "talk" {
-		if q.answer.Status == http.StatusOK && !strings.HasPrefix(wholeStream(), q.answer.Body) {
+	if serviceOf(q.route) == modelService {
+		want := eventsAfter(0)
+		if q.takesUp != nil {
+			want = eventsAfter(q.takesUp.lastEvent())
+		}
+		body := byVersion.ReplaceAllString(q.answer.Body, "")
+		if q.answer.Status == http.StatusOK && !strings.HasPrefix(want, body) {
 			h.addViolation("stream %s has a gap or a repeat: %q", q.id, q.answer.Body)
 		}
-		if q.answer.Status == http.StatusOK && q.answer.Complete && q.answer.Body != wholeStream() {
+		if q.answer.Status == http.StatusOK && q.answer.Complete && body != want {
 			h.addViolation("stream %s looks complete but is not: %q", q.id, q.answer.Body)
 		}
 		return
@@ -88,13 +94,6 @@
 	}
 }
 
-func wholeStream() (text string) {
-	for id := 1; id <= eventsPerStream; id++ {
-		text += fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
-	}
-	return text
-}
-
 // checkRuns verifies that a request that must not be retried runs at most once, and that a request whose status says
 // that it did not run has not run.
 func (h *harness) checkRuns(q *request) {
@@ -323,7 +322,7 @@
 }
 
 func serviceOf(route string) string {
-	if route == "draft" || route == "talk" {
+	if route == "draft" || route == "talk" || route == "talkon" {
 		return modelService
 	}
 	return plainService
--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -17,6 +17,10 @@
 	routerStart    int
 	sent, ended    time.Time
 	answer         testclient.Response
+	// takesUp is the request whose stream this one takes up, nil for none, and resumes the one that brought the first event.
+	takesUp, resumes *request
+	// versionServes is set if two engines of the stream's version could take it when the request was sent.
+	versionServes bool
 	// abandon is set if the client disconnected before the answer was complete.
 	abandon bool
 	// conn is set if the connection can be reused, idleSince is when the connection became idle, and parts is the
@@ -93,9 +97,18 @@
 }
 
 func (h *harness) sendWithKey(r *router, c *conn, route, key string) testclient.Response {
-	q := &request{id: fmt.Sprint("r", h.nextID.Add(1)), route: route, key: key, router: r, sent: time.Now(), parts: 1}
+	return h.sendRequest(c, &request{route: route, key: key, router: r}).answer
+}
+
+// sendRequest sends a request whose route, key and router are set, and waits for its answer.
+func (h *harness) sendRequest(c *conn, q *request) *request {
+	r := q.router
+	q.id, q.sent, q.parts = fmt.Sprint("r", h.nextID.Add(1)), time.Now(), 1
 	q.idleSince, q.routerStart = q.sent, r.startCount()
-	msg := testclient.Request{Method: http.MethodPost, Host: host, Path: "/" + route + "/" + q.id, ID: q.id, Key: key}
+	msg := testclient.Request{Method: http.MethodPost, Host: host, Path: "/" + q.route + "/" + q.id, ID: q.id, Key: q.key}
+	if q.takesUp != nil {
+		msg.LastEventID, msg.Resumes = fmt.Sprint(q.takesUp.lastEvent()), q.resumes.id
+	}
 	if c == nil {
 		q.answer = testclient.Send(r.clientAddress, msg)
 	} else {
@@ -109,7 +122,7 @@
 	}
 	q.ended = time.Now()
 	h.recordRequest(q)
-	return q.answer
+	return q
 }
 
 // abandon sends a streaming request and disconnects before the answer can be complete.
@@ -167,6 +180,8 @@
 	switch random.IntN(12) {
 	case 0:
 		h.abandon(r)
+	case 3, 4:
+		h.stream(r, c, random)
 	case 1, 2:
 		h.mu.Lock()
 		old := fmt.Sprint("key", random.IntN(h.version+1))
--- a/soak/endpoints_test.go
+++ b/soak/endpoints_test.go
@@ -27,6 +27,8 @@
 	deleted bool
 	// unreported is set while the endpoint cannot write its entry.
 	unreported bool
+	// restarted is set once another process writes entries under the endpoint's id.
+	restarted bool
 }
 
 const (
@@ -36,7 +38,7 @@
 	eventInterval   = 10 * time.Millisecond
 	runTime         = 20 * time.Millisecond
 	// Streams below slowPath take most of a second, so that a stop, a crash or a reset interrupts some of them.
-	slowPath        = "/talk/"
+	slowPath        = "/talk"
 	heartbeatPeriod = 400 * time.Millisecond
 	// endpointPause is for how long an endpoint that refuses a request asks for none.
 	endpointPause = 1500 * time.Millisecond
@@ -46,10 +48,24 @@
 	o = fakeendpoint.Options{ID: fmt.Sprintf("s%d", h.nextID.Add(1)), Service: service, FailureDomain: "a", Slots: plainSlots, ResponseTime: runTime}
 	if service == modelService {
 		o.Slots, o.Events, o.EventTime, o.SlowPrefix = engineSlots, eventsPerStream, eventInterval, slowPath
+		o.Version = softwareVersions[h.nextID.Load()/2%int64(len(softwareVersions))]
 	}
 	return o
 }
 
+// softwareVersions are the versions of the model engines.
+var softwareVersions = []string{"v1", "v1.1", "v1.10"}
+
+// countOfVersion returns how many engines of the software version may take streams.
+func (h *harness) countOfVersion(version string) (n int) {
+	for _, e := range h.liveEndpoints(modelService) {
+		if e.options.Version == version {
+			n++
+		}
+	}
+	return n
+}
+
 // startEndpoint starts an endpoint behind the link, or behind a new link if l is nil.
 func (h *harness) startEndpoint(o fakeendpoint.Options, l *link) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -87,7 +103,7 @@
 func (h *harness) writeEntry(e *endpoint) (alive bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.removed && !e.unreported {
+	if !e.removed && !e.unreported && !e.restarted {
 		h.store.Put("keyed.servers", e.options.ID, e.Entry())
 	}
 	return !e.removed
@@ -139,6 +155,9 @@
 func (h *harness) deleteEntry(e *endpoint) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.restarted {
+		return
+	}
 	e.deleted = true
 	h.store.Put("keyed.servers", e.options.ID, nil)
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -238,8 +238,8 @@
 	return list[random.IntN(len(list))]
 }
 
-// replaceEndpoint crashes an endpoint and starts another at the same address, with a new ID, for the same or the other
-// service.
+// replaceEndpoint crashes an endpoint and starts another at the same address, with a new ID for the same or the other
+// service, or with its ID. An engine may run another software version.
 func (h *harness) replaceEndpoint(random *rand.Rand) {
 	e := h.randomEndpoint(random)
 	if len(h.liveEndpoints(e.options.Service)) < 2 {
@@ -249,6 +249,12 @@
 	h.crashEndpoint(e)
 	<-time.After(500 * time.Millisecond)
 	o := h.endpointOptions([]string{modelService, plainService}[random.IntN(2)])
+	if o.Service == e.options.Service && random.IntN(2) == 0 {
+		o.ID = e.options.ID
+		e.mu.Lock()
+		e.restarted = true
+		e.mu.Unlock()
+	}
 	h.startEndpoint(o, e.link)
 }
 
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -119,9 +119,13 @@
 	h.storeAddress = strings.TrimPrefix(s.URL, "http://")
 	h.writeConfiguration(longIdleLimit)
 	for range 3 {
-		h.startEndpoint(h.endpointOptions(modelService), nil)
 		h.startEndpoint(h.endpointOptions(plainService), nil)
 	}
+	for i := range 2 * len(softwareVersions) {
+		o := h.endpointOptions(modelService)
+		o.Version = softwareVersions[i%len(softwareVersions)]
+		h.startEndpoint(o, nil)
+	}
 	for i := range intFromEnv("SOAK_ROUTERS", 3) {
 		r := h.newRouter(i)
 		h.routers = append(h.routers, r)
@@ -174,12 +178,12 @@
 		return fmt.Sprintf(`{"name":%q,"host":%q,"path_prefix":"/%s/","type":%q,"timeout_ms":3000,"goal_ms":200,
 			"service":%q,"max_attempts":%d,"resumable":%v}`, name, host, name, kind, service, attempts, resumable)
 	}
-	h.configuration = fmt.Appendf(nil, `{"version":%d,"routes":[%s,%s,%s,%s],"services":[
+	h.configuration = fmt.Appendf(nil, `{"version":%d,"routes":[%s,%s,%s,%s,%s],"services":[
 		{"name":"models","engine":{"slots":32,"kv_capacity":100000}},{"name":"plain"}],
 		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":%d},
 		"tenants":[{"name":"coop","api_keys":[%q]}]}`, h.version, route("read", "idempotent", plainService, 2, false),
 		route("book", "non_idempotent", plainService, 2, false), route("draft", "streaming", modelService, 2, true),
-		route("talk", "streaming", modelService, 1, false), idle.Milliseconds(), h.key)
+		route("talk", "streaming", modelService, 1, false), route("talkon", "streaming", modelService, 2, true), idle.Milliseconds(), h.key)
 	h.store.Put("keyed.op", "config", h.configuration)
 	h.keyWritten[h.key] = time.Now()
 	h.idleLimits = append(h.idleLimits, idleLimit{written: time.Now(), idle: idle})
--- /dev/null
+++ b/soak/streams_test.go
@@ -0,0 +1,117 @@
+package soak_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"regexp"
+	"strconv"
+	"time"
+)
+
+// maxTakeUps is how often a client takes up a stream that breaks off.
+const maxTakeUps = 3
+
+// stream sends a long resumable stream. If it breaks off, the client takes it up at any router, with a new id.
+func (h *harness) stream(r *router, c *conn, random *rand.Rand) {
+	first := h.sendRequest(c, &request{route: "talkon", key: h.newestKey(), router: r})
+	for last, n := first, 0; n < maxTakeUps && !last.answer.Complete && last.lastEvent() > 0; n++ {
+		if h.doneWithin(time.Duration(random.IntN(100)) * time.Millisecond) {
+			return
+		}
+		next := &request{route: "talkon", key: h.newestKey(), router: h.routers[random.IntN(len(h.routers))], takesUp: last, resumes: first}
+		next.versionServes = h.countOfVersion(first.versions()[0]) >= 2
+		h.sendRequest(nil, next)
+		if next.lastEvent() > last.lastEvent() {
+			last = next
+		}
+	}
+}
+
+func (h *harness) newestKey() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.key
+}
+
+var eventPattern = regexp.MustCompile(`(?m)^id: (\d+)\ndata: piece \d+ by (\S+)$`)
+
+// lastEvent returns the id of the last event that the client has.
+func (q *request) lastEvent() (id int) {
+	if q.takesUp != nil {
+		id = q.takesUp.lastEvent()
+	}
+	if found := eventPattern.FindAllStringSubmatch(q.answer.Body, -1); len(found) > 0 {
+		id, _ = strconv.Atoi(found[len(found)-1][1])
+	}
+	return id
+}
+
+// versions returns the software versions that wrote the events of the answer, without immediate repeats.
+func (q *request) versions() (list []string) {
+	for _, m := range eventPattern.FindAllStringSubmatch(q.answer.Body, -1) {
+		if len(list) == 0 || list[len(list)-1] != m[2] {
+			list = append(list, m[2])
+		}
+	}
+	return list
+}
+
+var byVersion = regexp.MustCompile(` by \S+`)
+
+// eventsAfter returns the text of the events after the one with the id, without their versions.
+func eventsAfter(last int) (text string) {
+	for id := last + 1; id <= eventsPerStream; id++ {
+		text += fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return text
+}
+
+// minTakenUp is from how many streams on the share that goes on is judged.
+const minTakenUp = 12
+
+// checkVersions verifies that no stream holds events of two software versions, within an answer or over the client's
+// attempts, and that of the streams that are taken up at undisturbed routers, while two engines of their version serve, at
+// least half as large a share goes on as of new streams begins.
+func (h *harness) checkVersions() {
+	var takenUp, wentOn, sent, begun, all, allOn float64
+	for _, q := range h.requests {
+		if q.route != "talkon" {
+			continue
+		}
+		versions := q.versions()
+		if q.resumes != nil {
+			versions = append(q.resumes.versions(), versions...)
+		}
+		for _, v := range versions {
+			if v != versions[0] {
+				h.addViolation("stream %s at %s holds events of several versions: %v", q.id, q.router.name, versions)
+				break
+			}
+		}
+		goesOn := q.answer.Status == http.StatusOK && (q.answer.Complete || len(q.versions()) > 0)
+		if q.resumes != nil {
+			all++
+			if goesOn {
+				allOn++
+			}
+		}
+		switch {
+		case h.disturbed(q.router, q.sent, q.ended):
+		case q.resumes == nil:
+			sent++
+			if goesOn {
+				begun++
+			}
+		case q.versionServes:
+			takenUp++
+			if goesOn {
+				wentOn++
+			}
+		}
+	}
+	h.t.Logf("seed %d: %.0f streams taken up, %.0f went on; undisturbed: %.0f of %.0f, and %.0f of %.0f new ones began", h.seed, all, allOn, wentOn, takenUp, begun, sent)
+	if takenUp >= minTakenUp && wentOn/takenUp < begun/max(sent, 1)/2 {
+		h.addViolation("%.0f of %.0f streams that were taken up go on, and %.0f of %.0f new ones begin", wentOn, takenUp, begun, sent)
+	}
+}
--- a/soak/variants_test.go
+++ b/soak/variants_test.go
@@ -48,6 +48,9 @@
 	"generationOfTheStoreIsIgnored": {
 		"platform/store/client.go", "if err != nil || generation <= 0 {", "if err != nil || generation <= 0 || generation > 0 {",
 	},
+	"versionsAreIgnored": {
+		"core/origin/origin.go", "if o.Service != e.Service {\n\t\treturn false", "if o.Service != e.Service || o.Version != e.Version {\n\t\treturn true",
+	},
 	"clientKeyIsForwarded": {
 		"platform/endpointapi/codec.go", "\"Authorization\", headerInstance", "headerInstance",
 	},
