--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -102,15 +102,9 @@
 
 // sendRequest sends a request whose route, key and router are set, and waits for its answer.
 func (h *harness) sendRequest(c *conn, q *request) *request {
-	r := q.router
-	q.id, q.sent, q.parts = fmt.Sprint("r", h.nextID.Add(1)), time.Now(), 1
-	q.idleSince, q.routerStart = q.sent, r.startCount()
-	msg := testclient.Request{Method: http.MethodPost, Host: host, Path: "/" + q.route + "/" + q.id, ID: q.id, Key: q.key}
-	if q.takesUp != nil {
-		msg.LastEventID, msg.Resumes = fmt.Sprint(q.takesUp.lastEvent()), q.resumes.id
-	}
+	msg := h.prepare(q)
 	if c == nil {
-		q.answer = testclient.Send(r.clientAddress, msg)
+		q.answer = testclient.Send(q.router.clientAddress, msg)
 	} else {
 		err := c.send(q, msg)
 		if err == nil {
@@ -125,6 +119,17 @@
 	return q
 }
 
+// prepare returns the message of a request that is about to be sent.
+func (h *harness) prepare(q *request) (msg testclient.Request) {
+	q.id, q.sent, q.parts = fmt.Sprint("r", h.nextID.Add(1)), time.Now(), 1
+	q.idleSince, q.routerStart = q.sent, q.router.startCount()
+	msg = testclient.Request{Method: http.MethodPost, Host: host, Path: "/" + q.route + "/" + q.id, ID: q.id, Key: q.key}
+	if q.takesUp != nil {
+		msg.LastEventID, msg.Resumes = fmt.Sprint(q.takesUp.lastEvent()), q.resumes.id
+	}
+	return msg
+}
+
 // abandon sends a streaming request and disconnects before the answer can be complete.
 func (h *harness) abandon(r *router) {
 	c, err := testclient.Dial(r.clientAddress)
--- a/soak/streams_test.go
+++ b/soak/streams_test.go
@@ -6,20 +6,29 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"strings"
 	"time"
+
+	"savoryfall/platform/standin/testclient"
 )
 
 // maxTakeUps is how often a client takes up a stream that breaks off.
 const maxTakeUps = 3
 
-// stream sends a long resumable stream. If it breaks off, the client takes it up at any router, with a new id.
+// stream sends a long resumable stream. If it breaks off, or the client leaves it, the client takes it up at any router, with a
+// new id.
 func (h *harness) stream(r *router, c *conn, random *rand.Rand) {
-	first := h.sendRequest(c, &request{route: "talkon", key: h.newestKey(), router: r})
+	first := &request{route: "talkon", key: h.newestKey(), router: r}
+	if random.IntN(2) == 0 {
+		h.leaveStream(first, 1+random.IntN(eventsPerStream-2))
+	} else {
+		h.sendRequest(c, first)
+	}
 	for last, n := first, 0; n < maxTakeUps && !last.answer.Complete && last.lastEvent() > 0; n++ {
 		if h.doneWithin(time.Duration(random.IntN(100)) * time.Millisecond) {
 			return
 		}
-		next := &request{route: "talkon", key: h.newestKey(), router: h.routers[random.IntN(len(h.routers))], takesUp: last, resumes: first}
+		next := &request{route: "talkon", key: first.key, router: h.routers[random.IntN(len(h.routers))], takesUp: last, resumes: first}
 		next.versionServes = h.countOfVersion(first.versions()[0]) >= 2
 		h.sendRequest(nil, next)
 		if next.lastEvent() > last.lastEvent() {
@@ -28,6 +37,29 @@
 	}
 }
 
+// leaveStream sends the request on a new connection, which the client closes after the number of events.
+func (h *harness) leaveStream(q *request, events int) {
+	c, err := testclient.Dial(q.router.clientAddress)
+	if err != nil {
+		return
+	}
+	msg := h.prepare(q)
+	q.abandon = true
+	q.answer.Err = c.Send(msg)
+	if q.answer.Err == nil {
+		received := 0
+		q.answer = c.ReadStream(msg.Method, func(part string) {
+			received += strings.Count(part, "data: ")
+			if received >= events {
+				c.Close()
+			}
+		})
+	}
+	c.Close()
+	q.ended = time.Now()
+	h.recordRequest(q)
+}
+
 func (h *harness) newestKey() string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
