origins, versionhistory: a router that has just started waits for the others, and several versions are never taken for one

Two faults that tests of the new code found. More ways by which streams go on have tests: releases, rolling restarts, second and third attempts, versions that are gone, headers that cannot be used.

--- a/core/versionhistory/history.go
+++ b/core/versionhistory/history.go
@@ -113,7 +113,10 @@
 			found++
 		}
 	}
-	return version, found == 1 && version != "" && s.listed[version]
+	if found != 1 || version == "" || !s.listed[version] {
+		return "", false
+	}
+	return version, true
 }
 
 // clockSlack is how far the clocks of endpoints may differ from this router's.
--- a/core/versionhistory/history_test.go
+++ b/core/versionhistory/history_test.go
@@ -1,6 +1,7 @@
 package versionhistory_test
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -27,10 +28,10 @@
 
 func only(h *versionhistory.History, at time.Duration) string {
 	v, ok := h.Only("models", window, after(at))
-	if !ok {
-		return "?"
+	if ok == (v == "") {
+		return "inconsistent"
 	}
-	return v
+	return cmp.Or(v, "?")
 }
 
 // Guards against a stream that is taken to have begun at the version that is listed now, although another one was listed or
--- a/io/command/version_test.go
+++ b/io/command/version_test.go
@@ -25,8 +25,10 @@
 	attempts int
 	// received counts the events as they arrive.
 	received atomic.Int64
-	events   []string
-	versions map[string]bool
+	// leavesAfter is how many events of an attempt the client waits for, 0 for all.
+	leavesAfter int64
+	events      []string
+	versions    map[string]bool
 	// refused counts the attempts that brought nothing.
 	refused  int
 	complete bool
@@ -46,7 +48,13 @@
 	}
 	defer c.Close()
 	assert.Check(f.t, c.Send(r) == nil)
-	a := c.ReadStream(r.Method, func(part string) { s.received.Add(int64(strings.Count(part, "id: "))) })
+	from := s.received.Load()
+	a := c.ReadStream(r.Method, func(part string) {
+		now := s.received.Add(int64(strings.Count(part, "id: ")))
+		if s.leavesAfter > 0 && now-from >= s.leavesAfter {
+			c.Close()
+		}
+	})
 	found := writtenEvent.FindAllStringSubmatch(a.Body, -1)
 	for _, m := range found {
 		s.events = append(s.events, m[1])
@@ -146,3 +154,101 @@
 		})
 	}
 }
+
+// Guards against a stream that is refused or joined when its client takes it up a second and third time, at a router that has
+// just started, while the routers restart one after the other.
+func TestStreamTakenUpDuringRollingRestart(t *testing.T) {
+	t.Parallel()
+	f := newVersionFleet(t, 3)
+	streams := f.begin(f.vms[1], "r", 24, 1)
+	for i := range f.vms {
+		// A restarted router has lost what it knew; it hands over before.
+		f.vms[i].origins.HandOver()
+		f.kill(f.vms[i])
+		f.start(len(f.vms))
+		started := f.vms[len(f.vms)-1]
+		f.waitFor("ready", func() bool { return started.handler.Ready() })
+		f.leaveEarly(streams, started)
+	}
+	f.takeUp(streams, f.vms[len(f.vms)-1])
+	checkVersions(t, streams)
+}
+
+// leaveEarly has the clients of incomplete streams make their next attempts at the router, and leave after one event.
+func (f *entryFleet) leaveEarly(streams []*stream, vm *entryVM) {
+	for _, s := range streams {
+		s.leavesAfter = 1
+	}
+	f.takeUp(streams, vm)
+	for _, s := range streams {
+		s.leavesAfter = 0
+	}
+}
+
+// Guards against streams that are joined or lost in a release, while the routers and engines that serve them end one after
+// the other.
+func TestStreamsInRelease(t *testing.T) {
+	t.Parallel()
+	f := newVersionFleet(t, 3)
+	streams := f.begin(f.vms[2], "l", 24, 2)
+	f.endpoints["m0"].Drain()
+	f.store.Put("keyed.servers", "m0", f.endpoints["m0"].Entry())
+	f.addEndpoint("o0", fakeendpoint.Options{Service: "models", Version: "v3", Slots: 32, Events: 5, EventTime: 100 * time.Millisecond})
+	f.takeUp(streams, f.vms[0], f.vms[1])
+	checkVersions(t, streams)
+}
+
+// Guards against a stream that goes on at another version, or waits, when no endpoint of its version is left.
+func TestStreamWithoutItsVersionIsRefused(t *testing.T) {
+	t.Parallel()
+	f := newVersionFleet(t, 3)
+	streams := f.begin(f.vms[2], "g", 24, 1)
+	for id := range f.endpoints {
+		if id[:1] == "n" {
+			f.store.Put("keyed.servers", id, nil)
+		}
+	}
+	f.waitFor("the version is gone", func() bool { return strings.Contains(f.metrics(f.vms[0]), "savoryfall_endpoints 7") })
+	for _, s := range streams {
+		began := time.Now()
+		a := f.attempt(s, f.vms[0])
+		if s.versions["v2"] {
+			assert.Check(t, a.Status == 503 && a.RetryAfter != "", "%+v", a)
+			assert.Check(t, time.Since(began) < 500*time.Millisecond)
+		} else {
+			assert.Check(t, s.complete, "%+v", a)
+		}
+		assert.Check(t, len(s.versions) == 1)
+	}
+	assert.Assert(t, strings.Contains(f.metrics(f.vms[0]), `savoryfall_streams_continued_total{way="client",result="noVersion"}`))
+}
+
+// Guards against a Resumes header that is missing, empty, long, repeated, of another account's stream or of a request that was
+// no stream, and is answered with events of another version or a server error.
+func TestUnusableResumes(t *testing.T) {
+	t.Parallel()
+	f := newVersionFleet(t, 2)
+	f.get(f.vms[0], "/read/x", "good")
+	for _, resumes := range []string{"", "unknown", strings.Repeat("x", 4000), "r1", "a\r\nResumes: b", "\t"} {
+		r := testclient.Request{Method: "POST", Host: "shop.example", Path: "/draft/x", Key: "good", ID: "u" + fmt.Sprint(requestCount.Add(1)), LastEventID: "2", Resumes: resumes}
+		before := f.vms[0].origins.Records()
+		a := testclient.Send(f.vms[0].clientServer.Address(), r)
+		assert.Check(t, a.Status == 503 && a.RetryAfter != "", "%q: %+v", resumes, a)
+		assert.Check(t, f.vms[0].origins.Records() == before)
+	}
+}
+
+// oldEnough is longer than a stream of the test's routes may take.
+const oldEnough = 9 * time.Second
+
+// A service with one version answers a client that does not say which attempt it resumes.
+func TestLastEventIDWithoutResumes(t *testing.T) {
+	t.Parallel()
+	f := newEntryFleet(t, 2)
+	<-time.After(oldEnough)
+	a := testclient.Send(f.vms[0].clientServer.Address(), testclient.Request{
+		Method: "POST", Host: "shop.example", Path: "/draft/x", Key: "good", ID: "w1", LastEventID: "2",
+	})
+	assert.Equal(t, a.Status, 200)
+	assert.Equal(t, strings.Count(a.Body, "id: "), 3)
+}
--- a/io/origins/keeper.go
+++ b/io/origins/keeper.go
@@ -40,10 +40,11 @@
 	History *versionhistory.History
 	Meter   *traffic.Meter
 
-	table   origintable.Table
-	stopped atomic.Bool
-	cancel  context.CancelFunc
-	running background.Group
+	table     origintable.Table
+	startedAt time.Time
+	stopped   atomic.Bool
+	cancel    context.CancelFunc
+	running   background.Group
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -57,7 +58,7 @@
 // Start closes unused connections in the background.
 func (k *Keeper) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
-	k.cancel = cancel
+	k.cancel, k.startedAt = cancel, time.Now()
 	k.running.Go(func() {
 		background.Every(ctx, idleTimeout/4, func(now time.Time) { k.closePeers(now.Add(-idleTimeout)) })
 	})
@@ -285,6 +286,7 @@
 // ask asks the routers that may have the record. If none has it, only is the version of all endpoints that the service has
 // had, if one of them knows.
 func (k *Keeper) ask(q Query) (r origintable.Record, only string, ok bool) {
+	k.awaitRouters()
 	peers := k.ranked(q.Key)
 	peers = peers[:min(asked, len(peers))]
 	replies := make(chan *FindReply, len(peers))
@@ -320,6 +322,23 @@
 	return r, only, ok
 }
 
+const (
+	// startupPeriod is how long after its start a router may not know the others yet, maxStartupWait how long a request waits
+	// for them, and startupPollPeriod how often it checks.
+	startupPeriod     = 2 * time.Second
+	maxStartupWait    = 250 * time.Millisecond
+	startupPollPeriod = 5 * time.Millisecond
+)
+
+// awaitRouters waits until a router that has just started knows others. Without it, the clients of a router that was killed
+// were refused by one that had just taken its place.
+func (k *Keeper) awaitRouters() {
+	until := time.Now().Add(maxStartupWait)
+	for len(k.Others()) == 0 && time.Since(k.startedAt) < startupPeriod && time.Now().Before(until) && !k.stopped.Load() {
+		background.Sleep(context.Background(), startupPollPeriod, nil)
+	}
+}
+
 // moreReplies is for how long further replies are waited for once a router had the record. One that was handed over may be of
 // an earlier attempt.
 const moreReplies = 30 * time.Millisecond
