entry, http1, endpointapi: a stream goes on only at the process that the directory lists

Guards against an endpoint that has started again under its id with another version, before its entry says so: Expect-Instance tells ids apart, not starts. While a service has several versions, a stream that goes on asks the engine for its report first, on the connection that then carries the request, and is sent only if the start is that of the entry. A service with one version is asked for nothing.

--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -100,6 +100,7 @@
 	a.response, err = x.handler.Pool.Do(ctx, http1.Request{
 		Address: e.Address, Method: x.request.Method, Target: x.request.Target, Host: x.request.Host, Header: h,
 		Fresh: x.lostConnection, Body: x.body, HasBody: x.r.ContentLength != 0 || len(x.body) > 0, Deadline: until,
+		Check:   x.processCheck(a),
 		Permit:  func() error { return checkWithdrawn(a) },
 		Matches: func(h http.Header) bool { return x.handler.EndpointProtocol.MatchesRequest(h, x.request.ID) },
 	})
@@ -189,7 +190,7 @@
 func classifyError(err error) (v dispatch.Verdict, ran bool) {
 	var f *http1.AttemptError
 	switch {
-	case errors.Is(err, errWithdrawn):
+	case errors.Is(err, errWithdrawn), errors.Is(err, errOtherProcess):
 		return dispatch.Withdrawn, false
 	case !errors.As(err, &f):
 		return dispatch.Broken, true
--- a/io/entry/continued.go
+++ b/io/entry/continued.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -11,6 +12,7 @@
 	"savoryfall/core/origin"
 	"savoryfall/core/origintable"
 	"savoryfall/core/request"
+	"savoryfall/io/http1"
 	"savoryfall/io/origins"
 )
 
@@ -109,6 +111,25 @@
 	return true
 }
 
+// errOtherProcess is returned if the endpoint has started again since its entry was read, so that it may run another version.
+var errOtherProcess = errors.New("another process has the endpoint's id")
+
+// processCheck returns the check that a stream which continues is sent to the process that the directory lists. It is nil
+// while the service has a single version.
+func (x *exchange) processCheck(a *attempt) *http1.Check {
+	if x.origin.Load() == nil || x.handler.Origins.Settled(x.service) {
+		return nil
+	}
+	return &http1.Check{Target: x.handler.EndpointProtocol.ReportTarget(), Accept: func(status int, body []byte) error {
+		born := x.handler.EndpointProtocol.DecodeReport(status, body)
+		if born != 0 && born != a.Endpoint().Born {
+			x.handler.Dispatcher.MarkReplaced(a.Endpoint().ID)
+			return errOtherProcess
+		}
+		return nil
+	}}
+}
+
 // recordContinued logs and counts an attempt that continues a stream.
 func (x *exchange) recordContinued(a *attempt, lastEvent string) {
 	w, e := x.continues(), a.Endpoint()
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -36,6 +36,10 @@
 	Encode(client http.Header, s request.EndpointRequest) http.Header
 	MatchesRequest(h http.Header, id string) bool
 	Decode(status int, h http.Header) request.EndpointResponse
+	// ReportTarget is the path at which an engine reports on itself.
+	ReportTarget() string
+	// DecodeReport returns when the engine's process started, in Unix milliseconds, 0 if the report does not say.
+	DecodeReport(status int, body []byte) (born int64)
 }
 
 // Configuration provides the active configuration, nil before the first one.
@@ -62,6 +66,8 @@
 	// Begin records that a stream is sent to an endpoint. earlier is the placement of the record of an earlier attempt of the
 	// same request, nil for the first one.
 	Begin(r origintable.Record, earlier *origins.Placement) *origins.Placement
+	// Settled reports whether the service has had a single software version for a while.
+	Settled(service string) bool
 	// Find returns where a stream began. ok is false if this is not known.
 	Find(q origins.Query) (o origin.Origin, from origins.Source, ok bool)
 }
--- a/io/entry/testserver_test.go
+++ b/io/entry/testserver_test.go
@@ -138,6 +138,10 @@
 
 type endpointProtocol struct{}
 
+func (endpointProtocol) ReportTarget() string { return "/report" }
+
+func (endpointProtocol) DecodeReport(int, []byte) int64 { return 0 }
+
 func (endpointProtocol) Encode(client http.Header, _ request.EndpointRequest) http.Header {
 	return client
 }
--- /dev/null
+++ b/io/http1/check.go
@@ -0,0 +1,48 @@
+package http1
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// Check asks the endpoint's process for something before it is sent a request. A connection belongs to one process, so that
+// what it answers holds for the request, whatever runs at the address later.
+type Check struct {
+	// Target is the path of the check, a GET request.
+	Target string
+	// Accept returns an error if the request must not be sent.
+	Accept func(status int, body []byte) error
+}
+
+// maxCheckBytes limits the body of the answer.
+const maxCheckBytes = 64 << 10
+
+// errCheckFailed is returned if the check was not answered, or the connection cannot be used after it.
+var errCheckFailed = errors.New("the check before the request failed")
+
+func (k *Check) make(c *conn, host string) (err error) {
+	status, body, err := k.ask(c, host)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errCheckFailed, err)
+	}
+	return k.Accept(status, body)
+}
+
+func (k *Check) ask(c *conn, host string) (status int, body []byte, err error) {
+	_, err = c.Write(encodeRequest(Request{Method: http.MethodGet, Target: k.Target, Host: host, Header: http.Header{}}))
+	if err != nil {
+		return 0, nil, err
+	}
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodGet})
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxCheckBytes+1))
+	if err == nil && (resp.Close || len(body) > maxCheckBytes) {
+		err = io.ErrUnexpectedEOF
+	}
+	return resp.StatusCode, body, err
+}
--- a/io/http1/exchange.go
+++ b/io/http1/exchange.go
@@ -29,6 +29,8 @@
 	Fresh bool
 	// Permit is called right before the request is written. If it returns an error, nothing is sent.
 	Permit func() error
+	// Check is made on the connection before the request is sent. It may be nil.
+	Check *Check
 	// Matches reports whether a response with this header belongs to the request. Others are skipped.
 	Matches func(h http.Header) bool
 }
@@ -77,6 +79,16 @@
 // Do sends the request once and returns when the header of the response has arrived. An error is always an
 // *AttemptError.
 func (p *Pool) Do(ctx context.Context, r Request) (resp *Response, err error) {
+	resp, err = p.do(ctx, r)
+	if r.Check != nil && !r.Fresh && errors.Is(err, errCheckFailed) && ctx.Err() == nil {
+		// An idle connection may have been cut off without a sign of it, and nothing was sent.
+		r.Fresh = true
+		resp, err = p.do(ctx, r)
+	}
+	return resp, err
+}
+
+func (p *Pool) do(ctx context.Context, r Request) (resp *Response, err error) {
 	connect := p.get
 	if r.Fresh {
 		connect = p.dial
@@ -92,6 +104,14 @@
 	}
 	_ = c.SetDeadline(r.Deadline)
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
+	if r.Check != nil {
+		err = r.Check.make(c, r.Host)
+		if err != nil {
+			stop()
+			_ = c.Close()
+			return nil, &AttemptError{Timeout: isTimeout(err), Err: err}
+		}
+	}
 	writeResult := writeRequest(c, r)
 	raw, err := readResponse(c, r) //nolint:bodyclose // Response.Close closes the body with its connection.
 	if err != nil {
--- a/io/origins/keeper.go
+++ b/io/origins/keeper.go
@@ -197,6 +197,9 @@
 	}()
 }
 
+// Settled reports whether the service has had a single software version for a while.
+func (k *Keeper) Settled(service string) bool { return k.History.Settled(service, time.Now()) }
+
 // EndpointsChanged shares the records of services that no longer have a single version.
 func (k *Keeper) EndpointsChanged() {
 	now := time.Now()
