--- a/io/command/version_test.go
+++ b/io/command/version_test.go
@@ -155,6 +155,39 @@
 	}
 }
 
+// Guards against streams that are joined, or lost more often than new ones, with two and three versions at six routers of which
+// two are killed at once.
+func TestStreamsOfKilledRoutersAtSixRouters(t *testing.T) {
+	t.Parallel()
+	for _, versions := range []int{2, 3} {
+		t.Run(fmt.Sprint(versions, " versions"), func(t *testing.T) {
+			t.Parallel()
+			f := newVersionFleet(t, 6)
+			for i := range versions - 2 {
+				for j := range 2 {
+					f.addEndpoint(fmt.Sprint("o", i, j), fakeendpoint.Options{
+						Service: "models", Version: "v3", Slots: 32, Events: 5, EventTime: 100 * time.Millisecond,
+					})
+				}
+			}
+			for _, vm := range f.vms {
+				f.waitFor("endpoints", func() bool {
+					return strings.Contains(f.metrics(vm), fmt.Sprintf("savoryfall_endpoints %d\n", 9+2*(versions-2)))
+				})
+			}
+			var killed sync.WaitGroup
+			halves := make([][]*stream, 2)
+			for i := range halves {
+				killed.Go(func() { halves[i] = f.begin(f.vms[1+i], fmt.Sprint("x", versions, i, "-"), 30, 1) })
+			}
+			killed.Wait()
+			streams := slices.Concat(halves...)
+			f.takeUp(streams, f.vms[0], f.vms[3], f.vms[4], f.vms[5])
+			checkVersions(t, streams)
+		})
+	}
+}
+
 // Guards against a stream that is refused or joined when its client takes it up a second and third time, at a router that has
 // just started, while the routers restart one after the other.
 func TestStreamTakenUpDuringRollingRestart(t *testing.T) {
--- a/io/origins/keeper_test.go
+++ b/io/origins/keeper_test.go
@@ -80,6 +80,16 @@
 	return r
 }
 
+// start is a time for tests without a clock.
+var start = time.Unix(1000, 0)
+
+// newServer returns a server of the router's service.
+func newServer(t testing.TB, r *router) (s *rpc.Server) {
+	s = rpc.NewServer()
+	assert.NilError(t, r.Register(s))
+	return s
+}
+
 // list has the router list endpoints of the versions, which have started long ago.
 func (r *router) list(versions ...string) {
 	var entries []directory.Entry
@@ -171,7 +181,7 @@
 
 // Guards against a stream whose beginning is unknown because its router was killed right after the first event.
 func TestOriginOutlivesItsRouter(t *testing.T) {
-	for _, n := range []int{2, 6, 30} {
+	for _, n := range []int{2, 6, 30, 300} {
 		runFleet(t, n, several, func(f *fleet) {
 			for i := range 20 {
 				f.routers[0].begin(fmt.Sprint("s", i), "v2")
