origins: a router that has just started asks the others also for a client that does not name its first attempt

It refused the stream although the service had had a single version for long, because it did not know that itself yet (TestNewRouterLearnsOfTheOnlyVersion).

--- a/io/origins/keeper.go
+++ b/io/origins/keeper.go
@@ -263,27 +263,29 @@
 
 // Find returns where the stream began. ok is false if this is not known.
 func (k *Keeper) Find(q Query) (o origin.Origin, from Source, ok bool) {
-	only := ""
-	if q.HasKey {
-		r, own := k.table.Find(q.Key, time.Now())
-		if own {
-			return r.Origin, Own, true
-		}
-		r, only, ok = k.ask(q)
-		if ok {
-			k.table.Put(r, time.Now())
-			return r.Origin, Router, true
+	if !q.HasKey {
+		if version, ok := k.History.Only(q.Service, q.Window, time.Now()); ok {
+			return origin.Origin{Service: q.Service, Version: version}, OnlyVersion, true
 		}
+	} else if r, ok := k.table.Find(q.Key, time.Now()); ok {
+		return r.Origin, Own, true
+	}
+	r, only, ok := k.ask(q)
+	if ok {
+		k.table.Put(r, time.Now())
+		return r.Origin, Router, true
 	}
 	now := time.Now()
-	if version, ok := k.History.Only(q.Service, q.Window, now); ok {
-		return origin.Origin{Service: q.Service, Version: version}, OnlyVersion, true
+	version, ok := k.History.Only(q.Service, q.Window, now)
+	if !ok {
+		// A router that has just started may learn the rest of the window from another one.
+		version, ok = k.History.OnlySeen(q.Service, q.Window, now)
+		ok = ok && version == only
 	}
-	// A router that has just started may learn the rest of the window from another one.
-	if version, ok := k.History.OnlySeen(q.Service, q.Window, now); ok && version == only {
-		return origin.Origin{Service: q.Service, Version: version}, OnlyVersion, true
+	if !ok {
+		return origin.Origin{}, "", false
 	}
-	return origin.Origin{}, "", false
+	return origin.Origin{Service: q.Service, Version: version}, OnlyVersion, true
 }
 
 // ask asks the routers that may have the record. If none has it, only is the version of all endpoints that the service has
@@ -309,7 +311,7 @@
 			if reply.Only != "" {
 				only = reply.Only
 			}
-			if !reply.Found {
+			if !reply.Found || !q.HasKey {
 				continue
 			}
 			if !ok || reply.Record.Attempt > r.Attempt {
--- a/io/origins/keeper_test.go
+++ b/io/origins/keeper_test.go
@@ -321,6 +321,9 @@
 		version, from := f.routers[2].find("s")
 		assert.Equal(t, version, "v2")
 		assert.Equal(t, from, origins.OnlyVersion)
+		unnamed, _, ok := f.routers[2].Find(origins.Query{Service: "models", Window: ttl})
+		assert.Assert(t, ok)
+		assert.Equal(t, unnamed.Version, "v2")
 		young.Version = "v1"
 		f.routers[0].history.Saw(young, time.Now())
 		f.routers[1].history.Saw(young, time.Now())
