--- /dev/null
+++ b/io/command/entryconnections.go
@@ -0,0 +1,51 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"savoryfall/core/members"
+	"savoryfall/io/connect"
+	"savoryfall/io/http1"
+	"savoryfall/io/traffic"
+	"savoryfall/io/tunnel"
+)
+
+// buildConnector builds what opens connections to endpoints. It comes first, because other routers may ask for tunnels as
+// soon as this one listens for routers.
+func (vm *entryVM) buildConnector() {
+	vm.connector = &connect.Connector{
+		Dial: http1.DialTCP, Tracker: &vm.reach, Metrics: connect.NewMetrics(vm.metricSet, &vm.reach), Logger: vm.logger,
+		LastBytes: vm.dispatcher.LastBytesAt,
+		Relays: &connect.Relays{
+			Routers: vm.otherRouters,
+			Dial:    vm.dialRouter, FailureDomain: vm.settings.VM().FailureDomain(),
+		},
+	}
+	vm.manager.Register("connector", vm.connector)
+	vm.tunnels.Connect, vm.tunnels.FromRouter, vm.tunnels.OnRefused = vm.connector.ConnectFor, vm.members.HasHost, vm.countRefusedTunnel
+}
+
+func (vm *entryVM) countRefusedTunnel(r tunnel.Refusal) {
+	vm.metricSet.GetOrCreateCounter(fmt.Sprintf("savoryfall_tunnels_refused_total{reason=%q}", r)).Inc()
+}
+
+// dialRouter connects to another router, from the address on which this one listens for routers: the other router
+// knows this one by it.
+func (vm *entryVM) dialRouter(ctx context.Context, address string) (c net.Conn, err error) {
+	host, _, err := net.SplitHostPort(vm.settings.PeerAddress())
+	if err != nil {
+		return nil, err
+	}
+	return http1.DialTCPFrom(ctx, net.ParseIP(host), address)
+}
+
+// buildOrigins builds what exchanges with the other routers where streams began.
+func (vm *entryVM) buildOrigins(m *traffic.Meter) {
+	vm.origins.Others, vm.origins.Dial, vm.origins.History, vm.origins.Meter = vm.otherRouters, vm.dialRouter, vm.endpoints.Versions(), m
+	vm.manager.Register("origins", &vm.origins)
+}
+
+// otherRouters returns the other routers that are not known to have failed.
+func (vm *entryVM) otherRouters() []members.Member { return vm.members.Others(vm.settings.VM().Name()) }
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -182,9 +181,7 @@
 		end, _, _ := registryFollower.Position()
 		return float64(end.Generation)
 	})
-	vm.origins.Others = func() []members.Member { return vm.members.Others(vm.settings.VM().Name()) }
-	vm.origins.Dial, vm.origins.History, vm.origins.Meter = vm.dialRouter, vm.endpoints.Versions(), meter
-	vm.manager.Register("origins", &vm.origins)
+	vm.buildOrigins(meter)
 	vm.hub, err = hub.New(hub.Config{
 		Self: members.Member{
 			Name: vm.settings.VM().Name(), Address: vm.settings.AdvertisedAddress(), FailureDomain: vm.settings.VM().FailureDomain(),
@@ -249,35 +246,6 @@
 	return nil
 }
 
-// buildConnector builds what opens connections to endpoints. It comes first, because other routers may ask for tunnels as
-// soon as this one listens for routers.
-func (vm *entryVM) buildConnector() {
-	vm.connector = &connect.Connector{
-		Dial: http1.DialTCP, Tracker: &vm.reach, Metrics: connect.NewMetrics(vm.metricSet, &vm.reach), Logger: vm.logger,
-		LastBytes: vm.dispatcher.LastBytesAt,
-		Relays: &connect.Relays{
-			Routers: func() []members.Member { return vm.members.Others(vm.settings.VM().Name()) },
-			Dial:    vm.dialRouter, FailureDomain: vm.settings.VM().FailureDomain(),
-		},
-	}
-	vm.manager.Register("connector", vm.connector)
-	vm.tunnels.Connect, vm.tunnels.FromRouter, vm.tunnels.OnRefused = vm.connector.ConnectFor, vm.members.HasHost, vm.countRefusedTunnel
-}
-
-func (vm *entryVM) countRefusedTunnel(r tunnel.Refusal) {
-	vm.metricSet.GetOrCreateCounter(fmt.Sprintf("savoryfall_tunnels_refused_total{reason=%q}", r)).Inc()
-}
-
-// dialRouter connects to another router, from the address on which this one listens for routers: the other router
-// knows this one by it.
-func (vm *entryVM) dialRouter(ctx context.Context, address string) (c net.Conn, err error) {
-	host, _, err := net.SplitHostPort(vm.settings.PeerAddress())
-	if err != nil {
-		return nil, err
-	}
-	return http1.DialTCPFrom(ctx, net.ParseIP(host), address)
-}
-
 // tracer returns a no-op tracer unless the settings name a destination for spans.
 func (vm *entryVM) tracer() (t trace.Tracer, err error) {
 	cfg := vm.settings.Traces()
@@ -389,7 +357,7 @@
 	defer cancelTunnels()
 	vm.clientServer.Drain(vm.stopGrace)
 	vm.tunnels.Wait(tunnelsEnd)
-	vm.origins.HandOver()
+	vm.origins.HandOver(handOverTimeout)
 	remaining := vm.clientServer.Connections().Counts()
 	_ = vm.logger.Log(field.Event, event.Stopped, field.Open, vm.handler.ActiveRequests(),
 		field.Reading, remaining.Reading(), field.Serving, remaining.Serving())
@@ -401,6 +369,8 @@
 const (
 	// stopTimeout bounds stopping the services after the last request.
 	stopTimeout = 300 * time.Millisecond
+	// handOverTimeout bounds handing over where streams began, which takes a call to each of the other routers.
+	handOverTimeout = 100 * time.Millisecond
 	// auxiliaryStopTimeout bounds stopping each of the readiness and metrics servers. They stop before the server for
 	// clients, and an idle connection to them must not use up the time for the last responses to clients.
 	auxiliaryStopTimeout = 50 * time.Millisecond
--- a/io/command/version_test.go
+++ b/io/command/version_test.go
@@ -74,7 +74,7 @@
 		f.addEndpoint(fmt.Sprint("n", i), fakeendpoint.Options{Service: "models", Version: "v2", Slots: 32, Events: 5})
 	}
 	for id, e := range f.endpoints {
-		if strings.Contains("mn", id[:1]) {
+		if strings.HasPrefix(id, "m") || strings.HasPrefix(id, "n") {
 			e.SetEventTime(100 * time.Millisecond)
 		}
 	}
@@ -196,7 +196,7 @@
 	streams := f.begin(f.vms[1], "r", 24, 1)
 	for i := range f.vms {
 		// A restarted router has lost what it knew; it hands over before.
-		f.vms[i].origins.HandOver()
+		f.vms[i].origins.HandOver(time.Second)
 		f.kill(f.vms[i])
 		f.start(len(f.vms))
 		started := f.vms[len(f.vms)-1]
--- a/io/origins/keeper.go
+++ b/io/origins/keeper.go
@@ -213,8 +213,19 @@
 	}
 }
 
-// HandOver gives the records that this router keeps to others, because it is about to stop.
-func (k *Keeper) HandOver() { k.shareAll(k.table.Shared(time.Now())) }
+// HandOver gives the records that this router keeps to others, because it is about to stop. It returns after the time at the
+// latest.
+func (k *Keeper) HandOver(atMost time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.shareAll(k.table.Shared(time.Now()))
+	}()
+	select {
+	case <-done:
+	case <-time.After(atMost):
+	}
+}
 
 // shareAll has other routers keep the records, with few calls.
 func (k *Keeper) shareAll(records []origintable.Record) {
--- a/io/origins/keeper_test.go
+++ b/io/origins/keeper_test.go
@@ -261,7 +261,7 @@
 		}
 		for i := range f.routers {
 			time.Sleep(time.Second)
-			f.routers[i].HandOver()
+			f.routers[i].HandOver(time.Second)
 			f.restart(i, several...)
 		}
 		for i := range 20 {
