entry: no record for a stream that cannot be resumed, and no comparison with an entry that lacks a start

No client takes up a stream whose route is not resumable. An engine whose entry lacks its start would have been refused every stream that goes on, because its report has one.

--- a/io/entry/continued.go
+++ b/io/entry/continued.go
@@ -73,6 +73,10 @@
 		return
 	}
 	a.origin = origin.Of(a.Endpoint(), time.Now())
+	if !x.route.Kind.Repeatable() {
+		// No client takes this stream up.
+		return
+	}
 	x.recorded = &a.origin
 	x.placement = x.handler.Origins.Begin(origintable.Record{
 		Key: origin.Key(x.accountName(), x.request.ID), Origin: a.origin, Attempt: len(x.tried), Remaining: x.streamWindow(),
@@ -122,7 +126,8 @@
 	}
 	return &http1.Check{Target: x.handler.EndpointProtocol.ReportTarget(), Accept: func(status int, body []byte) error {
 		born := x.handler.EndpointProtocol.DecodeReport(status, body)
-		if born != 0 && born != a.Endpoint().Born {
+		listed := a.Endpoint().Born
+		if born != 0 && listed != 0 && born != listed {
 			x.handler.Dispatcher.MarkReplaced(a.Endpoint().ID)
 			return errOtherProcess
 		}
