--- /dev/null
+++ b/io/origins/find.go
@@ -0,0 +1,119 @@
+package origins
+
+import (
+	"context"
+	"time"
+
+	"savoryfall/core/background"
+	"savoryfall/core/origin"
+	"savoryfall/core/origintable"
+)
+
+// Source is how the origin of a stream became known.
+type Source string
+
+// The sources of an origin.
+const (
+	// Own means that this router had the record, Router that another one did.
+	Own    Source = "own"
+	Router Source = "router"
+	// OnlyVersion means that the service has had endpoints of one version only.
+	OnlyVersion Source = "onlyVersion"
+)
+
+// Query asks where a stream began.
+type Query struct {
+	// Key identifies the stream. It is valid only if HasKey is set.
+	Key    uint64
+	HasKey bool
+	// Service is the service that the request is for, and Window how long ago the stream may have begun.
+	Service string
+	Window  time.Duration
+}
+
+// Find returns where the stream began. ok is false if this is not known.
+func (k *Keeper) Find(q Query) (o origin.Origin, from Source, ok bool) {
+	if !q.HasKey {
+		if version, ok := k.History.Only(q.Service, q.Window, time.Now()); ok {
+			return origin.Origin{Service: q.Service, Version: version}, OnlyVersion, true
+		}
+	} else if r, ok := k.table.Find(q.Key, time.Now()); ok {
+		return r.Origin, Own, true
+	}
+	r, only, ok := k.ask(q)
+	if ok {
+		k.table.Put(r, time.Now())
+		return r.Origin, Router, true
+	}
+	now := time.Now()
+	version, ok := k.History.Only(q.Service, q.Window, now)
+	if !ok {
+		// A router that has just started may learn the rest of the window from another one.
+		version, ok = k.History.OnlySeen(q.Service, q.Window, now)
+		ok = ok && version == only
+	}
+	if !ok {
+		return origin.Origin{}, "", false
+	}
+	return origin.Origin{Service: q.Service, Version: version}, OnlyVersion, true
+}
+
+// ask asks the routers that may have the record. If none has it, only is the version of all endpoints that the service has
+// had, if one of them knows.
+func (k *Keeper) ask(q Query) (r origintable.Record, only string, ok bool) {
+	k.awaitRouters()
+	peers := k.ranked(q.Key)
+	peers = peers[:min(candidates, len(peers))]
+	replies := make(chan *FindReply, len(peers))
+	for _, p := range peers {
+		go func() {
+			var reply FindReply
+			if p.call("Find", &FindArgs{Key: q.Key, Service: q.Service, Window: q.Window}, &reply) != nil {
+				reply = FindReply{}
+			}
+			replies <- &reply
+		}()
+	}
+	var late <-chan time.Time
+	for range peers {
+		select {
+		case reply := <-replies:
+			if reply.Only != "" {
+				only = reply.Only
+			}
+			if !reply.Found || !q.HasKey {
+				continue
+			}
+			if !ok || reply.Record.Attempt > r.Attempt {
+				r, ok = reply.Record, true
+			}
+			if late == nil {
+				late = time.After(moreReplies)
+			}
+		case <-late:
+			return r, "", true
+		}
+	}
+	return r, only, ok
+}
+
+const (
+	// startupPeriod is how long after its start a router may not know the others yet, maxStartupWait how long a request waits
+	// for them, and startupPollPeriod how often it checks.
+	startupPeriod     = 2 * time.Second
+	maxStartupWait    = 250 * time.Millisecond
+	startupPollPeriod = 5 * time.Millisecond
+)
+
+// awaitRouters waits until a router that has just started knows others. Without it, the clients of a router that was killed
+// were refused by one that had just taken its place.
+func (k *Keeper) awaitRouters() {
+	until := time.Now().Add(maxStartupWait)
+	for len(k.Others()) == 0 && time.Since(k.startedAt) < startupPeriod && time.Now().Before(until) && !k.stopped.Load() {
+		background.Sleep(context.Background(), startupPollPeriod, nil)
+	}
+}
+
+// moreReplies is for how long further replies are waited for once a router had the record. One that was handed over may be of
+// an earlier attempt.
+const moreReplies = 30 * time.Millisecond
--- a/io/origins/keeper.go
+++ b/io/origins/keeper.go
@@ -1,11 +1,11 @@
 package origins
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/rpc"
 	"slices"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +13,6 @@
 	"savoryfall/core/background"
 	"savoryfall/core/hashmix"
 	"savoryfall/core/members"
-	"savoryfall/core/origin"
 	"savoryfall/core/origintable"
 	"savoryfall/core/versionhistory"
 	"savoryfall/io/traffic"
@@ -24,9 +23,9 @@
 	MaxRetention = 2 * time.Minute
 	// copies is how many other routers keep a record.
 	copies = 3
-	// asked is how many routers are asked for a record. It is more than copies, because routers that did not answer were
-	// replaced by the next ones.
-	asked = 8
+	// candidates is how many routers may be given a record, and are asked for it: those that do not answer are replaced by the
+	// next ones.
+	candidates = 8
 	// maxPutRecords limits the records of one call.
 	maxPutRecords = 2000
 )
@@ -85,12 +84,6 @@
 	}
 }
 
-func (p *peer) usedAfter(at time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.usedAt.After(at)
-}
-
 // Records returns the number of records that this router has.
 func (k *Keeper) Records() int { return k.table.Len() }
 
@@ -100,31 +93,24 @@
 	if k.stopped.Load() {
 		return nil
 	}
+	type rankedPeer struct {
+		*peer
+		score uint64
+	}
+	var list []rankedPeer
 	others := k.Others()
-	scores := make([]uint64, len(others))
 	k.mu.Lock()
-	for i, m := range others {
-		scores[i] = hashmix.Mix(key ^ members.Hash(m.Name))
-		peers = append(peers, k.peer(m))
+	for _, m := range others {
+		list = append(list, rankedPeer{k.peer(m), hashmix.Mix(key ^ members.Hash(m.Name))})
 	}
 	k.mu.Unlock()
-	sort.Sort(&byScore{peers, scores})
+	slices.SortFunc(list, func(a, b rankedPeer) int { return cmp.Compare(b.score, a.score) })
+	for _, c := range list {
+		peers = append(peers, c.peer)
+	}
 	return peers
 }
 
-// byScore sorts peers by score, the highest first.
-type byScore struct {
-	peers  []*peer
-	scores []uint64
-}
-
-func (s *byScore) Len() int           { return len(s.peers) }
-func (s *byScore) Less(i, j int) bool { return s.scores[i] > s.scores[j] }
-func (s *byScore) Swap(i, j int) {
-	s.peers[i], s.peers[j] = s.peers[j], s.peers[i]
-	s.scores[i], s.scores[j] = s.scores[j], s.scores[i]
-}
-
 // keepers returns the routers that are to keep the record of the stream, without those that did not answer lately.
 func (k *Keeper) keepers(key uint64) (peers []*peer) {
 	now := time.Now()
@@ -178,7 +164,7 @@
 		})
 	}
 	peers := slices.DeleteFunc(k.keepers(r.Key), func(c *peer) bool { return slices.Contains(p.earlier, c) })
-	peers = peers[:min(len(peers), asked)]
+	peers = peers[:min(len(peers), candidates)]
 	var next atomic.Int64
 	for range min(copies-len(p.earlier), len(peers)) {
 		calls.Go(func() {
@@ -249,112 +235,3 @@
 	}
 	calls.Wait()
 }
-
-// Source is how the origin of a stream became known.
-type Source string
-
-// The sources of an origin.
-const (
-	// Own means that this router had the record, Router that another one did.
-	Own    Source = "own"
-	Router Source = "router"
-	// OnlyVersion means that the service has had endpoints of one version only.
-	OnlyVersion Source = "onlyVersion"
-)
-
-// Query asks where a stream began.
-type Query struct {
-	// Key identifies the stream. It is valid only if HasKey is set.
-	Key    uint64
-	HasKey bool
-	// Service is the service that the request is for, and Window how long ago the stream may have begun.
-	Service string
-	Window  time.Duration
-}
-
-// Find returns where the stream began. ok is false if this is not known.
-func (k *Keeper) Find(q Query) (o origin.Origin, from Source, ok bool) {
-	if !q.HasKey {
-		if version, ok := k.History.Only(q.Service, q.Window, time.Now()); ok {
-			return origin.Origin{Service: q.Service, Version: version}, OnlyVersion, true
-		}
-	} else if r, ok := k.table.Find(q.Key, time.Now()); ok {
-		return r.Origin, Own, true
-	}
-	r, only, ok := k.ask(q)
-	if ok {
-		k.table.Put(r, time.Now())
-		return r.Origin, Router, true
-	}
-	now := time.Now()
-	version, ok := k.History.Only(q.Service, q.Window, now)
-	if !ok {
-		// A router that has just started may learn the rest of the window from another one.
-		version, ok = k.History.OnlySeen(q.Service, q.Window, now)
-		ok = ok && version == only
-	}
-	if !ok {
-		return origin.Origin{}, "", false
-	}
-	return origin.Origin{Service: q.Service, Version: version}, OnlyVersion, true
-}
-
-// ask asks the routers that may have the record. If none has it, only is the version of all endpoints that the service has
-// had, if one of them knows.
-func (k *Keeper) ask(q Query) (r origintable.Record, only string, ok bool) {
-	k.awaitRouters()
-	peers := k.ranked(q.Key)
-	peers = peers[:min(asked, len(peers))]
-	replies := make(chan *FindReply, len(peers))
-	for _, p := range peers {
-		go func() {
-			var reply FindReply
-			if p.call("Find", &FindArgs{Key: q.Key, Service: q.Service, Window: q.Window}, &reply) != nil {
-				reply = FindReply{}
-			}
-			replies <- &reply
-		}()
-	}
-	var late <-chan time.Time
-	for range peers {
-		select {
-		case reply := <-replies:
-			if reply.Only != "" {
-				only = reply.Only
-			}
-			if !reply.Found || !q.HasKey {
-				continue
-			}
-			if !ok || reply.Record.Attempt > r.Attempt {
-				r, ok = reply.Record, true
-			}
-			if late == nil {
-				late = time.After(moreReplies)
-			}
-		case <-late:
-			return r, "", true
-		}
-	}
-	return r, only, ok
-}
-
-const (
-	// startupPeriod is how long after its start a router may not know the others yet, maxStartupWait how long a request waits
-	// for them, and startupPollPeriod how often it checks.
-	startupPeriod     = 2 * time.Second
-	maxStartupWait    = 250 * time.Millisecond
-	startupPollPeriod = 5 * time.Millisecond
-)
-
-// awaitRouters waits until a router that has just started knows others. Without it, the clients of a router that was killed
-// were refused by one that had just taken its place.
-func (k *Keeper) awaitRouters() {
-	until := time.Now().Add(maxStartupWait)
-	for len(k.Others()) == 0 && time.Since(k.startedAt) < startupPeriod && time.Now().Before(until) && !k.stopped.Load() {
-		background.Sleep(context.Background(), startupPollPeriod, nil)
-	}
-}
-
-// moreReplies is for how long further replies are waited for once a router had the record. One that was handed over may be of
-// an earlier attempt.
-const moreReplies = 30 * time.Millisecond
--- a/io/origins/peer.go
+++ b/io/origins/peer.go
@@ -119,3 +119,9 @@
 		p.client = nil
 	}
 }
+
+func (p *peer) usedAfter(at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.usedAt.After(at)
+}
