--- a/core/request/request.go
+++ b/core/request/request.go
@@ -29,5 +29,5 @@
 	MaxOutputTokens int
 }
 
-// TakesUp reports whether the client takes up a stream of which it has events.
-func (r *Request) TakesUp() bool { return r.LastEventID != "" || r.Resumes != "" }
+// ResumesStream reports whether the client resumes a stream of which it has events.
+func (r *Request) ResumesStream() bool { return r.LastEventID != "" || r.Resumes != "" }
--- a/io/entry/continued.go
+++ b/io/entry/continued.go
@@ -36,10 +36,10 @@
 	return byClient
 }
 
-// findOrigin finds where the stream began that the client takes up. It may go on only at the service and the software
+// findOrigin finds where the stream began that the client resumes. It may go on only at the service and the software
 // version that began it.
 func (x *exchange) findOrigin() *request.Problem {
-	if !x.route.Kind.Streaming() || !x.request.TakesUp() {
+	if !x.route.Kind.Streaming() || !x.request.ResumesStream() {
 		return nil
 	}
 	o, from, ok := x.handler.Origins.Find(origins.Query{
@@ -74,7 +74,7 @@
 	}
 	a.origin = origin.Of(a.Endpoint(), time.Now())
 	if !x.route.Kind.Repeatable() {
-		// No client takes this stream up.
+		// No client resumes this stream.
 		return
 	}
 	x.recorded = &a.origin
@@ -162,7 +162,7 @@
 
 // originFields are the log fields with where the stream began, as far as known, and with what the client states.
 func (x *exchange) originFields() (fields []any) {
-	if x.request.TakesUp() {
+	if x.request.ResumesStream() {
 		fields = []any{field.Resumes, shortened(x.request.Resumes), field.Source, x.originSource}
 	}
 	if o := x.origin.Load(); o != nil {
@@ -184,9 +184,9 @@
 	m.set.GetOrCreateCounter("savoryfall_stream_origins_late_total").Inc()
 }
 
-// takenUpFields are the log fields of a refused request by which a client takes a stream up.
-func (x *exchange) takenUpFields() []any {
-	if x.route == nil || !x.route.Kind.Streaming() || !x.request.TakesUp() {
+// resumedFields are the log fields of a refused request by which a client resumes a stream.
+func (x *exchange) resumedFields() []any {
+	if x.route == nil || !x.route.Kind.Streaming() || !x.request.ResumesStream() {
 		return nil
 	}
 	return slices.Concat([]any{field.LastEvent, shortened(x.request.LastEventID)}, x.originFields())
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -41,7 +41,7 @@
 	// recorded is the endpoint of the newest attempt to begin the stream, and placement where other routers were told of it.
 	recorded  *origin.Origin
 	placement *origins.Placement
-	// originSource is how the origin of a stream that the client takes up became known.
+	// originSource is how the origin of a stream that the client resumes became known.
 	originSource origins.Source
 	// software are the software versions of the endpoints in tried.
 	software []string
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -97,7 +97,7 @@
 	if p.Reason == request.Unreachable && x.handler.Connections != nil {
 		line = append(line, x.handler.Connections.LogFields(x.service)...)
 	}
-	line = append(line, x.takenUpFields()...)
+	line = append(line, x.resumedFields()...)
 	if x.conn != nil && x.conn.CloseReason() != "" {
 		line = append(line, x.conn.LogFields()...)
 	}
--- a/io/origins/doc.go
+++ b/io/origins/doc.go
@@ -2,6 +2,6 @@
 // software version that began it.
 //
 // A router that sends a stream to an endpoint has a few other routers, chosen by rendezvous hashing, keep the record before
-// it forwards the first event. A router where a client takes the stream up asks the same routers. Services with a single
+// it forwards the first event. A router where a client resumes the stream asks the same routers. Services with a single
 // version need neither.
 package origins
