--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -90,10 +90,7 @@
 
 // send sends one request with the newest key and waits for its answer; a nil connection means a new one.
 func (h *harness) send(r *router, c *conn, route string) testclient.Response {
-	h.mu.Lock()
-	key := h.key
-	h.mu.Unlock()
-	return h.sendWithKey(r, c, route, key)
+	return h.sendWithKey(r, c, route, h.newestKey())
 }
 
 func (h *harness) sendWithKey(r *router, c *conn, route, key string) testclient.Response {
@@ -136,12 +133,8 @@
 	if err != nil {
 		return
 	}
-	h.mu.Lock()
-	key := h.key
-	h.mu.Unlock()
-	q := &request{id: fmt.Sprint("r", h.nextID.Add(1)), route: "draft", key: key, router: r, sent: time.Now(), abandon: true, parts: 1}
-	q.idleSince, q.routerStart = q.sent, r.startCount()
-	_ = c.Send(testclient.Request{Method: http.MethodPost, Host: host, Path: "/draft/" + q.id, ID: q.id, Key: key})
+	q := &request{route: "draft", key: h.newestKey(), router: r, abandon: true}
+	_ = c.Send(h.prepare(q))
 	<-time.After(2 * eventInterval)
 	c.Close()
 	q.ended = time.Now()
