io/entry: log which prompt parts an answer had that broke off, and whether the endpoint's process ended

After an answer to a prompt has broken off, the router connects to the endpoint once, for all requests that broke off there, and logs answerBroken: a refused connection shows that no process listens. savoryfall_answers_broken_total counts them. Choices are as before.

--- a/core/field/field.go
+++ b/core/field/field.go
@@ -59,6 +59,18 @@
 	LastEvent Name = "lastEvent"
 )
 
+// Fields of an answer that has broken off at an endpoint.
+const (
+	// Process is what is known of the endpoint's process afterwards: it has ended, it is alive, or unknown.
+	Process Name = "process"
+	// Events is the number of events that the endpoint has sent.
+	Events Name = "events"
+	// Model is the model that the request names.
+	Model Name = "model"
+	// Parts lists the ids of the parts of the prompt, in hexadecimal.
+	Parts Name = "parts"
+)
+
 // Fields of a refusal for lack of capacity.
 const (
 	// Service is the endpoint service.
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -29,6 +29,8 @@
 	cancel context.CancelFunc
 	// origin is where the stream begins if this attempt brings its first event.
 	origin origin.Origin
+	// events is the number of events that the endpoint has sent.
+	events int
 }
 
 // firstBytesReceived records the first bytes of the response and the load reported in its header.
@@ -183,6 +185,9 @@
 	if first {
 		x.handler.Metrics.recordAttempt(x.service, v, took)
 	}
+	if first && v == dispatch.Broken {
+		x.recordBroken(a)
+	}
 }
 
 // classifyError returns the verdict on the endpoint for an attempt without a response, and whether the request may have
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -85,9 +85,12 @@
 	Pool             *http1.Pool
 	// Connections is nil if nothing is known of the ways to endpoints.
 	Connections Connections
-	Tracer      trace.Tracer
-	Metrics     *Metrics
-	Logger      log.Logger
+	// Refused connects to the address of an endpoint and reports whether the connection was refused, because no process listens
+	// there. It may be nil.
+	Refused func(ctx context.Context, address string) (refused bool, err error)
+	Tracer  trace.Tracer
+	Metrics *Metrics
+	Logger  log.Logger
 	// Clock returns the time since boot, including time in which the VM was suspended.
 	Clock func() time.Duration
 }
@@ -98,6 +101,8 @@
 	phase atomic.Int32
 	open  atomic.Int64
 	began time.Time
+	// processes finds out whether processes of endpoints have ended.
+	processes processChecks
 }
 
 // The phases of a Handler. While draining, it still serves requests, because the load balancer and open connections
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -35,6 +35,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`savoryfall_attempt_seconds{service=%q}`, service)).Update(took.Seconds())
 }
 
+// recordBroken counts an answer to a prompt that has broken off, by what became of the endpoint's process.
+func (m *Metrics) recordBroken(service string, s processState) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_answers_broken_total{service=%q,state=%q}`, service, s)).Inc()
+}
+
 func (m *Metrics) recordFirstEvent(kind string, took time.Duration) {
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`savoryfall_first_event_seconds{kind=%q}`, kind)).Update(took.Seconds())
 }
