io/entry: requests with a quarantined prompt part are refused, and those at a crash are not sent on and on

Callers saw engines end one after the other: each request with a part that crashes engines was sent to one, and after that to the next. Ends that were to be expected (an endpoint that leaves, is drained, no longer listed, or fell over its refusals) and connections that break while the process lives count for nothing.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -81,6 +81,9 @@
 // Endpoint returns the endpoint's directory entry as it was when the attempt began.
 func (a *Attempt) Endpoint() directory.Entry { return a.entry }
 
+// Began returns when the endpoint was chosen.
+func (a *Attempt) Began() time.Time { return a.began }
+
 // FetchSource returns the address of an endpoint that caches parts of the prompt which this one lacks, or "" if there
 // is none.
 func (a *Attempt) FetchSource() string { return a.fetchSource }
--- a/core/dispatch/withdraw.go
+++ b/core/dispatch/withdraw.go
@@ -29,6 +29,15 @@
 	return a.d.byID[a.entry.ID] != a.e || a.d.isWithdrawn(a.e, now)
 }
 
+// ExpectedToEnd reports whether the endpoint's process may end for a reason of its own: it was leaving or no longer listed, or it is
+// brittle and has just turned requests away.
+func (a *Attempt) ExpectedToEnd(now time.Time) bool {
+	a.d.mu.Lock()
+	defer a.d.mu.Unlock()
+	fallsOver := a.d.isBrittle(a.q.Service) && now.Sub(a.e.refusedAt) < refusedPause
+	return a.e.leaving || fallsOver || a.d.byID[a.entry.ID] != a.e || a.d.isDrained(a.e)
+}
+
 // isWithdrawn reports whether the endpoint must get no new work: its process is leaving or has asked for a pause, or its
 // failure domain is drained.
 func (d *Dispatcher) isWithdrawn(e *endpoint, now time.Time) bool {
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -71,6 +71,22 @@
 	Parts Name = "parts"
 )
 
+// Fields of a quarantined prompt part.
+const (
+	// Part is the id of the part, in hexadecimal.
+	Part Name = "part"
+	// Scope is the hash of the service and model for which the part is quarantined.
+	Scope Name = "scope"
+	// Crashes is the number of crashes under requests with the part.
+	Crashes Name = "crashes"
+	// Processes is the number of endpoints' processes that ended in them.
+	Processes Name = "processes"
+	// Trials is the number of trials of the part.
+	Trials Name = "trials"
+	// TrialMs is the time until the next trial.
+	TrialMs Name = "trialMs"
+)
+
 // Fields of a refusal for lack of capacity.
 const (
 	// Service is the endpoint service.
--- a/core/request/problem.go
+++ b/core/request/problem.go
@@ -31,6 +31,8 @@
 	// is not known which version that was.
 	NoVersion      Reason = "noVersion"
 	UnknownVersion Reason = "unknownVersion"
+	// Quarantined means that endpoints crashed under requests with a part of the prompt.
+	Quarantined Reason = "quarantined"
 	// NoAttemptLeft means that the route's attempts, the deadline or the retry budget allow no further attempt.
 	NoAttemptLeft    Reason = "noAttemptLeft"
 	DeadlineExceeded Reason = "late"
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -29,8 +29,11 @@
 	cancel context.CancelFunc
 	// origin is where the stream begins if this attempt brings its first event.
 	origin origin.Origin
-	// events is the number of events that the endpoint has sent.
-	events int
+	// events is the number of events that the endpoint has sent, and firstEventAt when it sent the first one.
+	events       int
+	firstEventAt time.Time
+	// answered is set once the answer has gone well for so long that its prompt does not crash the endpoint.
+	answered bool
 }
 
 // firstBytesReceived records the first bytes of the response and the load reported in its header.
@@ -185,8 +188,11 @@
 	if first {
 		x.handler.Metrics.recordAttempt(x.service, v, took)
 	}
-	if first && v == dispatch.Broken {
+	switch {
+	case first && v == dispatch.Broken:
 		x.recordBroken(a)
+	case first && v == dispatch.Served:
+		x.recordAnswered(a)
 	}
 }
 
@@ -237,8 +243,8 @@
 	return false, p
 }
 
-// allowAttempt reports whether another attempt is allowed by the route's maximum number of attempts, the deadline and
-// this router's share of the retry budget. A retry that is allowed is counted.
+// allowAttempt reports whether another attempt is allowed by the route's maximum number of attempts, the deadline, the
+// crashes under parts of the prompt, and this router's share of the retry budget. A retry that is allowed is counted.
 func (x *exchange) allowAttempt(now time.Time) bool {
 	if x.sends >= x.route.MaxAttempts || x.deadline.Sub(now) < minAttemptTime {
 		return false
@@ -246,7 +252,7 @@
 	if x.sends == x.retriesCounted {
 		return true
 	}
-	if !x.handler.Retries.Allow(x.service, now) {
+	if !x.handler.Parts.MayRetry(x.subject(), x.atCrash) || !x.handler.Retries.Allow(x.service, now) {
 		return false
 	}
 	x.retriesCounted = x.sends
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"savoryfall/core/origin"
+	"savoryfall/core/quarantine"
 	"savoryfall/core/request"
 	"savoryfall/core/routetable"
 	"savoryfall/io/clientconn"
@@ -48,6 +49,12 @@
 	sends    int
 	// retriesCounted is how many retries have been counted. One that reached no endpoint is not counted again.
 	retriesCounted int
+	// atCrash is set if an endpoint's process crashed before it had answered this request well.
+	atCrash bool
+	// trial is set while the request is the trial of a quarantined prompt part.
+	trial bool
+	// quarantined is the prompt part that the request was refused for.
+	quarantined quarantine.Status
 	// lostConnection is set if an attempt has ended without the complete response.
 	lostConnection bool
 }
@@ -195,6 +202,10 @@
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeSlack))
 	x.service = x.route.ChooseService(routeFraction(x.request.ID))
 	p := x.findOrigin()
+	if p == nil {
+		p = x.checkParts()
+		defer x.endTrial()
+	}
 	x.handler.Retries.RecordFirst(x.service, time.Now())
 	if p != nil {
 		return p
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -17,6 +17,7 @@
 	"savoryfall/core/freshness"
 	"savoryfall/core/origin"
 	"savoryfall/core/origintable"
+	"savoryfall/core/quarantine"
 	"savoryfall/core/request"
 	"savoryfall/core/retrylimit"
 	"savoryfall/core/routetable"
@@ -85,6 +86,8 @@
 	Pool             *http1.Pool
 	// Connections is nil if nothing is known of the ways to endpoints.
 	Connections Connections
+	// Parts is what is known of prompt parts under which endpoints crashed. It may be nil.
+	Parts *quarantine.Table
 	// Refused connects to the address of an endpoint and reports whether the connection was refused, because no process listens
 	// there. It may be nil.
 	Refused func(ctx context.Context, address string) (refused bool, err error)
@@ -114,7 +117,12 @@
 )
 
 // New creates a Handler.
-func New(c Config) *Handler { return &Handler{Config: c, began: time.Now()} }
+func New(c Config) *Handler {
+	if c.Parts == nil {
+		c.Parts = &quarantine.Table{}
+	}
+	return &Handler{Config: c, began: time.Now()}
+}
 
 const (
 	// startupPeriod is how long after its start a process may still be without a configuration: it either receives one
--- a/io/entry/processcheck.go
+++ b/io/entry/processcheck.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"savoryfall/core/directory"
-	"savoryfall/core/event"
-	"savoryfall/core/field"
-	"savoryfall/core/prompt"
 )
 
 // processState is what a router knows of an endpoint's process after an answer has broken off.
@@ -97,28 +92,3 @@
 	}
 	return processAlive
 }
-
-// recordBroken logs and counts an answer to a prompt that has broken off, with what the endpoint ran of it.
-func (x *exchange) recordBroken(a *attempt) {
-	if len(x.request.Prompt) == 0 {
-		return
-	}
-	e := a.Endpoint()
-	state := x.handler.processes.check(e, x.handler.Refused)
-	x.handler.Metrics.recordBroken(x.service, state)
-	_ = x.handler.Logger.Log(field.Event, event.AnswerBroken, field.Request, x.request.ID, field.Route, x.routeName(), field.Service, x.service,
-		field.Account, x.accountName(), field.Endpoint, e.ID, field.Born, e.Born, field.Software, e.Version, field.Process, state,
-		field.Events, a.events, field.Sends, x.sends, field.Model, shortened(x.request.Model), field.Parts, partList(x.request.Prompt))
-}
-
-// maxLoggedParts limits the prompt parts of one line.
-const maxLoggedParts = 16
-
-// partList returns the ids of the prompt's parts, in hexadecimal.
-func partList(c prompt.Chain) string {
-	ids := make([]string, 0, min(len(c), maxLoggedParts))
-	for _, p := range c[:min(len(c), maxLoggedParts)] {
-		ids = append(ids, strconv.FormatUint(p.ID, 16))
-	}
-	return strings.Join(ids, ",")
-}
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -97,6 +97,9 @@
 	if p.Reason == request.Unreachable && x.handler.Connections != nil {
 		line = append(line, x.handler.Connections.LogFields(x.service)...)
 	}
+	if p.Reason == request.Quarantined {
+		line = append(line, PartFields(x.quarantined)...)
+	}
 	line = append(line, x.resumedFields()...)
 	if x.conn != nil && x.conn.CloseReason() != "" {
 		line = append(line, x.conn.LogFields()...)
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -185,7 +185,7 @@
 		return false
 	}
 	a.RecordProgress(time.Now())
-	a.events += len(events)
+	s.x.countEvents(a, len(events))
 	wrote := false
 	for _, e := range events {
 		if e.HasID && s.hasLast && e.ID <= s.lastID {
