core/quarantine: routers agree on when a crash was and when its request was sent

TestRoutersAgreeAfterExchange failed under the race detector, at its first draw: a process that two routers saw end at different times counted as one event at one of them and as two at another, because the later send time was kept only where it was before the crash's time as known there.

--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -14,7 +14,7 @@
 	// account is the client account of the requests that had the part, severalAccounts if there were several.
 	account uint64
 	at      time.Time
-	// sent is when the newest of these requests was sent to the endpoint.
+	// sent is when the oldest of these requests was sent to the endpoint.
 	sent time.Time
 	// cleared is set once an answer to a request with the part began after the crash and went well.
 	cleared bool
@@ -30,9 +30,12 @@
 // crashes are ordered by their time.
 type crashes []crash
 
-// add adds a crash and reports whether that changed anything: one that is older than all that are kept does not. Of one that is known, the earlier time is kept: what another
-// router reports looks later than it was.
+// minCorrection is by how much a time must be earlier than the known one to be worth a report to other routers.
+const minCorrection = 20 * time.Millisecond
+
+// add adds a crash and reports whether that changed anything: one that is older than all that are kept does not.
 func (c *crashes) add(n crash) (changed bool) {
+	defer c.sort()
 	i := slices.IndexFunc(*c, func(k crash) bool { return k.process == n.process })
 	if i < 0 {
 		*c = append(*c, n)
@@ -40,22 +43,25 @@
 		return c.has(n.process)
 	}
 	known := &(*c)[i]
-	if n.at.Before(known.at) {
-		known.at = n.at
-	}
-	if n.sent.After(known.sent) && n.sent.Before(known.at) {
-		known.sent = n.sent
-	}
+	changed = known.at.Sub(n.at) > minCorrection || known.sent.Sub(n.sent) > minCorrection
+	// What another router reports looks later than it was, so that the earlier times are right.
+	known.at, known.sent = earlier(known.at, n.at), earlier(known.sent, n.sent)
 	if known.account != n.account && known.account != severalAccounts {
 		known.account, changed = severalAccounts, true
 	}
 	if n.cleared && !known.cleared {
 		known.cleared, changed = true, true
 	}
-	c.sort()
 	return changed
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // clear clears the crashes before the time, and reports whether that changed anything.
 func (c crashes) clear(before time.Time) (changed bool) {
 	for i := range c {
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -22,7 +22,7 @@
 	Process uint64
 	Account uint64
 	Age     time.Duration
-	// SentAge is the time since the newest of the requests was sent to the endpoint.
+	// SentAge is the time since the oldest of the requests was sent to the endpoint.
 	SentAge time.Duration
 	Cleared bool
 }
