io/hub: routers share what they know of crashes under prompt parts

Each router sees a part of the crashes only: those of endpoints that it had a request at. Records of parts now go up to the hub and down to all routers with the reports, changed ones only; a router that starts gets all of them with its first reply. A change is also sent to the hub at once, because a report may be held there for 300 ms, and wakes the held replies.

It plays 18 s now, so that the trial of the part is within it.

--- a/io/command/crash_test.go
+++ b/io/command/crash_test.go
@@ -60,7 +60,9 @@
 		f.stopped = true
 	})
 	for _, vm := range f.vms {
-		f.waitFor("the engines", func() bool { return strings.Contains(f.metrics(vm), fmt.Sprintf("savoryfall_endpoints %d\n", 4+engines)) })
+		f.waitFor("the engines", func() bool {
+			return strings.Contains(f.metrics(vm), fmt.Sprintf("savoryfall_endpoints %d\n", 4+engines))
+		})
 		f.waitFor("all routers", func() bool { return vm.routers.Load() == int64(routers) })
 	}
 	return f
@@ -154,7 +156,7 @@
 
 // sendWithPart sends a request that has the part in a place that differs between requests.
 func (f *crashFleet) sendWithPart(n, part int) {
-	parts := []string{"ba5e:2000", fmt.Sprintf("%x:300", 0x100+n%7), fmt.Sprintf("%x:20", 0x20000+n*8+part)}
+	parts := []string{"ba5e:2000", fmt.Sprintf("%x:300", 0x100+(n+2*part)%7), fmt.Sprintf("%x:20", 0x20000+n*8+part)}
 	prompt := strings.Join(slices.Insert(parts, n%3, f.parts[part]+":400"), ",")
 	if f.draft(n, prompt).Status != 200 {
 		f.draft(n+1, prompt)
@@ -203,7 +205,7 @@
 
 // check plays the load and checks the bounds on requests with the parts and on sound ones.
 func (f *crashFleet) check() {
-	const before, with = 2 * time.Second, 11 * time.Second
+	const before, with = 2 * time.Second, 18 * time.Second
 	began := f.play(before, with)
 	f.mu.Lock()
 	crashes := len(f.crashes)
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -24,6 +24,7 @@
 	"savoryfall/core/freshness"
 	"savoryfall/core/lifecycle"
 	"savoryfall/core/members"
+	"savoryfall/core/quarantine"
 	"savoryfall/core/reach"
 	"savoryfall/core/retrylimit"
 	"savoryfall/core/routetable"
@@ -63,7 +64,9 @@
 	dispatcher *dispatch.Dispatcher
 	reach      reach.Tracker
 	// connector opens the connections to endpoints.
-	connector     *connect.Connector
+	connector *connect.Connector
+	// parts is what is known of prompt parts under which endpoints crashed.
+	parts         quarantine.Table
 	endpoints     *registry.Tracker
 	configTracker *storeconfig.Tracker
 	members       members.List
@@ -144,7 +147,9 @@
 // of the request limits of cold endpoints.
 func (vm *entryVM) setRouters(routers []uint64) {
 	vm.routers.Store(int64(len(routers)))
-	vm.dispatcher.SetFleet(coldlimit.New(members.Hash(vm.settings.VM().Name()), routers))
+	fleet := coldlimit.New(members.Hash(vm.settings.VM().Name()), routers)
+	vm.dispatcher.SetFleet(fleet)
+	vm.parts.SetFleet(fleet)
 	vm.updateRetryLimits()
 }
 
@@ -191,12 +196,13 @@
 		ListenAddress: vm.settings.PeerAddress(),
 		Members:       &vm.members, Split: vm.tunnels.Split, Register: vm.origins.Register, Configuration: configurationFollower, CurrentRecord: vm.configTracker.Record,
 		OtherRecords: vm.drainTracker.Records, Registry: registryFollower, Endpoints: vm.endpoints,
-		Loads: vm.dispatcher, RouterList: hub.NewRouterList(storeClient.Topic(store.RoutersTopic)), Bootstrap: vm.settings.Bootstrap(), Meter: meter,
+		Loads: vm.dispatcher, Parts: &vm.parts, RouterList: hub.NewRouterList(storeClient.Topic(store.RoutersTopic)), Bootstrap: vm.settings.Bootstrap(), Meter: meter,
 		Logger: vm.logger, Clock: bootclock.Now, StaleAfter: staleAfter, OnRoutersChanged: vm.setRouters,
 	})
 	if err != nil {
 		return err
 	}
+	vm.parts.OnChange = vm.onPartsChanged
 	vm.manager.Register("hub", vm.hub)
 	return nil
 }
@@ -235,7 +241,7 @@
 	vm.connector.OnUnreachable = pool.DiscardIdle
 	vm.handler = entry.New(entry.Config{
 		ClientProtocol: clientapi.Codec{}, EndpointProtocol: endpointapi.Codec{}, Configuration: vm.configTracker, Lease: &vm.lease,
-		Endpoints: vm.endpoints, Origins: &vm.origins, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: pool, Connections: vm.connector, Refused: vm.connector.Refused, Tracer: tracer,
+		Endpoints: vm.endpoints, Origins: &vm.origins, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: pool, Connections: vm.connector, Parts: &vm.parts, Refused: vm.connector.Refused, Tracer: tracer,
 		Metrics: entry.NewMetrics(vm.metricSet), Logger: vm.logger, Clock: bootclock.Now,
 	})
 	vm.clientServer, err = entry.NewServer(vm.settings.ClientAddress(), vm.handler)
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -17,6 +17,7 @@
 	"savoryfall/core/field"
 	"savoryfall/core/fleetload"
 	"savoryfall/core/members"
+	"savoryfall/core/quarantine"
 	"savoryfall/core/readrotation"
 	"savoryfall/io/traffic"
 )
@@ -54,6 +55,13 @@
 	RecordReads(reads []fleetload.PrefixRead)
 }
 
+// Parts holds what this router knows of prompt parts under which endpoints crashed.
+type Parts interface {
+	Version() int64
+	Since(after int64, now time.Time) (records []quarantine.Record, version int64)
+	Merge(records []quarantine.Record, now time.Time)
+}
+
 // Network connects routers with each other.
 type Network interface {
 	Listen(address string) (l net.Listener, err error)
@@ -75,7 +83,9 @@
 	OtherRecords func() []compactedlog.Record
 	Endpoints    Endpoints
 	Loads        Loads
-	RouterList   RouterList
+	// Parts defaults to an empty table.
+	Parts      Parts
+	RouterList RouterList
 	// Bootstrap says that the whole fleet is starting for the first time, so the router list must still be empty.
 	Bootstrap bool
 	// Network defaults to TCP.
@@ -111,6 +121,7 @@
 	client       *rpc.Client
 	connectedTo  members.Member
 	newsCh       chan struct{}
+	partsChanged chan struct{}
 	listLoaded   chan struct{}
 	nextListRead time.Time
 	// listGeneration is the generation of the store in which this router has last seen that the router list is complete,
@@ -136,10 +147,13 @@
 // New returns an agent that already listens on its address, but serves and reports only once it is started.
 func New(c Config) (a *Agent, err error) {
 	defer annotate.Error(&err, "listen for routers on %s", c.ListenAddress)
-	a = &Agent{Config: c, accepted: map[net.Conn]bool{}, newsCh: make(chan struct{}), listLoaded: make(chan struct{}), epoch: newEpoch(c.Self.Name, time.Now())}
+	a = &Agent{Config: c, accepted: map[net.Conn]bool{}, newsCh: make(chan struct{}), partsChanged: make(chan struct{}, 1), listLoaded: make(chan struct{}), epoch: newEpoch(c.Self.Name, time.Now())}
 	if a.Network == nil {
 		a.Network = tcp{}
 	}
+	if a.Parts == nil {
+		a.Parts = &quarantine.Table{}
+	}
 	a.Members.Put(c.Self)
 	a.listener, err = a.Network.Listen(c.ListenAddress)
 	if err == nil && a.Split != nil {
@@ -178,6 +192,7 @@
 	go a.serve()
 	a.goroutines.Go(func() { a.join(ctx) })
 	a.goroutines.Go(func() { a.run(ctx) })
+	a.goroutines.Go(func() { a.pushParts(ctx) })
 	a.goroutines.Go(func() { a.recheckFailed(ctx) })
 	return nil
 }
--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -25,6 +25,8 @@
 	replyStamp, receivedAt time.Duration
 	// configuration and registry are how far the hub has read the two topics.
 	configuration, registry TopicPosition
+	// sentParts is the version of this router's records of prompt parts up to which the hub has accepted them.
+	sentParts int64
 	// askedToRead is set if the hub asked this router to read the store.
 	askedToRead bool
 	// failing is set if no router that reads for the hub can read the store.
@@ -63,6 +65,8 @@
 	holds := a.heldPosition()
 	args.Holds, args.HoldsGeneration = holds.Offset, holds.Generation
 	args.Reads, args.Joined = a.undelivered(fresh)
+	var partsVersion int64
+	args.Parts, partsVersion = a.Parts.Since(a.hubState.sentParts, now)
 	if routers > 1 {
 		args.Hold = hubReportHold
 	}
@@ -82,7 +86,11 @@
 	if a.hubStuck(&reply) || a.hubBehind(&reply, &args.Offer, sent) {
 		return errBehind
 	}
-	return a.applyReply(&reply, work, own, sent)
+	err = a.applyReply(&reply, work, own, sent)
+	if err == nil && args.Epoch == reply.Epoch {
+		a.hubState.sentParts = partsVersion
+	}
+	return err
 }
 
 // noRecord is the position that stands for no record.
@@ -205,6 +213,7 @@
 	a.Loads.SetFleetWorkload(total, own, now)
 	a.aggregator.AddReads(r.Reads)
 	a.Loads.RecordReads(r.Reads)
+	a.Parts.Merge(r.Parts, now)
 	if len(r.Members) > 0 {
 		a.addRouters(r.Members)
 	}
@@ -218,6 +227,7 @@
 		{r.Since.Totals, known.Totals, r.Numbers.Totals},
 		{r.Since.Members, known.Members, r.Numbers.Members},
 		{r.Since.Reads, known.Reads, r.Numbers.Reads},
+		{r.Since.Parts, known.Parts, r.Numbers.Parts},
 	} {
 		since, current, next := list[0], list[1], list[2]
 		if since != 0 && since != current || next < since {
--- a/io/hub/fleetharness_test.go
+++ b/io/hub/fleetharness_test.go
@@ -12,9 +12,11 @@
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
+	"savoryfall/core/coldlimit"
 	"savoryfall/core/compactedlog"
 	"savoryfall/core/directory"
 	"savoryfall/core/members"
+	"savoryfall/core/quarantine"
 	"savoryfall/io/draining"
 	"savoryfall/io/follow"
 	"savoryfall/io/hub"
@@ -47,6 +49,8 @@
 	// drainedAt is when domains changed last.
 	drainedAt time.Time
 	work      fakeLoads
+	parts     quarantine.Table
+	meter     *metrics.Set
 }
 
 const (
@@ -91,7 +95,7 @@
 
 func (f *fleet) start(m members.Member, bootstrap bool) {
 	m.Started = time.Now().UnixNano()
-	r := &simRouter{self: m}
+	r := &simRouter{self: m, meter: metrics.NewSet()}
 	options := follow.Options{Grace: 400 * time.Millisecond, MaxAge: propagationBound * 3 / 4, StartupWait: 1200 * time.Millisecond, Clock: f.clock}
 	configured, entered := options, options
 	configured.Name, configured.PollWait, configured.MinInterval = "configuration", 500*time.Millisecond, 50*time.Millisecond
@@ -103,11 +107,12 @@
 	var err error
 	r.agent, err = hub.New(hub.Config{
 		Self: m, ListenAddress: m.Address, Members: &members.List{}, Configuration: r.configuration, CurrentRecord: r.configurationSink.record, OtherRecords: r.drainTracker.Records,
-		Registry: r.registry, Endpoints: r.endpoints, Loads: &r.work, RouterList: hub.NewRouterList(f.store.forRouter(m.Name, routersTopic)),
-		Bootstrap: bootstrap, Network: f.net.forRouter(m.Address), Meter: traffic.New(metrics.NewSet()), Logger: log.NewNopLogger(),
-		Clock: f.clock, StaleAfter: propagationBound * 3 / 4, OnRoutersChanged: func([]uint64) {},
+		Registry: r.registry, Endpoints: r.endpoints, Loads: &r.work, Parts: &r.parts, RouterList: hub.NewRouterList(f.store.forRouter(m.Name, routersTopic)),
+		Bootstrap: bootstrap, Network: f.net.forRouter(m.Address), Meter: traffic.New(r.meter), Logger: log.NewNopLogger(),
+		Clock: f.clock, StaleAfter: propagationBound * 3 / 4, OnRoutersChanged: func(routers []uint64) { r.parts.SetFleet(coldlimit.New(members.Hash(m.Name), routers)) },
 	})
 	assert.NilError(f.t, err)
+	r.parts.OnChange = func(_, _ []quarantine.Status) { r.agent.NotifyParts() }
 	ctx := context.Background()
 	assert.NilError(f.t, r.configuration.Start(ctx))
 	assert.NilError(f.t, r.registry.Start(ctx))
--- a/io/hub/message.go
+++ b/io/hub/message.go
@@ -6,6 +6,7 @@
 	"savoryfall/core/compactedlog"
 	"savoryfall/core/fleetload"
 	"savoryfall/core/members"
+	"savoryfall/core/quarantine"
 )
 
 // Report is what a router sends to its hub: its own work and that of the routers that report to it. Field names are
@@ -17,6 +18,8 @@
 	Loads   LoadColumns
 	Demands []fleetload.Demand
 	Reads   []fleetload.PrefixRead
+	// Parts are prompt parts under which endpoints crashed, as far as the hub has not accepted what is known of them.
+	Parts []quarantine.Record
 	// Epoch identifies the run of the hub that Numbers belong to, as received last.
 	Epoch   int64
 	Numbers Numbers
@@ -65,6 +68,8 @@
 	Loads   LoadColumns
 	Demands []fleetload.Demand
 	Reads   []fleetload.PrefixRead
+	// Parts are prompt parts under which endpoints crashed.
+	Parts []quarantine.Record
 	// Members are the routers that changed.
 	Members []members.Member
 }
@@ -75,6 +80,7 @@
 	Reads   int64
 	Members int64
 	Totals  int64
+	Parts   int64
 }
 
 // TopicPosition is the offset up to which the hub knows a topic, and the age of the last read that found nothing
--- /dev/null
+++ b/io/hub/parts_test.go
@@ -0,0 +1,94 @@
+package hub_test
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"savoryfall/core/members"
+	"savoryfall/core/prompt"
+	"savoryfall/core/quarantine"
+)
+
+// crashing is a request with a part that crashes endpoints.
+func crashing(own uint64) quarantine.Subject {
+	return quarantine.Subject{Service: "s", Account: "a", Prompt: prompt.Chain{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 100}, {ID: own, Tokens: 10}}}
+}
+
+// refusing returns how many routers refuse requests with the part.
+func (f *fleet) refusing() (n int) {
+	for _, r := range f.routers {
+		if r.parts.Decide(crashing(9), time.Now()).Refused {
+			n++
+		}
+	}
+	return n
+}
+
+// peerBytes returns the bytes that all routers have sent to each other.
+func (f *fleet) peerBytes() (sum int) {
+	sent := regexp.MustCompile(`savoryfall_control_bytes_total\{kind="peer",direction="sent"\} (\d+)`)
+	for _, r := range f.routers {
+		var b bytes.Buffer
+		r.meter.WritePrometheus(&b)
+		if m := sent.FindStringSubmatch(b.String()); m != nil {
+			n, _ := strconv.Atoi(m[1])
+			sum += n
+		}
+	}
+	return sum
+}
+
+// Guards against routers each of which waits until it has seen enough crashes itself.
+func TestCrashesAreKnownToAllRouters(t *testing.T) {
+	for _, routers := range []int{6, 300} {
+		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, routers)
+				defer f.stop()
+				before := f.peerBytes()
+				time.Sleep(time.Second)
+				usual := f.peerBytes() - before
+				before = f.peerBytes()
+				for i := range 3 {
+					now := time.Now()
+					f.routers[(routers-1)*i/2].parts.Crashed(crashing(uint64(10+i)), uint64(i), now.Add(-50*time.Millisecond), now)
+					time.Sleep(150 * time.Millisecond)
+				}
+				began := time.Now()
+				for f.refusing() < routers {
+					assert.Assert(t, time.Since(began) < time.Second, "%d of %d routers refuse", f.refusing(), routers)
+					time.Sleep(10 * time.Millisecond)
+				}
+				took := 150*time.Millisecond + time.Since(began)
+				time.Sleep(time.Second - 450*time.Millisecond - time.Since(began))
+				extra := f.peerBytes() - before - usual
+				t.Logf("known to %d routers after %v; %d bytes more than the usual %d in that second", routers, took, extra, usual)
+			})
+		})
+	}
+}
+
+// Guards against what is known of crashes that is lost with the hub, or not passed to a router that starts.
+func TestCrashesOutliveTheHub(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 12)
+		defer f.stop()
+		for i := range 3 {
+			now := time.Now()
+			f.routers[5].parts.Crashed(crashing(uint64(10+i)), uint64(i), now.Add(-50*time.Millisecond), now)
+			time.Sleep(150 * time.Millisecond)
+		}
+		root := f.routers[5].agent.HubName()
+		f.kill(true, func(m members.Member) bool { return m.Name == root })
+		f.start(members.Member{Name: "new", Address: "10.0.9.9:1", FailureDomain: "domain0", Bears: 1}, false)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, f.refusing(), len(f.routers))
+	})
+}
--- a/io/hub/server.go
+++ b/io/hub/server.go
@@ -78,6 +78,7 @@
 		return err
 	}
 	a.registerRouters(args)
+	a.Parts.Merge(args.Parts, now)
 	fresh := a.aggregator.AddReport(args.From.Name, fleetload.Workload{Loads: rows, Demands: args.Demands}, args.Reads, now)
 	a.mu.Lock()
 	a.pendingReads = append(a.pendingReads, fresh...)
@@ -138,7 +139,7 @@
 	}
 	end, _, ok := a.Configuration.Position()
 	_, changesNext := a.Endpoints.Changes().Since(args.Numbers.Changes)
-	return ok && args.configuration(end.Generation).Before(end) || changesNext > args.Numbers.Changes
+	return ok && args.configuration(end.Generation).Before(end) || changesNext > args.Numbers.Changes || a.Parts.Version() > args.Numbers.Parts
 }
 
 // configuration returns up to where the reporting router knows the configuration topic. If it does not say of which
@@ -175,6 +176,7 @@
 	total, sequence.Totals = a.totalsSince(since.Totals)
 	reply.Loads, reply.Demands = toColumns(total.Loads), total.Demands
 	reply.Reads, sequence.Reads = a.aggregator.ReadsSince(since.Reads)
+	reply.Parts, sequence.Parts = a.Parts.Since(since.Parts, time.Now())
 	reply.Members, sequence.Members = a.Members.Since(since.Members, args.Digest)
 	reply.Stamp = a.Clock()
 	return nil
