io/entry: a request that ran is not reported as not executed because a later attempt did not reach an endpoint

The outcome was that of the last attempt alone. It is unknown now (502) as soon as any attempt may have run.

--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -214,9 +214,10 @@
 }
 
 // tryEndpoints makes attempts, each at a different endpoint, until one is done or no further attempt is allowed. The
-// problem is that of the last attempt.
+// problem is that of the last attempt, but for the outcome: the request has not run only if it has run in no attempt.
 func (x *exchange) tryEndpoints(try func(a *attempt) (done bool, p *request.Problem)) (done bool, p *request.Problem) {
 	p = request.NotRun(request.NoEndpoint, retryLater)
+	ran := false
 	for range maxChoices {
 		if !x.allowAttempt(time.Now()) {
 			x.recordNotContinued(request.NoAttemptLeft)
@@ -236,6 +237,10 @@
 		if done {
 			return true, nil
 		}
+		ran = ran || p.Outcome != notRun
+		if ran && p.Outcome == notRun {
+			p = request.Unknown(p.Reason)
+		}
 		if x.ctx.Err() != nil || p.Outcome != notRun && !x.route.Kind.Repeatable() {
 			return false, p
 		}
