core/quarantine, io/entry: a process that responds has not crashed

A router whose link is cut with resets sees connections to an endpoint reset and new ones refused, as after a crash. A part that was asked for at that router alone was quarantined after three such cuts: requests with it were refused at all routers (TestResetLinkIsNotACrash failed at each of three). A response of the process to a request that was sent after the reported crash, at any router, now takes the crash back everywhere.

--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -62,10 +62,10 @@
 	return a
 }
 
-// clear clears the crashes before the time, and reports whether that changed anything.
-func (c crashes) clear(before time.Time) (changed bool) {
+// clear clears the crashes that no longer count, and reports whether that changed anything.
+func (c crashes) clear(disproved func(c crash) bool) (changed bool) {
 	for i := range c {
-		if !c[i].cleared && c[i].at.Before(before) {
+		if !c[i].cleared && disproved(c[i]) {
 			c[i].cleared, changed = true, true
 		}
 	}
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -49,7 +49,17 @@
 
 // clear clears the crashes before an answer that went well, and reports whether that changed anything.
 func (r *record) clear(began time.Time) (changed bool) {
-	changed = r.crashes.clear(began)
+	return r.cleared(r.crashes.clear(func(c crash) bool { return c.at.Before(began) }))
+}
+
+// clearProcess clears the crash of a process that has responded to a request sent later, and reports whether that changed
+// anything.
+func (r *record) clearProcess(process uint64, sent time.Time) (changed bool) {
+	return r.cleared(r.crashes.clear(func(c crash) bool { return c.process == process && c.at.Before(sent) }))
+}
+
+// cleared lets trials start over, and returns whether any crash was cleared.
+func (r *record) cleared(changed bool) bool {
 	if changed && r.trial.count > 0 {
 		r.trial = trial{number: r.trial.number + 1}
 	}
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -22,6 +22,8 @@
 	fleet   coldlimit.Fleet
 	// size is the number of records, so that requests need no lock while there are none.
 	size atomic.Int64
+	// ended are the processes whose crashes count.
+	ended map[uint64]bool
 }
 
 // maxRecords limits the records: no client can fill the memory of routers by parts of its own. Those that changed longest ago
@@ -95,6 +97,27 @@
 	})
 }
 
+// Responded records that a process has responded to a request that was sent to it at the given time. It did not crash before: the
+// router that reported that had lost its connections only.
+func (t *Table) Responded(process uint64, sent, now time.Time) {
+	if t.size.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	ended := t.ended[process]
+	t.mu.Unlock()
+	if !ended {
+		return
+	}
+	t.change(now, func() {
+		for _, r := range t.records {
+			if r.clearProcess(process, sent) {
+				t.touch(r, now)
+			}
+		}
+	})
+}
+
 // Decide decides on a request that is about to be sent for the first time.
 func (t *Table) Decide(s Subject, now time.Time) (d Decision) {
 	if t.size.Load() == 0 {
@@ -198,6 +221,7 @@
 	if changed {
 		t.drop(now)
 		quarantined, released = t.announce(now)
+		t.ended = t.endedProcesses()
 	}
 	t.size.Store(int64(len(t.records)))
 	t.mu.Unlock()
@@ -206,6 +230,16 @@
 	}
 }
 
+func (t *Table) endedProcesses() (ended map[uint64]bool) {
+	ended = map[uint64]bool{}
+	for _, r := range t.records {
+		for _, c := range r.crashes.counted() {
+			ended[c.process] = true
+		}
+	}
+	return ended
+}
+
 // announce returns the parts that have been quarantined or released since the last call.
 func (t *Table) announce(now time.Time) (quarantined, released []Status) {
 	for k, r := range t.records {
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -184,6 +184,28 @@
 	assert.Assert(t, refused(&table, s, 1))
 }
 
+// Guards against blaming parts for processes that are alive, as a router whose link was cut reports them.
+func TestProcessThatRespondsHasNotCrashed(t *testing.T) {
+	tables := []*quarantine.Table{newRouter(0, 2), newRouter(1, 2)}
+	s := of("a", 7)
+	for i := range 4 {
+		tables[0].Crashed(s, uint64(i), at(float64(i)-0.5), at(float64(i)))
+	}
+	exchange(tables, at(4))
+	assert.Assert(t, refused(tables[1], s, 4))
+	for i := range 3 {
+		tables[1].Responded(uint64(i), at(float64(i)-0.1), at(4.5))
+	}
+	assert.Assert(t, refused(tables[1], s, 4), "requests that were sent before")
+	for i := range 2 {
+		tables[1].Responded(uint64(i), at(4.2), at(4.5))
+	}
+	exchange(tables, at(5))
+	for _, table := range tables {
+		assert.Assert(t, !refused(table, s, 5))
+	}
+}
+
 // Guards against an account that has the requests of another refused by crashing endpoints with its parts.
 func TestAccountCannotBlockAnother(t *testing.T) {
 	var table quarantine.Table
--- a/io/command/crash_test.go
+++ b/io/command/crash_test.go
@@ -164,9 +164,13 @@
 }
 
 func (f *crashFleet) draft(n int, prompt string) testclient.Response {
+	return f.generate(n, "/draft/x", prompt)
+}
+
+func (f *crashFleet) generate(n int, path, prompt string) testclient.Response {
 	vm := f.vms[n%len(f.vms)]
 	return testclient.Send(vm.clientServer.Address(), testclient.Request{
-		Method: "POST", Host: "shop.example", Path: "/draft/x", Key: "good", ID: fmt.Sprint("d", requestCount.Add(1)), Prompt: prompt,
+		Method: "POST", Host: "shop.example", Path: path, Key: "good", ID: fmt.Sprint("d", requestCount.Add(1)), Prompt: prompt,
 	})
 }
 
@@ -243,3 +247,36 @@
 		})
 	}
 }
+
+// Guards against blaming prompts for a link that is cut with resets and comes back, again and again.
+func TestResetLinkIsNotACrash(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 3, 3, 0)
+	for _, e := range f.engines {
+		e.SetEventTime(150 * time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
+	defer cancel()
+	var clients sync.WaitGroup
+	clients.Go(func() {
+		for n := 0; ctx.Err() == nil; n++ {
+			clients.Go(func() { f.draft(2*(n%2), fmt.Sprintf("ba5e:300,%x:20", 0x10000+n)) })
+			<-time.After(50 * time.Millisecond)
+		}
+	})
+	for n := 0; ctx.Err() == nil; n++ {
+		// The part is at the router with the bad link only, and broken off each time.
+		clients.Go(func() { f.generate(1, "/talk/x", fmt.Sprintf("ba5e:300,fa1:300,%x:20", 0x20000+n)) })
+		<-time.After(60 * time.Millisecond)
+		f.partitions[1].set(resetKind)
+		<-time.After(200 * time.Millisecond)
+		f.partitions[1].set(healed)
+		<-time.After(400 * time.Millisecond)
+	}
+	clients.Wait()
+	for _, vm := range f.vms {
+		body := f.metrics(vm)
+		assert.Check(t, !strings.Contains(body, `reason="quarantined"`), "%s refused requests for their parts", vm.settings.VM().Name())
+		assert.Check(t, strings.Contains(body, "savoryfall_parts_quarantined 0\n"))
+	}
+}
--- a/io/command/partition_test.go
+++ b/io/command/partition_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"os"
 	"sync"
@@ -34,7 +33,7 @@
 	oneWayKind partitionKind = "oneWay"
 )
 
-var errRefused = &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("connection refused")}
+var errRefused = &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 
 // silenceTimeout is when the kernel closes a connection whose peer does not respond.
 const silenceTimeout = 3 * time.Second
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -36,9 +36,11 @@
 	answered bool
 }
 
-// firstBytesReceived records the first bytes of the response and the load reported in its header.
-func (a *attempt) firstBytesReceived() {
-	a.RecordFirstBytes(dispatch.Load{Running: a.reply.Running, Waiting: a.reply.Waiting, Known: a.reply.HasLoad}, time.Now())
+// recordFirstBytes records the first bytes of the response and the load reported in its header.
+func (x *exchange) recordFirstBytes(a *attempt) {
+	now := time.Now()
+	a.RecordFirstBytes(dispatch.Load{Running: a.reply.Running, Waiting: a.reply.Waiting, Known: a.reply.HasLoad}, now)
+	x.recordAlive(a, now)
 }
 
 // responseSlack is added to the deadline that the endpoint is given, so that its own response at the deadline still
--- a/io/entry/parts.go
+++ b/io/entry/parts.go
@@ -77,6 +77,12 @@
 	x.handler.Parts.Answered(x.subject(), began, time.Now())
 }
 
+// recordAlive records that the endpoint's process has responded.
+func (x *exchange) recordAlive(a *attempt, now time.Time) {
+	e := a.Endpoint()
+	x.handler.Parts.Responded(quarantine.Process(e.ID, e.Born), a.Began(), now)
+}
+
 // recordBroken records an answer to a prompt that has broken off, and whether the endpoint's process crashed with it.
 func (x *exchange) recordBroken(a *attempt) {
 	if len(x.request.Prompt) == 0 {
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -61,7 +61,7 @@
 		return nil, x.unknownOutcome(v)
 	}
 	x.sends++
-	a.firstBytesReceived()
+	x.recordFirstBytes(a)
 	if a.reply.NotExecuted {
 		return nil, x.refusedByEndpoint(a)
 	}
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -58,7 +58,7 @@
 	}
 	x.sends++
 	if a.reply.NotExecuted {
-		a.firstBytesReceived()
+		x.recordFirstBytes(a)
 		return false, x.refusedByEndpoint(a)
 	}
 	if a.response.Status != http.StatusOK || !x.fromEndpoint(a) {
@@ -127,7 +127,7 @@
 		n, err := a.response.Read(s.buf)
 		if n > 0 && !receiving {
 			receiving = true
-			a.firstBytesReceived()
+			s.x.recordFirstBytes(a)
 		}
 		if n > 0 && !s.writeEvents(a, split, s.buf[:n]) {
 			return errNotForwardable
