--- a/core/dispatch/surge_test.go
+++ b/core/dispatch/surge_test.go
@@ -34,6 +34,9 @@
 	// hotDocuments is the number of documents that the prompts of the large account begin with, 0 for the documents of
 	// all others.
 	hotDocuments uint64
+	// crowded is the router that gets crowdShare of all requests.
+	crowded    int
+	crowdShare float64
 }
 
 type server struct {
@@ -141,6 +144,9 @@
 // send tries a second endpoint when the first refuses the request.
 func (s *surge) send(q dispatch.Query, work time.Duration) bool {
 	d := s.routers[s.random.IntN(len(s.routers))]
+	if s.random.Float64() < s.crowdShare {
+		d = s.routers[s.crowded]
+	}
 	for range 2 {
 		a, _ := d.Choose(q, s.now)
 		if a == nil {
