core/dispatch: a router that gets most requests uses what the others leave of their shares

Routers divide what brittle and cold endpoints can take evenly. When most new connections came to one router, it refused requests that the endpoints could take, and the shares of the others were left unused. A router that has got three times the mean of the others for a second now uses what they leave, less four times what they may send before it hears of that; otherwise, and when nothing was heard of them for two seconds, it keeps to its even share. When the clients move on, the next router starts with its even share and knows the load of the one before, which sends no more.

TestBrittleEndpointsStayUp: no falls. While the clients move between routers at twice what the cold engines take, none is sent more than 26 requests in a second (29 are allowed).

--- a/core/dispatch/brittle.go
+++ b/core/dispatch/brittle.go
@@ -35,7 +35,8 @@
 
 // brittleLimitReached reports whether a request to a brittle endpoint might find no slot there. Routers learn some hundred
 // milliseconds late what the others send, and by then an endpoint that all of them saw empty has fallen over. So each
-// keeps to its part of the slots once a share of them is taken, by what was heard or by what it sends itself.
+// keeps to its part of the slots once a share of them is taken, by what was heard or by what it sends itself. Beyond its part it
+// may use slots that the others do not, as far as these will not send as many before they are heard of.
 func (c *scoring) brittleLimitReached(i int) bool {
 	e := c.pool[i]
 	if !c.brittle {
@@ -52,7 +53,11 @@
 	if slots == 0 || max(c.loads[i], c.projectedLoad) < free*float64(slots) {
 		return false
 	}
-	return e.running >= c.d.fleet.Share(e.hash, slots)
+	if e.running < c.d.fleet.Share(e.hash, slots) {
+		return false
+	}
+	others, known := c.othersHold()
+	return !known || float64(e.running+1)+e.currentOthers(c.now)+others > float64(slots)
 }
 
 // projectLoad sets the mean load of an endpoint if all routers have as many requests at the service as this one.
--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -78,6 +79,14 @@
 	return c.coldPerSecond > 0 && e.cold.cold(c.now) && e.cold.recentRequests(c.now) >= c.coldLimit(e)
 }
 
+// coldLimit returns how many requests this router may send to the endpoint in a second: its share, and what the others do not
+// use of theirs.
 func (c *scoring) coldLimit(e *endpoint) int {
-	return c.d.fleet.Share(e.hash, c.d.coldBound.Limit(c.coldPerSecond))
+	limit := c.d.coldBound.Limit(c.coldPerSecond)
+	share := c.d.fleet.Share(e.hash, limit)
+	others, known := c.othersSend(coldWindow)
+	if !known {
+		return share
+	}
+	return max(share, limit-int(math.Ceil(others)))
 }
--- a/core/dispatch/crowd_test.go
+++ b/core/dispatch/crowd_test.go
@@ -98,3 +98,24 @@
 		d.Update(entries, s.now)
 	}
 }
+
+// Guards against routers that together send cold endpoints more than these can take, while most requests move from one router to
+// another.
+func TestColdBoundHoldsWhileMostRequestsMove(t *testing.T) {
+	t.Parallel()
+	for _, routers := range []int{6, 81} {
+		s := newSurge(t, 1, routers, models, 9, 64)
+		s.startCold()
+		s.admittedShare(200, 3*time.Second, s.stream)
+		for period := range 8 {
+			s.crowded, s.crowdShare = period%3, 0.95
+			s.admittedShare(400, time.Duration(1+period%3)*1500*time.Millisecond, s.stream)
+		}
+		most := 0
+		for _, v := range s.servers {
+			most = max(most, v.most)
+		}
+		t.Logf("%d routers: %d requests in a second", routers, most)
+		assert.Check(t, most <= int(1.5*coldPerSecond+5), "%d requests in a second", most)
+	}
+}
--- a/core/dispatch/demand.go
+++ b/core/dispatch/demand.go
@@ -31,6 +31,8 @@
 	othersAt time.Time
 	// holdTime is how many seconds a request holds capacity, averaged over all ranks.
 	holdTime decayingMean
+	// skewedSince is since when this router has got many more requests than each of the others, zero if it does not.
+	skewedSince time.Time
 }
 
 // maxRanks bounds the ranks that are distinguished: some priorities of routes times some of accounts.
@@ -193,9 +195,12 @@
 		arrivals += float64(l.others.Came)
 		running += float64(l.others.Running)
 	}
-	return arrivals * math.Ln2 / demandHalfLife.Seconds(), running
+	return arrivalRate(arrivals), running
 }
 
+// arrivalRate returns the requests a second that lead to a decayed count.
+func arrivalRate(arrivals float64) float64 { return arrivals * math.Ln2 / demandHalfLife.Seconds() }
+
 // othersShare returns the share of the requests that other routers get, which this one learns of late.
 func (m *demand) othersShare(now time.Time) float64 {
 	if now.Sub(m.othersAt) > othersMaxAge {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -161,6 +161,7 @@
 	}
 	m := d.demand(q.Service)
 	m.recordArrival(q.Rank, q.Account, now)
+	m.updateSkew(d.fleet.Size(), now)
 	reason, rejected := c.rejects()
 	if !rejected {
 		a, reason = c.beginCheapest()
--- a/core/dispatch/surge_test.go
+++ b/core/dispatch/surge_test.go
@@ -59,6 +59,9 @@
 	turnedAway []time.Time
 	downUntil  time.Time
 	falls      int
+	// recent are the times of the arrivals of the last second, and most is the largest number of them.
+	recent []time.Time
+	most   int
 	// lost are the requests whose answers were lost and that were not retried yet.
 	lost []job
 }
@@ -144,7 +147,7 @@
 // send tries a second endpoint when the first refuses the request.
 func (s *surge) send(q dispatch.Query, work time.Duration) bool {
 	d := s.routers[s.random.IntN(len(s.routers))]
-	if s.random.Float64() < s.crowdShare {
+	if s.crowdShare > 0 && s.random.Float64() < s.crowdShare {
 		d = s.routers[s.crowded]
 	}
 	for range 2 {
@@ -175,6 +178,7 @@
 // countArrival counts a request that reaches the server, and whether the server holds more than twice the mean and
 // three.
 func (s *surge) countArrival(v *server) {
+	v.countRecent(s.now)
 	total := 0
 	for _, o := range s.servers {
 		total += o.load()
@@ -188,6 +192,14 @@
 	}
 }
 
+func (v *server) countRecent(now time.Time) {
+	v.recent = append(v.recent, now)
+	for now.Sub(v.recent[0]) >= time.Second {
+		v.recent = v.recent[1:]
+	}
+	v.most = max(v.most, len(v.recent))
+}
+
 // worstShare returns the largest share of requests beyond the bound in any five seconds.
 func (s *surge) worstShare() (share float64) {
 	for i := range max(len(s.arrivals)-4, 1) {
