io/entry: whether a process ended is seen on a new connection, also behind a proxy

A connection that is accepted and ended at once, as by a proxy whose endpoint is gone, counted as one to a living process, so that crashes behind one were never counted. The new connection is watched for 30 ms; its end shows that no process listens.

--- a/io/command/crash_test.go
+++ b/io/command/crash_test.go
@@ -252,6 +252,10 @@
 func TestResetLinkIsNotACrash(t *testing.T) {
 	t.Parallel()
 	f := newCrashFleet(t, 3, 3, 0)
+	f.putConfiguration(2, "good", "plain", "talk")
+	for _, vm := range f.vms {
+		f.waitFor("the route", func() bool { return vm.configTracker.Current().Version() == 2 })
+	}
 	for _, e := range f.engines {
 		e.SetEventTime(150 * time.Millisecond)
 	}
--- a/io/command/entryconnections.go
+++ b/io/command/entryconnections.go
@@ -27,6 +27,12 @@
 	vm.tunnels.Connect, vm.tunnels.FromRouter, vm.tunnels.OnRefused = vm.connector.ConnectFor, vm.members.HasHost, vm.countRefusedTunnel
 }
 
+// dialEndpoint connects to an endpoint by itself. The outcome is not recorded, because it is to show something of the endpoint's
+// process and not of the way to it.
+func (vm *entryVM) dialEndpoint(ctx context.Context, address string) (c net.Conn, err error) {
+	return vm.connector.Dial(ctx, address)
+}
+
 func (vm *entryVM) countRefusedTunnel(r tunnel.Refusal) {
 	vm.metricSet.GetOrCreateCounter(fmt.Sprintf("savoryfall_tunnels_refused_total{reason=%q}", r)).Inc()
 }
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -241,7 +241,7 @@
 	vm.connector.OnUnreachable = pool.DiscardIdle
 	vm.handler = entry.New(entry.Config{
 		ClientProtocol: clientapi.Codec{}, EndpointProtocol: endpointapi.Codec{}, Configuration: vm.configTracker, Lease: &vm.lease,
-		Endpoints: vm.endpoints, Origins: &vm.origins, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: pool, Connections: vm.connector, Parts: &vm.parts, Refused: vm.connector.Refused, Tracer: tracer,
+		Endpoints: vm.endpoints, Origins: &vm.origins, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: pool, Connections: vm.connector, Parts: &vm.parts, Dial: vm.dialEndpoint, Tracer: tracer,
 		Metrics: entry.NewMetrics(vm.metricSet), Logger: vm.logger, Clock: bootclock.Now,
 	})
 	vm.clientServer, err = entry.NewServer(vm.settings.ClientAddress(), vm.handler)
--- a/io/command/entryvm_test.go
+++ b/io/command/entryvm_test.go
@@ -63,18 +63,22 @@
 	return f
 }
 
-// putConfiguration stores a version of the configuration with one API key and with the read route on the given service.
-func (f *entryFleet) putConfiguration(version int, key, service string) {
+// putConfiguration stores a version of the configuration with one API key, with the read route on the given service, and with
+// further routes of streams that cannot be resumed.
+func (f *entryFleet) putConfiguration(version int, key, service string, streams ...string) {
 	route := func(name, kind, service string, resumable bool) string {
 		return fmt.Sprintf(`{"name":%q,"host":"shop.example","path_prefix":"/%s/","type":%q,"timeout_ms":3000,"goal_ms":100,
 			"service":%q,"max_attempts":2,"resumable":%v}`, name, name, kind, service, resumable)
 	}
-	f.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[%s,%s,%s,%s],
+	routes := []string{route("read", "idempotent", service, false), route("book", "non_idempotent", "plain", false), route("draft", "streaming", "models", true)}
+	for _, name := range streams {
+		routes = append(routes, route(name, "streaming", "models", false))
+	}
+	f.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[%s],
 		"services":[{"name":"models","max_conns":100,"engine":{"slots":32,"kv_capacity":100000}},{"name":"plain","max_conns":100},
 			{"name":"other","max_conns":100}],
 		"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-		"tenants":[{"name":"coop","api_keys":[%q]}]}`, version, route("read", "idempotent", service, false),
-		route("book", "non_idempotent", "plain", false), route("draft", "streaming", "models", true), route("talk", "streaming", "models", false), key))
+		"tenants":[{"name":"coop","api_keys":[%q]}]}`, version, strings.Join(routes, ","), key))
 }
 
 func (f *entryFleet) addEndpoint(id string, o fakeendpoint.Options) {
--- a/io/connect/connector.go
+++ b/io/connect/connector.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -174,16 +173,6 @@
 	return c.direct(ctx, address)
 }
 
-// Refused connects to the address by itself and reports whether the connection was refused: the machine is reached, and no
-// process listens there. The outcome is not recorded, because it shows nothing of the way to the endpoint.
-func (c *Connector) Refused(ctx context.Context, address string) (refused bool, err error) {
-	conn, err := c.Dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED), err
-	}
-	return false, conn.Close()
-}
-
 // Update sets the endpoints.
 func (c *Connector) Update(entries []directory.Entry) {
 	for _, change := range c.Tracker.Update(entries, time.Now()) {
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -88,9 +89,8 @@
 	Connections Connections
 	// Parts is what is known of prompt parts under which endpoints crashed. It may be nil.
 	Parts *quarantine.Table
-	// Refused connects to the address of an endpoint and reports whether the connection was refused, because no process listens
-	// there. It may be nil.
-	Refused func(ctx context.Context, address string) (refused bool, err error)
+	// Dial opens a connection of its own to the address of an endpoint. It defaults to http1.DialTCP.
+	Dial    func(ctx context.Context, address string) (net.Conn, error)
 	Tracer  trace.Tracer
 	Metrics *Metrics
 	Logger  log.Logger
@@ -121,6 +121,9 @@
 	if c.Parts == nil {
 		c.Parts = &quarantine.Table{}
 	}
+	if c.Dial == nil {
+		c.Dial = http1.DialTCP
+	}
 	return &Handler{Config: c, began: time.Now()}
 }
 
--- a/io/entry/parts.go
+++ b/io/entry/parts.go
@@ -89,7 +89,7 @@
 		return
 	}
 	e, expected := a.Endpoint(), a.ExpectedToEnd(time.Now())
-	state := x.handler.processes.check(e, x.handler.Refused)
+	state := x.handler.processes.check(e, x.handler.Dial)
 	x.handler.Metrics.recordBroken(x.service, state)
 	_ = x.handler.Logger.Log(field.Event, event.AnswerBroken, field.Request, x.request.ID, field.Route, x.routeName(), field.Service, x.service,
 		field.Account, x.accountName(), field.Endpoint, e.ID, field.Born, e.Born, field.Software, e.Version, field.Process, state,
--- a/io/entry/processcheck.go
+++ b/io/entry/processcheck.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"savoryfall/core/directory"
@@ -11,7 +15,7 @@
 // processState is what a router knows of an endpoint's process after an answer has broken off.
 type processState string
 
-// The states. A process that is alive has lost a connection only; of one that does not answer at all, nothing is known.
+// The states. A process that is alive has lost a connection only; of one that does not respond at all, nothing is known.
 const (
 	processEnded   processState = "ended"
 	processAlive   processState = "alive"
@@ -21,6 +25,8 @@
 const (
 	// processCheckTimeout limits a check. A machine that runs answers within a few milliseconds, with or without the process.
 	processCheckTimeout = 100 * time.Millisecond
+	// endTimeout is how long a new connection is watched for its end.
+	endTimeout = 30 * time.Millisecond
 	// processCheckAge is how long the result of a check holds for the other requests that broke off at the same process.
 	processCheckAge = time.Second
 )
@@ -46,10 +52,7 @@
 }
 
 // check returns the state of the process that the entry describes.
-func (c *processChecks) check(e directory.Entry, connect func(ctx context.Context, address string) (refused bool, err error)) processState {
-	if connect == nil {
-		return processUnknown
-	}
+func (c *processChecks) check(e directory.Entry, dial func(ctx context.Context, address string) (net.Conn, error)) processState {
 	now := time.Now()
 	id := processID{endpoint: e.ID, born: e.Born}
 	c.mu.Lock()
@@ -62,7 +65,7 @@
 	}
 	c.mu.Unlock()
 	if first {
-		p.state = stateOf(connect, e.Address)
+		p.state = askProcess(dial, e.Address)
 		close(p.done)
 	}
 	<-p.done
@@ -80,15 +83,22 @@
 	}
 }
 
-func stateOf(connect func(ctx context.Context, address string) (refused bool, err error), address string) processState {
+// askProcess finds out whether a process listens at the address. A connection that is refused, or that is ended at once by what
+// stands before the process, shows that none does: a machine that is lost does not respond at all.
+func askProcess(dial func(ctx context.Context, address string) (net.Conn, error), address string) processState {
 	ctx, cancel := context.WithTimeout(context.Background(), processCheckTimeout)
 	defer cancel()
-	refused, err := connect(ctx, address)
-	switch {
-	case refused:
+	conn, err := dial(ctx, address)
+	if err == nil {
+		defer func() { _ = conn.Close() }()
+		_ = conn.SetReadDeadline(time.Now().Add(endTimeout))
+		_, err = conn.Read(make([]byte, 1))
+		if err == nil || isTimeout(err) {
+			return processAlive
+		}
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) {
 		return processEnded
-	case err != nil:
-		return processUnknown
 	}
-	return processAlive
+	return processUnknown
 }
