--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -52,10 +52,16 @@
 	return r.cleared(r.crashes.clear(func(c crash) bool { return c.at.Before(began) }))
 }
 
+// minRestartTime is how long the process of an endpoint takes to start again at least. Its successor may have its id, and answers
+// before the router knows of it.
+const minRestartTime = time.Second
+
 // clearProcess clears the crash of a process that has responded to a request sent later, and reports whether that changed
 // anything.
 func (r *record) clearProcess(process uint64, sent time.Time) (changed bool) {
-	return r.cleared(r.crashes.clear(func(c crash) bool { return c.process == process && c.at.Before(sent) }))
+	return r.cleared(r.crashes.clear(func(c crash) bool {
+		return c.process == process && c.at.Before(sent) && sent.Sub(c.at) < minRestartTime
+	}))
 }
 
 // cleared lets trials start over, and returns whether any crash was cleared.
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -197,8 +197,10 @@
 		tables[1].Responded(uint64(i), at(float64(i)-0.1), at(4.5))
 	}
 	assert.Assert(t, refused(tables[1], s, 4), "requests that were sent before")
+	tables[1].Responded(3, at(9), at(9.1))
+	assert.Assert(t, refused(tables[1], s, 4), "a successor with the same id")
 	for i := range 2 {
-		tables[1].Responded(uint64(i), at(4.2), at(4.5))
+		tables[1].Responded(uint64(i), at(float64(i)+0.3), at(4.5))
 	}
 	exchange(tables, at(5))
 	for _, table := range tables {
--- a/io/command/crash_test.go
+++ b/io/command/crash_test.go
@@ -21,7 +21,7 @@
 	// endpointDown is how long a crashed endpoint takes to be back, under another id at its address.
 	endpointDown = 1500 * time.Millisecond
 	// entryLapse is how long the entry of a crashed endpoint stays.
-	entryLapse = time.Second
+	entryLapse = 2500 * time.Millisecond
 )
 
 // crashFleet is a fleet whose engines crash on prompt parts and come back.
--- a/io/entry/parts.go
+++ b/io/entry/parts.go
@@ -77,8 +77,11 @@
 	x.handler.Parts.Answered(x.subject(), began, time.Now())
 }
 
-// recordAlive records that the endpoint's process has responded.
+// recordAlive records that the endpoint's process has responded. Another instance at its address shows nothing of it.
 func (x *exchange) recordAlive(a *attempt, now time.Time) {
+	if a.reply.WrongInstance {
+		return
+	}
 	e := a.Endpoint()
 	x.handler.Parts.Responded(quarantine.Process(e.ID, e.Born), a.Began(), now)
 }
