io/hub: a starting router asks others for what they know of prompt parts

It now asks three other routers as soon as it knows them. TestStartingRootLearnsOfCrashes fails without.

--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -193,6 +193,9 @@
 	a.goroutines.Go(func() { a.join(ctx) })
 	a.goroutines.Go(func() { a.run(ctx) })
 	a.goroutines.Go(func() { a.pushParts(ctx) })
+	if !a.Bootstrap {
+		a.goroutines.Go(func() { a.fetchParts(ctx) })
+	}
 	a.goroutines.Go(func() { a.recheckFailed(ctx) })
 	return nil
 }
--- a/io/hub/parts.go
+++ b/io/hub/parts.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/rpc"
+	"sync"
 	"time"
 
 	"savoryfall/core/background"
+	"savoryfall/core/members"
 	"savoryfall/core/quarantine"
 	"savoryfall/io/traffic"
 )
@@ -77,3 +80,54 @@
 	case <-ctx.Done():
 	}
 }
+
+// KnownPartsArgs are the arguments of KnownParts.
+type KnownPartsArgs struct{}
+
+// KnownParts returns all that this router knows of prompt parts.
+func (s *Service) KnownParts(_ *KnownPartsArgs, reply *PartsReport) error {
+	reply.Parts, _ = s.agent.Config.Parts.Since(0, time.Now())
+	return nil
+}
+
+// askedForParts is how many other routers a starting one asks for what they know of prompt parts.
+const askedForParts = 3
+
+// fetchParts asks other routers for what they know of prompt parts. A router that starts gets that from its hub, but a root has
+// none, and serves before the others report to it.
+func (a *Agent) fetchParts(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-a.listLoaded:
+	}
+	others := a.Members.Others(a.Self.Name)
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	var calls sync.WaitGroup
+	for _, m := range others[:min(len(others), askedForParts)] {
+		calls.Go(func() { a.fetchPartsFrom(ctx, m) })
+	}
+	calls.Wait()
+}
+
+// fetchPartsFrom asks one router. One that does not answer, as one of the release before, is left out: the hub sends the same.
+func (a *Agent) fetchPartsFrom(ctx context.Context, m members.Member) {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	raw, err := a.Network.Dial(ctx, m.Address)
+	if err != nil {
+		return
+	}
+	client := rpc.NewClient(a.Meter.CountBytes(traffic.KindPeer, raw))
+	defer func() { _ = client.Close() }()
+	a.Meter.CountCall(traffic.KindPeer)
+	var reply PartsReport
+	call := client.Go(serviceName+".KnownParts", &KnownPartsArgs{}, &reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error == nil {
+			a.Config.Parts.Merge(reply.Parts, time.Now())
+		}
+	case <-ctx.Done():
+	}
+}
--- a/io/hub/parts_test.go
+++ b/io/hub/parts_test.go
@@ -92,3 +92,24 @@
 		assert.Equal(t, f.refusing(), len(f.routers))
 	})
 }
+
+// Guards against a root that starts again and sends requests to endpoints that crash on them, until other routers report to it.
+func TestStartingRootLearnsOfCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 12)
+		defer f.stop()
+		for i := range 3 {
+			now := time.Now()
+			f.routers[5].parts.Crashed(crashing(uint64(10+i)), uint64(i), now.Add(-50*time.Millisecond), now)
+			time.Sleep(150 * time.Millisecond)
+		}
+		name := f.routers[5].agent.HubName()
+		root := f.kill(false, func(m members.Member) bool { return m.Name == name })[0]
+		time.Sleep(time.Second)
+		f.start(root, false)
+		started := f.routers[len(f.routers)-1]
+		time.Sleep(50 * time.Millisecond)
+		assert.Assert(t, started.parts.Decide(crashing(9), time.Now()).Refused)
+		time.Sleep(time.Second)
+	})
+}
