--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -64,6 +64,7 @@
 	h.checkPauses()
 	h.checkRetryBudget(arrivals)
 	h.checkVersions()
+	h.checkCrashes()
 	h.t.Logf("seed %d: %d requests, %d after idling for more than a second, %d sent in parts, %d served completely, %d faults injected", h.seed,
 		len(h.requests), afterIdle, inParts, servedWhole, len(h.faults))
 	if servedWhole == 0 {
@@ -169,8 +170,11 @@
 }
 
 // checkServesWhileStopping verifies that a router that was told to stop keeps serving while the load balancer may still
-// send it clients.
+// send it clients. A stream whose version no engine has any more is refused by any router.
 func (h *harness) checkServesWhileStopping(q *request) {
+	if q.takesUp != nil && !q.versionServes {
+		return
+	}
 	if q.answer.Status == http.StatusServiceUnavailable && q.router.justToldToStop(q.sent) && !h.disturbed(q.router, q.sent, q.ended) {
 		h.addViolation("%s %s was refused by %s, which had just been told to stop", q.route, q.id, q.router.name)
 	}
--- /dev/null
+++ b/soak/parts_test.go
@@ -0,0 +1,101 @@
+package soak_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"savoryfall/platform/standin/fakeendpoint"
+	"savoryfall/platform/standin/testclient"
+)
+
+const (
+	// crashingPart is a prompt part that crashes engines in every second seed.
+	crashingPart = "dead"
+	// partCrash is the kind of a fault: an engine crashed on the part.
+	partCrash = "endpoint crashed on a prompt part"
+	// crashedTime is how long a crashed engine takes to be back, under another id.
+	crashedTime = 1500 * time.Millisecond
+	// allowedLate is how many requests with the part may reach engines later than settleTime after the fifth crash.
+	allowedLate = 3
+)
+
+// crashingRequest is a request with the crashing part.
+type crashingRequest struct {
+	router *router
+	sent   time.Time
+}
+
+func (h *harness) hasCrashingPart() bool { return h.seed%2 == 0 }
+
+// crashOnPart makes an engine crash when it begins to answer a request with the part, and come back.
+func (h *harness) crashOnPart(e *endpoint) {
+	if h.hasCrashingPart() && e.options.Service == modelService {
+		e.CrashOn(int(h.nextID.Load()%4)-1, crashingPart)
+	}
+}
+
+func (h *harness) onCrash(e *endpoint) {
+	h.mu.Lock()
+	h.crashes = append(h.crashes, time.Now())
+	h.mu.Unlock()
+	h.fault(partCrash, "", crashedTime, false)
+	go func() {
+		h.crashEndpoint(e)
+		if h.doneWithin(crashedTime) {
+			return
+		}
+		o := h.endpointOptions(modelService)
+		o.Version = e.options.Version
+		h.startEndpoint(o, e.link)
+	}()
+}
+
+// runCrashingClient sends requests with the part, each at any router and once more at another one if it is not served.
+func (h *harness) runCrashingClient(random *rand.Rand) {
+	for h.hasCrashingPart() && !h.doneWithin(time.Duration(50+random.IntN(200))*time.Millisecond) {
+		prompt := []string{"a:500,%s:300,%x:10", "%s:300,b:500,%x:10"}[random.IntN(2)]
+		for range 2 {
+			r := h.routers[random.IntN(len(h.routers))]
+			q := testclient.Request{
+				Method: http.MethodPost, Host: host, Path: "/draft/x", ID: fmt.Sprint("x", h.nextID.Add(1)), Key: h.newestKey(),
+				Prompt: fmt.Sprintf(prompt, crashingPart, random.Uint32()),
+			}
+			h.mu.Lock()
+			h.crashing[q.ID] = crashingRequest{router: r, sent: time.Now()}
+			h.mu.Unlock()
+			if testclient.Send(r.clientAddress, q).Status == http.StatusOK {
+				break
+			}
+		}
+	}
+}
+
+// checkCrashes verifies that requests with the part are stopped after the fifth crash, by routers that no fault and no stop or start
+// has affected just before.
+func (h *harness) checkCrashes() {
+	if len(h.crashes) < 5 {
+		return
+	}
+	fifth, late := h.crashes[4], 0
+	h.eachArrival(func(a fakeendpoint.ReceivedRequest) {
+		q, crashes := h.crashing[a.ID]
+		if crashes && a.At.Sub(fifth) > settleTime && !h.disturbedBy(q.router, a.At, a.At, func(f fault) bool { return f.kind != partCrash }) &&
+			!h.stopping(q.router, a.At.Add(-settleTime), a.At) {
+			late++
+		}
+	})
+	h.t.Logf("seed %d: %d crashes on a prompt part, %d late arrivals", h.seed, len(h.crashes), late)
+	if late > allowedLate {
+		h.addViolation("%d requests with a part that had crashed five engines reached engines %v later", late, settleTime)
+	}
+}
+
+func (h *harness) eachArrival(visit func(a fakeendpoint.ReceivedRequest)) {
+	for _, e := range h.endpoints {
+		for _, a := range e.ReceivedRequests() {
+			visit(a)
+		}
+	}
+}
--- a/soak/variants_test.go
+++ b/soak/variants_test.go
@@ -51,6 +51,9 @@
 	"versionsAreIgnored": {
 		"core/origin/origin.go", "if o.Service != e.Service {\n\t\treturn false", "if o.Service != e.Service || o.Version != e.Version {\n\t\treturn true",
 	},
+	"crashesAreIgnored": {
+		"core/quarantine/record.go", "quarantineEvents = 3", "quarantineEvents = 300",
+	},
 	"clientKeyIsForwarded": {
 		"platform/endpointapi/codec.go", "\"Authorization\", headerInstance", "headerInstance",
 	},
