core/quarantine, io/entry: a check of a process counts for 100 ms, and calm requests compute nothing

The result of a check counted for a second: a process that had lost one answer and crashed within that second was taken to be alive.

--- /dev/null
+++ b/core/quarantine/bench_test.go
@@ -0,0 +1,29 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+
+	"savoryfall/core/quarantine"
+)
+
+// BenchmarkDecide is the time of a decision on a request with four shared parts, with as many parts suspected at one crash, and as
+// many quarantined.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{0, 10, 1000} {
+		for _, crashes := range []int{1, 3} {
+			b.Run(fmt.Sprintf("%d parts, %d crashes", n, crashes), func(b *testing.B) {
+				var table quarantine.Table
+				for i := range n {
+					for j := range crashes {
+						table.Crashed(of("a", uint64(i)), process(i*3+j), at(-1), at(float64(j)))
+					}
+				}
+				s := of("a", 1<<40, 2<<40, 3<<40, 4<<40)
+				for b.Loop() {
+					table.Decide(s, at(4))
+				}
+			})
+		}
+	}
+}
--- a/core/quarantine/merge_test.go
+++ b/core/quarantine/merge_test.go
@@ -16,15 +16,15 @@
 	rapid.Check(t, func(t *rapid.T) {
 		tables := []*quarantine.Table{newRouter(0, 3), newRouter(1, 3), newRouter(2, 3)}
 		now := start
-		process := uint64(0)
+		crashed := 0
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			table := rapid.SampledFrom(tables).Draw(t, "table")
 			s := of(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account"), rapid.SampledFrom([]uint64{1, 2, 3}).Draw(t, "part"), 4)
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0, 1:
-				process += uint64(rapid.IntRange(0, 1).Draw(t, "other process"))
-				table.Crashed(s, process, now.Add(-time.Duration(rapid.IntRange(1, 500).Draw(t, "sent before"))*time.Millisecond), now)
+				crashed += rapid.IntRange(0, 1).Draw(t, "other process")
+				table.Crashed(s, process(crashed), now.Add(-time.Duration(rapid.IntRange(1, 500).Draw(t, "sent before"))*time.Millisecond), now)
 			case 2:
 				table.Answered(s, now.Add(-time.Duration(rapid.IntRange(0, 900).Draw(t, "since"))*time.Millisecond), now)
 			case 3:
--- a/core/quarantine/subject.go
+++ b/core/quarantine/subject.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"strconv"
+
 	"github.com/cespare/xxhash/v2"
 
 	"savoryfall/core/prompt"
@@ -46,12 +48,10 @@
 	return d.Sum64()
 }
 
-// Process identifies the process of an endpoint that crashed.
-func Process(endpoint string, born int64) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(endpoint)
-	for shift := 0; shift < 64; shift += 8 {
-		_, _ = d.Write([]byte{byte(born >> shift)})
-	}
-	return d.Sum64()
+// Process is the process of an endpoint: the endpoint's id, and when the process started, in Unix milliseconds.
+type Process struct {
+	Endpoint string
+	Born     int64
 }
+
+func (p Process) hash() uint64 { return hash(p.Endpoint, strconv.FormatInt(p.Born, 10)) }
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -63,7 +63,7 @@
 
 // Crashed records that the process of an endpoint crashed while it had not answered the request, or had just begun to. The
 // request was sent to it at the given time.
-func (t *Table) Crashed(s Subject, process uint64, sent, now time.Time) {
+func (t *Table) Crashed(s Subject, p Process, sent, now time.Time) {
 	keys := s.keys()
 	if len(keys) == 0 {
 		return
@@ -75,7 +75,7 @@
 				r = &record{}
 				t.records[k] = r
 			}
-			if r.crashes.add(crash{process: process, account: s.account(), at: now, sent: sent}) {
+			if r.crashes.add(crash{process: p.hash(), account: s.account(), at: now, sent: sent}) {
 				r.trial.schedule(now)
 				t.touch(r, now)
 			}
@@ -99,10 +99,11 @@
 
 // Responded records that a process has responded to a request that was sent to it at the given time. It did not crash before: the
 // router that reported that had lost its connections only.
-func (t *Table) Responded(process uint64, sent, now time.Time) {
+func (t *Table) Responded(p Process, sent, now time.Time) {
 	if t.size.Load() == 0 {
 		return
 	}
+	process := p.hash()
 	t.mu.Lock()
 	ended := t.ended[process]
 	t.mu.Unlock()
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -35,10 +35,13 @@
 	return start.Add(time.Duration(seconds * float64(time.Second)))
 }
 
+// process returns the process of an endpoint.
+func process(n int) quarantine.Process { return quarantine.Process{Endpoint: "e", Born: int64(n)} }
+
 // crash records that one process crashed at the time under the requests.
 func crash(t *quarantine.Table, seconds float64, subjects ...quarantine.Subject) {
 	for _, s := range subjects {
-		t.Crashed(s, uint64(seconds*1e6)+1, at(-1), at(seconds))
+		t.Crashed(s, process(int(seconds*1e6)), at(-1), at(seconds))
 	}
 }
 
@@ -178,7 +181,7 @@
 	s := of("a", bad)
 	for i := range 3 {
 		sent := at(0.02 * float64(i))
-		table.Crashed(s, uint64(i+1), sent, sent.Add(15*time.Millisecond))
+		table.Crashed(s, process(i), sent, sent.Add(15*time.Millisecond))
 		assert.Equal(t, table.MayRetry(s, true), i == 0)
 	}
 	assert.Assert(t, refused(&table, s, 1))
@@ -189,18 +192,18 @@
 	tables := []*quarantine.Table{newRouter(0, 2), newRouter(1, 2)}
 	s := of("a", 7)
 	for i := range 4 {
-		tables[0].Crashed(s, uint64(i), at(float64(i)-0.5), at(float64(i)))
+		tables[0].Crashed(s, process(i), at(float64(i)-0.5), at(float64(i)))
 	}
 	exchange(tables, at(4))
 	assert.Assert(t, refused(tables[1], s, 4))
 	for i := range 3 {
-		tables[1].Responded(uint64(i), at(float64(i)-0.1), at(4.5))
+		tables[1].Responded(process(i), at(float64(i)-0.1), at(4.5))
 	}
 	assert.Assert(t, refused(tables[1], s, 4), "requests that were sent before")
-	tables[1].Responded(3, at(9), at(9.1))
+	tables[1].Responded(process(3), at(9), at(9.1))
 	assert.Assert(t, refused(tables[1], s, 4), "a successor with the same id")
 	for i := range 2 {
-		tables[1].Responded(uint64(i), at(float64(i)+0.3), at(4.5))
+		tables[1].Responded(process(i), at(float64(i)+0.3), at(4.5))
 	}
 	exchange(tables, at(5))
 	for _, table := range tables {
--- a/io/command/crash_test.go
+++ b/io/command/crash_test.go
@@ -31,12 +31,12 @@
 	parts  []string
 	events int
 
-	mu       sync.Mutex
-	starts   int
-	engines  map[string]*fakeendpoint.Endpoint
-	crashes  []time.Time
-	results  []soundResult
-	stopped  bool
+	mu      sync.Mutex
+	starts  int
+	engines map[string]*fakeendpoint.Endpoint
+	crashes []time.Time
+	results []soundResult
+	stopped bool
 }
 
 // soundResult is how a sound request went.
--- a/io/entry/parts.go
+++ b/io/entry/parts.go
@@ -83,7 +83,7 @@
 		return
 	}
 	e := a.Endpoint()
-	x.handler.Parts.Responded(quarantine.Process(e.ID, e.Born), a.Began(), now)
+	x.handler.Parts.Responded(quarantine.Process{Endpoint: e.ID, Born: e.Born}, a.Began(), now)
 }
 
 // recordBroken records an answer to a prompt that has broken off, and whether the endpoint's process crashed with it.
@@ -99,7 +99,7 @@
 		field.Events, a.events, field.Sends, x.sends, field.Model, shortened(x.request.Model), field.Parts, partList(x.request.Prompt))
 	if state == processEnded && !a.answered && !expected {
 		x.atCrash = true
-		x.handler.Parts.Crashed(x.subject(), quarantine.Process(e.ID, e.Born), a.Began(), time.Now())
+		x.handler.Parts.Crashed(x.subject(), quarantine.Process{Endpoint: e.ID, Born: e.Born}, a.Began(), time.Now())
 	}
 }
 
--- a/io/entry/processcheck.go
+++ b/io/entry/processcheck.go
@@ -27,8 +27,9 @@
 	processCheckTimeout = 100 * time.Millisecond
 	// endTimeout is how long a new connection is watched for its end.
 	endTimeout = 30 * time.Millisecond
-	// processCheckAge is how long the result of a check holds for the other requests that broke off at the same process.
-	processCheckAge = time.Second
+	// processCheckAge is how long a check counts for the other requests that break off at the same process: those that its end
+	// breaks off do so together.
+	processCheckAge = 100 * time.Millisecond
 )
 
 // processChecks finds out whether processes of endpoints have ended. All requests that break off at one process share a
--- a/io/hub/parts_test.go
+++ b/io/hub/parts_test.go
@@ -58,7 +58,7 @@
 				before = f.peerBytes()
 				for i := range 3 {
 					now := time.Now()
-					f.routers[(routers-1)*i/2].parts.Crashed(crashing(uint64(10+i)), uint64(i), now.Add(-50*time.Millisecond), now)
+					f.routers[(routers-1)*i/2].parts.Crashed(crashing(uint64(10+i)), quarantine.Process{Born: int64(i)}, now.Add(-50*time.Millisecond), now)
 					time.Sleep(150 * time.Millisecond)
 				}
 				began := time.Now()
@@ -82,7 +82,7 @@
 		defer f.stop()
 		for i := range 3 {
 			now := time.Now()
-			f.routers[5].parts.Crashed(crashing(uint64(10+i)), uint64(i), now.Add(-50*time.Millisecond), now)
+			f.routers[5].parts.Crashed(crashing(uint64(10+i)), quarantine.Process{Born: int64(i)}, now.Add(-50*time.Millisecond), now)
 			time.Sleep(150 * time.Millisecond)
 		}
 		root := f.routers[5].agent.HubName()
@@ -100,7 +100,7 @@
 		defer f.stop()
 		for i := range 3 {
 			now := time.Now()
-			f.routers[5].parts.Crashed(crashing(uint64(10+i)), uint64(i), now.Add(-50*time.Millisecond), now)
+			f.routers[5].parts.Crashed(crashing(uint64(10+i)), quarantine.Process{Born: int64(i)}, now.Add(-50*time.Millisecond), now)
 			time.Sleep(150 * time.Millisecond)
 		}
 		name := f.routers[5].agent.HubName()
