--- /dev/null
+++ b/core/quarantine/fleet_test.go
@@ -0,0 +1,298 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"savoryfall/core/quarantine"
+)
+
+// fleet is a model of routers that share what they know of parts through a hub, before engines of which some crash.
+type fleet struct {
+	random  *rand.Rand
+	now     float64
+	routers []*quarantine.Table
+	hub     *quarantine.Table
+	engines []*engine
+	starts  int
+	// crashing are the parts that crash engines; byChance makes engines end without a cause.
+	crashing []uint64
+	byChance bool
+	crashes  []float64
+	arrivals map[uint64][]float64
+	results  []result
+	// refused is the number of sound requests that were refused for their parts.
+	refused int
+	// sentUp and sentDown are the versions up to which the hub and each router have what the other knows.
+	sentUp, sentDown []int64
+}
+
+type engine struct {
+	process  quarantine.Process
+	upAt     float64
+	running  []*job
+	crashAt  float64
+	nextFail float64
+}
+
+// job is a request at an engine.
+type job struct {
+	s        quarantine.Subject
+	router   int
+	sent     float64
+	asked    float64
+	attempts int
+	bad      bool
+	settled  bool
+}
+
+type result struct {
+	at     float64
+	served bool
+}
+
+// Times of the model, in seconds.
+const (
+	modelStep   = 0.005
+	firstEvent  = 0.06
+	settledTime = 0.03
+	streamTime  = 0.4
+	absence     = 3.0
+	// exchangePeriod is how often routers and hub exchange what they know.
+	exchangePeriod = 0.15
+)
+
+func newModel(routers, engines, crashing int) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(1, uint64(routers+crashing))), hub: &quarantine.Table{}, arrivals: map[uint64][]float64{}}
+	for i := range routers {
+		f.routers = append(f.routers, newRouter(i, routers))
+		f.sentUp, f.sentDown = append(f.sentUp, 0), append(f.sentDown, 0)
+	}
+	for range engines {
+		e := &engine{}
+		f.start(e)
+		f.engines = append(f.engines, e)
+	}
+	for i := range crashing {
+		f.crashing = append(f.crashing, bad+uint64(i))
+	}
+	return f
+}
+
+func (f *fleet) start(e *engine) {
+	f.starts++
+	*e = engine{process: process(f.starts), nextFail: f.now + 2 + 6*f.random.Float64()}
+}
+
+// play plays the load for some seconds.
+func (f *fleet) play(seconds, soundPerSecond, badPerSecond float64) {
+	for end := f.now + seconds; f.now < end; f.now += modelStep {
+		for range f.poisson(soundPerSecond) {
+			f.send(&job{s: f.soundRequest(), asked: f.now})
+		}
+		for _, part := range f.crashing {
+			for range f.poisson(badPerSecond) {
+				s := f.soundRequest()
+				s.Prompt[f.random.IntN(2)].ID = part
+				f.send(&job{s: s, asked: f.now, bad: true})
+			}
+		}
+		f.advance()
+		if int(f.now/exchangePeriod) != int((f.now+modelStep)/exchangePeriod) {
+			f.exchange()
+		}
+	}
+}
+
+// restart replaces a router by one that knows nothing yet.
+func (f *fleet) restart(i int) {
+	f.routers[i], f.sentUp[i], f.sentDown[i] = newRouter(i, len(f.routers)), 0, 0
+}
+
+// poisson returns how many requests arrive in a step.
+func (f *fleet) poisson(perSecond float64) (n int) {
+	for u := f.random.ExpFloat64(); u < perSecond*modelStep; u += f.random.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// soundRequest has a part that all share, one of many documents, and one of its own.
+func (f *fleet) soundRequest() quarantine.Subject {
+	return of(fmt.Sprint("account", f.random.IntN(10)), base, 1000+f.random.Uint64N(200))
+}
+
+// send begins a request at any router, or sends it to another engine.
+func (f *fleet) send(j *job) {
+	if j.attempts == 0 {
+		j.router = f.random.IntN(len(f.routers))
+		if f.routers[j.router].Decide(j.s, at(f.now)).Refused {
+			if !j.bad {
+				f.refused++
+			}
+			f.finish(j, false)
+			return
+		}
+	}
+	e := f.engines[f.random.IntN(len(f.engines))]
+	for range 4 {
+		if f.now >= e.upAt {
+			break
+		}
+		e = f.engines[f.random.IntN(len(f.engines))]
+	}
+	if f.now < e.upAt {
+		f.finish(j, false)
+		return
+	}
+	j.attempts++
+	j.sent, j.settled = f.now, false
+	e.running = append(e.running, j)
+	if j.bad {
+		f.arrivals[f.partOf(j)] = append(f.arrivals[f.partOf(j)], f.now)
+		if e.crashAt == 0 {
+			e.crashAt = f.now + firstEvent
+		}
+	}
+}
+
+func (f *fleet) partOf(j *job) uint64 {
+	for _, p := range j.s.Prompt {
+		for _, c := range f.crashing {
+			if p.ID == c {
+				return c
+			}
+		}
+	}
+	return 0
+}
+
+func (f *fleet) finish(j *job, served bool) {
+	if !j.bad {
+		f.results = append(f.results, result{at: j.asked, served: served})
+	}
+}
+
+func (f *fleet) advance() {
+	for _, e := range f.engines {
+		if f.now < e.upAt {
+			continue
+		}
+		if e.process == (quarantine.Process{}) {
+			f.start(e)
+		}
+		if e.crashAt > 0 && f.now >= e.crashAt || f.byChance && f.now >= e.nextFail {
+			f.crash(e)
+			continue
+		}
+		kept := e.running[:0]
+		for _, j := range e.running {
+			if !j.settled && f.now >= j.sent+firstEvent+settledTime {
+				j.settled = true
+				f.routers[j.router].Answered(j.s, at(j.sent+firstEvent), at(f.now))
+			}
+			if f.now >= j.sent+streamTime {
+				f.finish(j, true)
+				continue
+			}
+			kept = append(kept, j)
+		}
+		e.running = kept
+	}
+}
+
+// crash ends the engine's process and sends what it had to other engines.
+func (f *fleet) crash(e *engine) {
+	f.crashes = append(f.crashes, f.now)
+	jobs, ended := e.running, e.process
+	*e = engine{upAt: f.now + absence}
+	for _, j := range jobs {
+		atCrash := !j.settled
+		if atCrash {
+			f.routers[j.router].Crashed(j.s, ended, at(j.sent), at(f.now))
+		}
+		if j.attempts >= 2 || !f.routers[j.router].MayRetry(j.s, atCrash) {
+			f.finish(j, false)
+			continue
+		}
+		f.send(j)
+	}
+}
+
+// exchange passes on what routers know, through the hub.
+func (f *fleet) exchange() {
+	now := at(f.now)
+	var records []quarantine.Record
+	for i, r := range f.routers {
+		records, f.sentUp[i] = r.Since(f.sentUp[i], now)
+		f.hub.Merge(records, now)
+	}
+	for i, r := range f.routers {
+		records, f.sentDown[i] = f.hub.Since(f.sentDown[i], now)
+		r.Merge(records, now)
+	}
+}
+
+func (f *fleet) servedShare(from, to float64) float64 {
+	n, served := 0, 0
+	for _, r := range f.results {
+		if r.at < from || r.at >= to {
+			continue
+		}
+		n++
+		if r.served {
+			served++
+		}
+	}
+	return float64(served) / float64(max(n, 1))
+}
+
+// late returns how many requests with the part were sent later than 3 s after the fifth crash under it. Each crashes its engine.
+func (f *fleet) late(part uint64) (n int) {
+	arrivals := f.arrivals[part]
+	for i, sent := range arrivals {
+		if i > 4 && sent > arrivals[4]+firstEvent+3 {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against engines that crash one after the other, or sound requests that are refused, in fleets of all sizes.
+func TestModelOfFleets(t *testing.T) {
+	for _, routers := range []int{3, 6, 300} {
+		for _, parts := range []int{0, 1, 3} {
+			t.Run(fmt.Sprintf("%d routers, %d parts", routers, parts), func(t *testing.T) {
+				t.Parallel()
+				engines := 9
+				if routers > 100 {
+					engines = 30
+				}
+				f := newModel(routers, engines, parts)
+				f.byChance = parts == 0
+				f.play(2, 10*float64(engines), 0)
+				f.crashes = nil
+				f.play(20, 10*float64(engines), 2.5)
+				if routers > 3 {
+					f.restart(1)
+					f.restart(2)
+				}
+				f.play(4, 10*float64(engines), 2.5)
+				t.Logf("%d crashes; served %.3f in the first 3 s, %.3f in the next, %.3f from then on; %d sound ones refused", len(f.crashes),
+					f.servedShare(2, 5), f.servedShare(5, 8), f.servedShare(8, 25), f.refused)
+				for _, part := range f.crashing {
+					t.Logf("part %x: %d arrivals, %d late", part, len(f.arrivals[part]), f.late(part))
+					assert.Check(t, f.late(part) <= 3)
+				}
+				if f.byChance {
+					_, quarantined := f.hub.Counts()
+					assert.Check(t, quarantined == 0 && f.refused == 0, "%d parts quarantined, %d requests refused by chance", quarantined, f.refused)
+				}
+				assert.Check(t, f.servedShare(8, 25) >= 0.5)
+			})
+		}
+	}
+}
