io/entry: a crash that looks like the end of an answer is seen

A stream with neither length nor chunks ends with its connection, and so does one whose engine crashes between two events. Such a crash was taken for a complete answer: it cleared the prompt parts of its request.

--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -49,7 +49,9 @@
 
 // clear clears the crashes before an answer that went well, and reports whether that changed anything.
 func (r *record) clear(began time.Time) (changed bool) {
-	return r.cleared(r.crashes.clear(func(c crash) bool { return c.at.Before(began) }))
+	changed = r.crashes.clear(func(c crash) bool { return c.at.Before(began) })
+	r.resetTrials(changed)
+	return changed
 }
 
 // minRestartTime is how long the process of an endpoint takes to start again at least. Its successor may have its id, and answers
@@ -59,17 +61,18 @@
 // clearProcess clears the crash of a process that has responded to a request sent later, and reports whether that changed
 // anything.
 func (r *record) clearProcess(process uint64, sent time.Time) (changed bool) {
-	return r.cleared(r.crashes.clear(func(c crash) bool {
+	changed = r.crashes.clear(func(c crash) bool {
 		return c.process == process && c.at.Before(sent) && sent.Sub(c.at) < minRestartTime
-	}))
+	})
+	r.resetTrials(changed)
+	return changed
 }
 
-// cleared lets trials start over, and returns whether any crash was cleared.
-func (r *record) cleared(changed bool) bool {
-	if changed && r.trial.count > 0 {
+// resetTrials lets trials start over once crashes have been cleared.
+func (r *record) resetTrials(cleared bool) {
+	if cleared && r.trial.count > 0 {
 		r.trial = trial{number: r.trial.number + 1}
 	}
-	return changed
 }
 
 // report returns the record for other routers.
--- a/io/command/crash_test.go
+++ b/io/command/crash_test.go
@@ -30,6 +30,8 @@
 	// parts crash engines, which write this number of events before.
 	parts  []string
 	events int
+	// unframed engines answer with neither a length nor chunks.
+	unframed bool
 
 	mu      sync.Mutex
 	starts  int
@@ -45,8 +47,8 @@
 	served bool
 }
 
-func newCrashFleet(t *testing.T, routers, engines, events int, parts ...string) *crashFleet {
-	f := &crashFleet{entryFleet: newEntryFleet(t, routers), parts: parts, events: events, engines: map[string]*fakeendpoint.Endpoint{}}
+func newCrashFleet(t *testing.T, routers, engines, events int, unframed bool, parts ...string) *crashFleet {
+	f := &crashFleet{entryFleet: newEntryFleet(t, routers), parts: parts, events: events, unframed: unframed, engines: map[string]*fakeendpoint.Endpoint{}}
 	for i := range 3 {
 		f.store.Put("keyed.servers", fmt.Sprint("m", i), nil)
 	}
@@ -81,7 +83,7 @@
 	id := fmt.Sprintf("c%d-%d", i, f.starts)
 	var server *http.Server
 	e := fakeendpoint.New(fakeendpoint.Options{
-		ID: id, Service: "models", Address: l.Addr().String(), FailureDomain: "a", Version: "v1", Slots: 32, Events: 12, EventTime: 10 * time.Millisecond,
+		ID: id, Service: "models", Address: l.Addr().String(), FailureDomain: "a", Version: "v1", Slots: 32, Events: 12, EventTime: 10 * time.Millisecond, Unframed: f.unframed,
 		OnCrash: func() { f.crash(i, id, l.Addr().String(), server) },
 	})
 	e.CrashOn(f.events, f.parts...)
@@ -230,15 +232,17 @@
 	for _, c := range []struct {
 		name            string
 		routers, events int
+		unframed        bool
 		parts           []string
 	}{
 		{name: "before the header", routers: 3, events: -1, parts: []string{"bad1"}},
 		{name: "after an event, at six routers", routers: 6, events: 1, parts: []string{"bad1"}},
+		{name: "answers that end with their connection", routers: 3, events: 1, unframed: true, parts: []string{"bad1"}},
 		{name: "three parts, after the header", routers: 6, events: 0, parts: []string{"bad1", "bad2", "bad3"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			newCrashFleet(t, c.routers, 9, c.events, c.parts...).check()
+			newCrashFleet(t, c.routers, 9, c.events, c.unframed, c.parts...).check()
 		})
 	}
 }
@@ -246,7 +250,7 @@
 // Guards against blaming prompts for a link that is cut with resets and comes back, again and again.
 func TestResetLinkIsNotACrash(t *testing.T) {
 	t.Parallel()
-	f := newCrashFleet(t, 3, 3, 0)
+	f := newCrashFleet(t, 3, 3, 0, false)
 	f.putConfiguration(2, "good", "plain", "talk")
 	for _, vm := range f.vms {
 		f.waitFor("the route", func() bool { return vm.configTracker.Current().Version() == 2 })
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -193,6 +193,8 @@
 	switch {
 	case first && v == dispatch.Broken:
 		x.recordBroken(a)
+	case first && v == dispatch.Served && a.response.EndsWithConnection():
+		x.checkEnd(a)
 	case first && v == dispatch.Served:
 		x.recordAnswered(a)
 	}
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -51,6 +51,8 @@
 	retriesCounted int
 	// atCrash is set if an endpoint's process crashed before it had answered this request well.
 	atCrash bool
+	// endChecked is set if it is still checked whether the endpoint's process crashed at the end of the answer.
+	endChecked bool
 	// trial is set while the request is the trial of a quarantined prompt part.
 	trial bool
 	// quarantined is the prompt part that the request was refused for.
--- a/io/entry/parts.go
+++ b/io/entry/parts.go
@@ -31,10 +31,10 @@
 	return request.NotRun(request.Quarantined, max(d.Part.TrialIn, retryLater))
 }
 
-// endTrial reports a trial whose request neither crashed an endpoint nor was answered.
+// endTrial reports a trial whose request neither crashed an endpoint nor was answered, as far as known.
 func (x *exchange) endTrial() {
 	if x.trial {
-		x.handler.Parts.EndTrial(x.subject(), x.atCrash, time.Now())
+		x.handler.Parts.EndTrial(x.subject(), x.atCrash || x.endChecked, time.Now())
 	}
 }
 
@@ -92,7 +92,12 @@
 		return
 	}
 	e, expected := a.Endpoint(), a.ExpectedToEnd(time.Now())
-	state := x.handler.processes.check(e, x.handler.Dial)
+	x.recordEnd(a, x.handler.processes.check(e, x.handler.Dial), expected)
+}
+
+// recordEnd records an answer that ended with the connection, and whether the endpoint's process crashed with it.
+func (x *exchange) recordEnd(a *attempt, state processState, expected bool) {
+	e := a.Endpoint()
 	x.handler.Metrics.recordBroken(x.service, state)
 	_ = x.handler.Logger.Log(field.Event, event.AnswerBroken, field.Request, x.request.ID, field.Route, x.routeName(), field.Service, x.service,
 		field.Account, x.accountName(), field.Endpoint, e.ID, field.Born, e.Born, field.Software, e.Version, field.Process, state,
@@ -103,6 +108,34 @@
 	}
 }
 
+const (
+	// endCheckDelay is how long after the end of an answer it is checked whether the process ended with it, and settledBytes how
+	// much of that bytes from the process may be late.
+	endCheckDelay = 50 * time.Millisecond
+	settledBytes  = 10 * time.Millisecond
+)
+
+// checkEnd finds out, in the background, whether an answer that ended with its connection did so because the process crashed: to its
+// client it is complete in either case.
+func (x *exchange) checkEnd(a *attempt) {
+	if a.answered || len(x.request.Prompt) == 0 {
+		return
+	}
+	expected := a.ExpectedToEnd(time.Now())
+	x.endChecked = true
+	time.AfterFunc(endCheckDelay, func() {
+		state := processAlive
+		if a.SilentFor(time.Now()) > endCheckDelay-settledBytes {
+			state = x.handler.processes.check(a.Endpoint(), x.handler.Dial)
+		}
+		if state == processAlive {
+			x.recordAnswered(a)
+			return
+		}
+		x.recordEnd(a, state, expected)
+	})
+}
+
 // maxLoggedParts limits the prompt parts of one line.
 const maxLoggedParts = 16
 
--- a/io/http1/exchange.go
+++ b/io/http1/exchange.go
@@ -234,6 +234,9 @@
 	r.pool.put(c, keepAliveTimeout(r.raw.Header))
 }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that it ends with the connection.
+func (r *Response) EndsWithConnection() bool { return !r.framed() }
+
 func (r *Response) framed() bool { return r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0 }
 
 // requestWritten reports whether the whole request was sent. An endpoint may respond before it has read a long body and
