--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -67,6 +67,7 @@
 	args.Reads, args.Joined = a.undelivered(fresh)
 	var partsVersion int64
 	args.Parts, partsVersion = a.Parts.Since(a.hubState.sentParts, now)
+	args.TakesParts = true
 	if routers > 1 {
 		args.Hold = hubReportHold
 	}
--- a/io/hub/message.go
+++ b/io/hub/message.go
@@ -20,6 +20,8 @@
 	Reads   []fleetload.PrefixRead
 	// Parts are prompt parts under which endpoints crashed, as far as the hub has not accepted what is known of them.
 	Parts []quarantine.Record
+	// TakesParts says that this router takes such records. One of an earlier release does not, and would never have them all.
+	TakesParts bool
 	// Epoch identifies the run of the hub that Numbers belong to, as received last.
 	Epoch   int64
 	Numbers Numbers
--- a/io/hub/restore_wire_test.go
+++ b/io/hub/restore_wire_test.go
@@ -36,3 +36,11 @@
 	assert.Equal(t, (&Report{Configuration: 11}).configuration(hub.Generation), hub)
 	assert.Assert(t, (&Report{Configuration: 15, ConfigurationGeneration: 2}).configuration(hub.Generation).Before(hub))
 }
+
+// Guards against a hub that answers each report of a router of an earlier release at once, because that router never has the
+// records of prompt parts.
+func TestReportOfEarlierReleaseLacksNoParts(t *testing.T) {
+	assert.Assert(t, !(&Report{}).lacksParts(5))
+	assert.Assert(t, (&Report{TakesParts: true}).lacksParts(5))
+	assert.Assert(t, !(&Report{TakesParts: true, Numbers: Numbers{Parts: 5}}).lacksParts(5))
+}
--- a/io/hub/server.go
+++ b/io/hub/server.go
@@ -139,9 +139,12 @@
 	}
 	end, _, ok := a.Configuration.Position()
 	_, changesNext := a.Endpoints.Changes().Since(args.Numbers.Changes)
-	return ok && args.configuration(end.Generation).Before(end) || changesNext > args.Numbers.Changes || a.Parts.Version() > args.Numbers.Parts
+	return ok && args.configuration(end.Generation).Before(end) || changesNext > args.Numbers.Changes || args.lacksParts(a.Parts.Version())
 }
 
+// lacksParts reports whether the reporting router is to be sent records of prompt parts up to the version.
+func (r *Report) lacksParts(version int64) bool { return r.TakesParts && version > r.Numbers.Parts }
+
 // configuration returns up to where the reporting router knows the configuration topic. If it does not say of which
 // generation that is, it is taken to be of the given one.
 func (r *Report) configuration(generation int64) compactedlog.Position {
@@ -176,7 +179,9 @@
 	total, sequence.Totals = a.totalsSince(since.Totals)
 	reply.Loads, reply.Demands = toColumns(total.Loads), total.Demands
 	reply.Reads, sequence.Reads = a.aggregator.ReadsSince(since.Reads)
-	reply.Parts, sequence.Parts = a.Parts.Since(since.Parts, time.Now())
+	if args.TakesParts {
+		reply.Parts, sequence.Parts = a.Parts.Since(since.Parts, time.Now())
+	}
 	reply.Members, sequence.Members = a.Members.Since(since.Members, args.Digest)
 	reply.Stamp = a.Clock()
 	return nil
