--- a/io/hub/parts.go
+++ b/io/hub/parts.go
@@ -31,7 +31,7 @@
 
 // Parts takes in what a router reports of prompt parts.
 func (s *Service) Parts(args *PartsReport, _ *PartsReply) error {
-	s.agent.Config.Parts.Merge(args.Parts, time.Now())
+	s.agent.Parts.Merge(args.Parts, time.Now())
 	return nil
 }
 
@@ -55,7 +55,7 @@
 		case <-a.partsChanged:
 		}
 		var records []quarantine.Record
-		records, pushed = a.Config.Parts.Since(pushed, time.Now())
+		records, pushed = a.Parts.Since(pushed, time.Now())
 		if len(records) > 0 {
 			a.push(ctx, &PartsReport{Parts: records})
 		}
@@ -86,7 +86,7 @@
 
 // KnownParts returns all that this router knows of prompt parts.
 func (s *Service) KnownParts(_ *KnownPartsArgs, reply *PartsReport) error {
-	reply.Parts, _ = s.agent.Config.Parts.Since(0, time.Now())
+	reply.Parts, _ = s.agent.Parts.Since(0, time.Now())
 	return nil
 }
 
@@ -126,7 +126,7 @@
 	select {
 	case <-call.Done:
 		if call.Error == nil {
-			a.Config.Parts.Merge(reply.Parts, time.Now())
+			a.Parts.Merge(reply.Parts, time.Now())
 		}
 	case <-ctx.Done():
 	}
--- a/io/hub/parts_test.go
+++ b/io/hub/parts_test.go
@@ -22,6 +22,15 @@
 	return quarantine.Subject{Service: "s", Account: "a", Prompt: prompt.Chain{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 100}, {ID: own, Tokens: 10}}}
 }
 
+// crashThree has the router report three crashes.
+func (f *fleet) crashThree(r *simRouter) {
+	for i := range 3 {
+		now := time.Now()
+		r.parts.Crashed(crashing(uint64(10+i)), quarantine.Process{Born: int64(i)}, now.Add(-50*time.Millisecond), now)
+		time.Sleep(150 * time.Millisecond)
+	}
+}
+
 // refusing returns how many routers refuse requests with the part.
 func (f *fleet) refusing() (n int) {
 	for _, r := range f.routers {
@@ -90,11 +99,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 12)
 		defer f.stop()
-		for i := range 3 {
-			now := time.Now()
-			f.routers[5].parts.Crashed(crashing(uint64(10+i)), quarantine.Process{Born: int64(i)}, now.Add(-50*time.Millisecond), now)
-			time.Sleep(150 * time.Millisecond)
-		}
+		f.crashThree(f.routers[5])
 		root := f.routers[5].agent.HubName()
 		f.kill(true, func(m members.Member) bool { return m.Name == root })
 		f.start(members.Member{Name: "new", Address: "10.0.9.9:1", FailureDomain: "domain0", Bears: 1}, false)
@@ -108,11 +113,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 12)
 		defer f.stop()
-		for i := range 3 {
-			now := time.Now()
-			f.routers[5].parts.Crashed(crashing(uint64(10+i)), quarantine.Process{Born: int64(i)}, now.Add(-50*time.Millisecond), now)
-			time.Sleep(150 * time.Millisecond)
-		}
+		f.crashThree(f.routers[5])
 		name := f.routers[5].agent.HubName()
 		root := f.kill(false, func(m members.Member) bool { return m.Name == name })[0]
 		time.Sleep(time.Second)
