--- a/soak/endpoints_test.go
+++ b/soak/endpoints_test.go
@@ -206,13 +206,17 @@
 }
 
 // lastUsedEndpoint returns the live endpoint of the service that received a request last. One that the routers hardly use
-// would show nothing when it leaves.
+// would show nothing when it leaves. If all have just crashed, another one is started.
 func (h *harness) lastUsedEndpoint(service string) *endpoint {
+	live := h.liveEndpoints(service)
+	for ; len(live) == 0; live = h.liveEndpoints(service) {
+		h.startEndpoint(h.endpointOptions(service), nil)
+	}
 	lastUsed := func(e *endpoint) (at time.Time) {
 		if arrivals := e.ReceivedRequests(); len(arrivals) > 0 {
 			at = arrivals[len(arrivals)-1].At
 		}
 		return at
 	}
-	return slices.MaxFunc(h.liveEndpoints(service), func(a, b *endpoint) int { return lastUsed(a).Compare(lastUsed(b)) })
+	return slices.MaxFunc(live, func(a, b *endpoint) int { return lastUsed(a).Compare(lastUsed(b)) })
 }
