io/entry, core/identity: each answer that breaks off is logged, with what identifies its request

The logs had no line of an answer without a prompt that broke off, none of an endpoint that fell silent, and nothing by which two attempts of a client at one request could be told to be the same. answerBroken now has requestKey, is written for all kinds of routes and for silence (silentMs), and says whether the end was expected. core/identity is the one place that says what identifies a request and an attempt; core/origin and core/quarantine had the same hash twice.

--- a/core/field/field.go
+++ b/core/field/field.go
@@ -61,6 +61,12 @@
 
 // Fields of an answer that has broken off at an endpoint.
 const (
+	// RequestKey identifies the request over its client's attempts, in hexadecimal.
+	RequestKey Name = "requestKey"
+	// SilentMs is how long nothing had come from the endpoint, 0 if the connection ended.
+	SilentMs Name = "silentMs"
+	// Expected is set if the endpoint may have ended for a reason of its own: it was leaving, drained, not listed, or brittle.
+	Expected Name = "expected"
 	// Process is what is known of the endpoint's process afterwards: it has ended, it is alive, or unknown.
 	Process Name = "process"
 	// Events is the number of events that the endpoint has sent.
--- /dev/null
+++ b/core/identity/doc.go
@@ -0,0 +1,2 @@
+// Package identity says what identifies a client's request and a client's attempt, between routers and over several attempts.
+package identity
--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -3,9 +3,8 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"savoryfall/core/directory"
+	"savoryfall/core/identity"
 )
 
 // Origin is the endpoint that wrote the first event of a stream. What endpoints of two software versions write does not
@@ -51,10 +50,4 @@
 
 // Key identifies a stream by its client account and the client's attempt that brought its first event. An account cannot
 // name the streams of another one.
-func Key(account, attempt string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(account)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(attempt)
-	return d.Sum64()
-}
+func Key(account, attempt string) uint64 { return identity.Attempt(account, attempt) }
--- a/core/quarantine/subject.go
+++ b/core/quarantine/subject.go
@@ -3,8 +3,7 @@
 import (
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
-
+	"savoryfall/core/identity"
 	"savoryfall/core/prompt"
 )
 
@@ -30,7 +29,7 @@
 	if len(s.Prompt) < 2 {
 		return nil
 	}
-	scope := hash(s.Service, s.Model)
+	scope := identity.Pair(s.Service, s.Model)
 	for _, p := range s.Prompt[:len(s.Prompt)-1] {
 		keys = append(keys, Key{Scope: scope, Part: p.ID})
 	}
@@ -38,15 +37,7 @@
 }
 
 // account returns the hash of the client account. It is not severalAccounts, also for requests without one.
-func (s Subject) account() uint64 { return hash(s.Account, "") | 1 }
-
-func hash(a, b string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(a)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(b)
-	return d.Sum64()
-}
+func (s Subject) account() uint64 { return identity.Pair(s.Account, "") | 1 }
 
 // Process is the process of an endpoint: the endpoint's id, and when the process started, in Unix milliseconds.
 type Process struct {
@@ -54,4 +45,4 @@
 	Born     int64
 }
 
-func (p Process) hash() uint64 { return hash(p.Endpoint, strconv.FormatInt(p.Born, 10)) }
+func (p Process) hash() uint64 { return identity.Pair(p.Endpoint, strconv.FormatInt(p.Born, 10)) }
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -183,19 +183,24 @@
 		a.response.Close()
 	}
 	a.cancel()
+	// What the endpoint did shows also if the client has left meanwhile.
+	byEndpoint := v
 	if x.ctx.Err() != nil {
 		v = dispatch.Abandoned
 	}
 	took, first := a.End(v, time.Now())
-	if first {
-		x.handler.Metrics.recordAttempt(x.service, v, took)
+	if !first {
+		return
 	}
+	x.handler.Metrics.recordAttempt(x.service, v, took)
 	switch {
-	case first && v == dispatch.Broken:
+	case v == dispatch.Broken:
 		x.recordBroken(a)
-	case first && v == dispatch.Served && a.response.EndsWithConnection():
+	case byEndpoint == dispatch.Silent:
+		x.recordSilence(a)
+	case v == dispatch.Served && a.response.EndsWithConnection():
 		x.checkEnd(a)
-	case first && v == dispatch.Served:
+	case v == dispatch.Served:
 		x.recordAnswered(a)
 	}
 }
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -34,7 +34,9 @@
 	conn     *clientconn.Conn
 	body     []byte
 	bodyRead bool
-	tried    []string
+	// identityHash is the result of identity, 0 before it is known.
+	identityHash uint64
+	tried        []string
 	// origin is where the stream began that the client has events of, nil for none.
 	origin atomic.Pointer[origin.Origin]
 	// firstEventSent is set once an event of this answer has been forwarded.
--- a/io/entry/parts.go
+++ b/io/entry/parts.go
@@ -5,8 +5,10 @@
 	"strings"
 	"time"
 
+	"savoryfall/core/directory"
 	"savoryfall/core/event"
 	"savoryfall/core/field"
+	"savoryfall/core/identity"
 	"savoryfall/core/prompt"
 	"savoryfall/core/quarantine"
 	"savoryfall/core/request"
@@ -38,10 +40,21 @@
 	}
 }
 
+// identity returns the hash that identifies the request over its client's attempts.
+func (x *exchange) identity() uint64 {
+	if x.identityHash == 0 {
+		r := &x.request
+		x.identityHash = identity.Request{Method: r.Method, Host: r.Host, Target: r.Target, Model: r.Model, Prompt: r.Prompt, Body: x.body}.Hash()
+	}
+	return x.identityHash
+}
+
+func hexadecimal(id uint64) string { return strconv.FormatUint(id, 16) }
+
 // PartFields are the log fields of a quarantined prompt part.
 func PartFields(s quarantine.Status) []any {
 	return []any{
-		field.Part, strconv.FormatUint(s.Key.Part, 16), field.Scope, strconv.FormatUint(s.Key.Scope, 16), field.Crashes, s.Crashes,
+		field.Part, hexadecimal(s.Key.Part), field.Scope, hexadecimal(s.Key.Scope), field.Crashes, s.Crashes,
 		field.Processes, s.Processes, field.Trials, s.Trials, field.TrialMs, s.TrialIn.Milliseconds(),
 	}
 }
@@ -86,26 +99,78 @@
 	x.handler.Parts.Responded(quarantine.Process{Endpoint: e.ID, Born: e.Born}, a.Began(), now)
 }
 
-// recordBroken records an answer to a prompt that has broken off, and whether the endpoint's process crashed with it.
+// ending is how an answer of an endpoint ended.
+type ending struct {
+	x       *exchange
+	entry   directory.Entry
+	began   time.Time
+	subject quarantine.Subject
+	// silentFor is how long the router had received nothing from the endpoint, 0 if the connection ended.
+	silentFor time.Duration
+	// answered is set if the answer had gone well until then, expected if the endpoint may have ended for a reason of its own.
+	answered, expected bool
+	fields             []any
+}
+
+// endingOf describes how the answer of the attempt has ended.
+func (x *exchange) endingOf(a *attempt) (n *ending) {
+	e := a.Endpoint()
+	return &ending{
+		x: x, entry: e, began: a.Began(), subject: x.subject(), answered: a.answered, expected: a.ExpectedToEnd(time.Now()),
+		fields: []any{
+			field.Request, x.request.ID, field.RequestKey, hexadecimal(x.identity()), field.Route, x.routeName(),
+			field.Service, x.service, field.Account, x.accountName(), field.Endpoint, e.ID, field.Born, e.Born, field.Software, e.Version,
+			field.Events, a.events, field.Sends, x.sends, field.Model, shortened(x.request.Model), field.Parts, partList(x.request.Prompt),
+		},
+	}
+}
+
+// checkProcess returns the state of the endpoint's process.
+func (n *ending) checkProcess() processState {
+	return n.x.handler.processes.check(n.entry, n.x.handler.Dial)
+}
+
+// record logs and counts the ending, and reports whether the endpoint's process crashed with it.
+func (n *ending) record(state processState) (crashed bool) {
+	h := n.x.handler
+	h.Metrics.recordBroken(n.entry.Service, state)
+	_ = h.Logger.Log(append([]any{
+		field.Event, event.AnswerBroken, field.Process, state, field.SilentMs, n.silentFor.Milliseconds(), field.Expected, n.expected,
+	}, n.fields...)...)
+	if state != processEnded || n.answered || n.expected {
+		return false
+	}
+	h.Parts.Crashed(n.subject, quarantine.Process{Endpoint: n.entry.ID, Born: n.entry.Born}, n.began, time.Now())
+	return true
+}
+
+// recordBroken records an answer that has broken off, and whether the endpoint's process crashed with it.
 func (x *exchange) recordBroken(a *attempt) {
+	n := x.endingOf(a)
 	if len(x.request.Prompt) == 0 {
+		go n.record(n.checkProcess())
 		return
 	}
-	e, expected := a.Endpoint(), a.ExpectedToEnd(time.Now())
-	x.recordEnd(a, x.handler.processes.check(e, x.handler.Dial), expected)
+	if n.record(n.checkProcess()) {
+		x.atCrash = true
+	}
 }
 
-// recordEnd records an answer that ended with the connection, and whether the endpoint's process crashed with it.
-func (x *exchange) recordEnd(a *attempt, state processState, expected bool) {
-	e := a.Endpoint()
-	x.handler.Metrics.recordBroken(x.service, state)
-	_ = x.handler.Logger.Log(field.Event, event.AnswerBroken, field.Request, x.request.ID, field.Route, x.routeName(), field.Service, x.service,
-		field.Account, x.accountName(), field.Endpoint, e.ID, field.Born, e.Born, field.Software, e.Version, field.Process, state,
-		field.Events, a.events, field.Sends, x.sends, field.Model, shortened(x.request.Model), field.Parts, partList(x.request.Prompt))
-	if state == processEnded && !a.answered && !expected {
-		x.atCrash = true
-		x.handler.Parts.Crashed(x.subject(), quarantine.Process{Endpoint: e.ID, Born: e.Born}, a.Began(), time.Now())
+// recordSilence records an answer that was given up after the endpoint had been silent, and in the background whether its process
+// has ended. If nothing came from other endpoints of the service either, the silence shows nothing of this one.
+func (x *exchange) recordSilence(a *attempt) {
+	now := time.Now()
+	silentFor := a.SilentFor(now)
+	if silentFor < minSilence || now.Sub(x.handler.Dispatcher.LastBytesAt(x.service)) >= silentFor {
+		return
 	}
+	n := x.endingOf(a)
+	n.silentFor = silentFor
+	go func() {
+		if state := n.checkProcess(); state != processAlive {
+			n.record(state)
+		}
+	}()
 }
 
 const (
@@ -121,18 +186,18 @@
 	if a.answered || len(x.request.Prompt) == 0 {
 		return
 	}
-	expected := a.ExpectedToEnd(time.Now())
+	n := x.endingOf(a)
 	x.endChecked = true
 	time.AfterFunc(endCheckDelay, func() {
 		state := processAlive
 		if a.SilentFor(time.Now()) > endCheckDelay-settledBytes {
-			state = x.handler.processes.check(a.Endpoint(), x.handler.Dial)
+			state = n.checkProcess()
 		}
 		if state == processAlive {
 			x.recordAnswered(a)
 			return
 		}
-		x.recordEnd(a, state, expected)
+		n.record(state)
 	})
 }
 
@@ -143,7 +208,7 @@
 func partList(c prompt.Chain) string {
 	ids := make([]string, 0, min(len(c), maxLoggedParts))
 	for _, p := range c[:min(len(c), maxLoggedParts)] {
-		ids = append(ids, strconv.FormatUint(p.ID, 16))
+		ids = append(ids, hexadecimal(p.ID))
 	}
 	return strings.Join(ids, ",")
 }
