core/quarantine, io/entry: a request under which three endpoints ended is refused when its client sends it again

Cause: nothing identified a request over its client's attempts, which have ids of their own. An end was kept by the shared parts of prompts only, which sound answers clear, and not at all of requests without a prompt. Three events that went well cleared the request that crashes endpoints after eight.

Change: the quarantine table keeps records of requests (core/identity: method, host, path and query, model, prompt, body; by client account) beside those of parts, with the same exchange between routers and the same trials. An end counts for the request whatever had come of the answer; only a complete answer clears it. A part whose crashes one quarantined request explains is not blamed. A suspected request goes to any endpoint and not to the one that caches its prompt, where those that it was beside go too. A trial of a request is announced 200 ms before it is sent, because its client may come to any router.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -119,6 +119,9 @@
 	Tried []string
 	// Origin is where the stream began that the request continues, nil if it begins one.
 	Origin *origin.Origin
+	// Spread is set if an endpoint crashed under the request. It goes to any endpoint, so that those that share its prompt and may be
+	// the cause, or meet its crashes, are at other ones.
+	Spread bool
 }
 
 // Reason is why no endpoint was chosen, or why this one was.
--- a/core/dispatch/scoring.go
+++ b/core/dispatch/scoring.go
@@ -280,6 +280,8 @@
 	prefillInterference = 5.0
 	// crossDomainCostMs is the round trip to another failure domain.
 	crossDomainCostMs = 2.0
+	// spreadCostMs decides for a request that may go to any endpoint.
+	spreadCostMs = 100.0
 	// tieBreakCostMs spreads plain endpoints of equal cost.
 	tieBreakCostMs = 1.0
 	// rankCostMs is how much the last in rank costs more than the first. Among engines that cache the prompt the rank
@@ -300,6 +302,9 @@
 func (c *scoring) cost(i int) (ms float64) {
 	e := c.pool[i]
 	ms = failureCostMs * c.effectiveFailureRate(i)
+	if c.q.Spread {
+		return ms + spreadCostMs*c.d.randomFloat()
+	}
 	if e.entry.FailureDomain != c.d.failureDomain {
 		ms += crossDomainCostMs
 	}
--- a/core/dispatch/withdraw.go
+++ b/core/dispatch/withdraw.go
@@ -34,8 +34,19 @@
 func (a *Attempt) ExpectedToEnd(now time.Time) bool {
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
+	return a.announcedEnd(now) || a.d.byID[a.entry.ID] != a.e
+}
+
+// AnnouncedEnd is ExpectedToEnd but for endpoints that are no longer listed.
+func (a *Attempt) AnnouncedEnd(now time.Time) bool {
+	a.d.mu.Lock()
+	defer a.d.mu.Unlock()
+	return a.announcedEnd(now)
+}
+
+func (a *Attempt) announcedEnd(now time.Time) bool {
 	fallsOver := a.d.isBrittle(a.q.Service) && now.Sub(a.e.refusedAt) < refusedPause
-	return a.e.leaving || fallsOver || a.d.byID[a.entry.ID] != a.e || a.d.isDrained(a.e)
+	return a.e.leaving || fallsOver || a.d.isDrained(a.e)
 }
 
 // isWithdrawn reports whether the endpoint must get no new work: its process is leaving or has asked for a pause, or its
--- a/core/quarantine/bench_test.go
+++ b/core/quarantine/bench_test.go
@@ -16,7 +16,7 @@
 				var table quarantine.Table
 				for i := range n {
 					for j := range crashes {
-						table.Crashed(of("a", uint64(i)), process(i*3+j), at(-1), at(float64(j)))
+						table.Crashed(of("a", uint64(i)), quarantine.Crash{Process: process(i*3 + j), Sent: at(-1), At: at(float64(j))}, at(float64(j)))
 					}
 				}
 				s := of("a", 1<<40, 2<<40, 3<<40, 4<<40)
--- a/core/quarantine/crash.go
+++ b/core/quarantine/crash.go
@@ -18,6 +18,8 @@
 	sent time.Time
 	// cleared is set once an answer to a request with the part began after the crash and went well.
 	cleared bool
+	// silent is set if all that shows the end is that nothing came from the process any more.
+	silent bool
 }
 
 const (
@@ -52,6 +54,9 @@
 	if n.cleared && !known.cleared {
 		known.cleared, changed = true, true
 	}
+	if !n.silent && known.silent {
+		known.silent, changed = false, true
+	}
 	return changed
 }
 
@@ -89,6 +94,16 @@
 	}
 }
 
+// without returns the crashes that are not among the others.
+func (c crashes) without(others crashes) (rest crashes) {
+	for _, k := range c {
+		if !others.has(k.process) {
+			rest = append(rest, k)
+		}
+	}
+	return rest
+}
+
 func (c crashes) has(process uint64) bool {
 	return slices.ContainsFunc(c, func(k crash) bool { return k.process == process })
 }
--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -24,8 +26,16 @@
 	crashes  []float64
 	arrivals map[uint64][]float64
 	results  []result
-	// refused is the number of sound requests that were refused for their parts.
+	// refused is the number of sound requests that were refused for their parts or for themselves.
 	refused int
+	// refusedFor are these requests by what they were refused for.
+	refusedFor map[quarantine.Key]int
+	// repeats is how often clients send sound requests again that have failed.
+	repeats int
+	// culprits are requests that crash each engine that runs them, each of which its client sends again and again.
+	culprits []*culprit
+	// later are the requests that are sent later.
+	later []*job
 	// sentUp and sentDown are the versions up to which the hub and each router have what the other knows.
 	sentUp, sentDown []int64
 }
@@ -47,6 +57,15 @@
 	attempts int
 	bad      bool
 	settled  bool
+	// culprit is set for the request of one.
+	culprit *culprit
+	// admitted is set if a router is about to send the request.
+	admitted bool
+	// again is how often the client will send the request again if it fails, at the earliest at againAt.
+	again   int
+	againAt float64
+	// comeback is the time after which the client was told to send the request again.
+	comeback float64
 }
 
 type result struct {
@@ -63,10 +82,14 @@
 	absence     = 3.0
 	// exchangePeriod is how often routers and hub exchange what they know.
 	exchangePeriod = 0.15
+	// againPause is the time after which a client sends a request again.
+	againPause = 0.1
+	// longestComeback is the longest time that a client waits if it is told to.
+	longestComeback = 1.0
 )
 
 func newModel(routers, engines, crashing int) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(1, uint64(routers+crashing))), hub: &quarantine.Table{}, arrivals: map[uint64][]float64{}}
+	f := &fleet{random: rand.New(rand.NewPCG(1, uint64(routers+crashing))), hub: &quarantine.Table{}, arrivals: map[uint64][]float64{}, refusedFor: map[quarantine.Key]int{}}
 	for i := range routers {
 		f.routers = append(f.routers, newRouter(i, routers))
 		f.sentUp, f.sentDown = append(f.sentUp, 0), append(f.sentDown, 0)
@@ -91,8 +114,9 @@
 func (f *fleet) play(seconds, soundPerSecond, badPerSecond float64) {
 	for end := f.now + seconds; f.now < end; f.now += modelStep {
 		for range f.poisson(soundPerSecond) {
-			f.send(&job{s: f.soundRequest(), asked: f.now})
+			f.send(&job{s: f.soundRequest(), asked: f.now, again: f.repeats})
 		}
+		f.sendAgain()
 		for _, part := range f.crashing {
 			for range f.poisson(badPerSecond) {
 				s := f.soundRequest()
@@ -122,35 +146,44 @@
 
 // soundRequest has a part that all share, one of many documents, and one of its own.
 func (f *fleet) soundRequest() quarantine.Subject {
-	return of(fmt.Sprint("account", f.random.IntN(10)), base, 1000+f.random.Uint64N(200))
+	s := of(fmt.Sprint("account", f.random.IntN(10)), base, 1000+f.random.Uint64N(200))
+	s.Request = f.random.Uint64()
+	return s
 }
 
 // send begins a request at any router, or sends it to another engine.
 func (f *fleet) send(j *job) {
-	if j.attempts == 0 {
+	if j.attempts == 0 && !j.admitted {
 		j.router = f.random.IntN(len(f.routers))
-		if f.routers[j.router].Decide(j.s, at(f.now)).Refused {
+		if d := f.routers[j.router].Decide(j.s, at(f.now)); d.Refused {
 			if !j.bad {
 				f.refused++
+				f.refusedFor[d.Part.Key]++
 			}
+			j.comeback = math.Ceil(max(d.Part.TrialIn, 500*time.Millisecond).Seconds()*1000) / 1000
 			f.finish(j, false)
 			return
+		} else if d.Wait > 0 {
+			j.admitted, j.againAt = true, f.now+d.Wait.Seconds()
+			f.later = append(f.later, j)
+			return
 		}
 	}
-	e := f.engines[f.random.IntN(len(f.engines))]
-	for range 4 {
-		if f.now >= e.upAt {
-			break
-		}
-		e = f.engines[f.random.IntN(len(f.engines))]
-	}
-	if f.now < e.upAt {
+	e := f.place()
+	if e == nil {
 		f.finish(j, false)
 		return
 	}
 	j.attempts++
 	j.sent, j.settled = f.now, false
 	e.running = append(e.running, j)
+	if j.culprit != nil {
+		j.culprit.arrivals = append(j.culprit.arrivals, f.now)
+		if at := f.now + j.culprit.crashAfter; e.crashAt == 0 || at < e.crashAt {
+			e.crashAt = at
+		}
+		return
+	}
 	if j.bad {
 		f.arrivals[f.partOf(j)] = append(f.arrivals[f.partOf(j)], f.now)
 		if e.crashAt == 0 {
@@ -170,7 +203,28 @@
 	return 0
 }
 
+// place returns a running engine, nil if it finds none.
+func (f *fleet) place() *engine {
+	for range 5 {
+		if e := f.engines[f.random.IntN(len(f.engines))]; f.now >= e.upAt {
+			return e
+		}
+	}
+	return nil
+}
+
 func (f *fleet) finish(j *job, served bool) {
+	j.admitted = false
+	if j.culprit != nil {
+		j.culprit.nextAt = f.now + j.culprit.pause
+		return
+	}
+	if !served && j.again > 0 && j.comeback <= longestComeback {
+		j.again--
+		j.attempts, j.againAt, j.comeback = 0, f.now+max(againPause, j.comeback), 0
+		f.later = append(f.later, j)
+		return
+	}
 	if !j.bad {
 		f.results = append(f.results, result{at: j.asked, served: served})
 	}
@@ -194,7 +248,8 @@
 				j.settled = true
 				f.routers[j.router].Answered(j.s, at(j.sent+firstEvent), at(f.now))
 			}
-			if f.now >= j.sent+streamTime {
+			if f.now >= j.sent+streamTime && j.culprit == nil {
+				f.routers[j.router].Completed(j.s, at(j.sent), at(f.now))
 				f.finish(j, true)
 				continue
 			}
@@ -208,12 +263,15 @@
 func (f *fleet) crash(e *engine) {
 	f.crashes = append(f.crashes, f.now)
 	jobs, ended := e.running, e.process
+	for _, j := range jobs {
+		if j.culprit != nil {
+			j.culprit.ends = append(j.culprit.ends, f.now)
+		}
+	}
 	*e = engine{upAt: f.now + absence}
 	for _, j := range jobs {
 		atCrash := !j.settled
-		if atCrash {
-			f.routers[j.router].Crashed(j.s, ended, at(j.sent), at(f.now))
-		}
+		f.routers[j.router].Crashed(j.s, quarantine.Crash{Process: ended, Sent: at(j.sent), At: at(f.now), Answered: j.settled}, at(f.now))
 		if j.attempts >= 2 || !f.routers[j.router].MayRetry(j.s, atCrash) {
 			f.finish(j, false)
 			continue
@@ -288,8 +346,8 @@
 					assert.Check(t, f.late(part) <= 3)
 				}
 				if f.byChance {
-					_, quarantined := f.hub.Counts()
-					assert.Check(t, quarantined == 0 && f.refused == 0, "%d parts quarantined, %d requests refused by chance", quarantined, f.refused)
+					quarantined, _ := f.hub.Counts()
+					assert.Check(t, quarantined.Quarantined == 0 && f.refused == 0, "%d parts quarantined, %d requests refused by chance", quarantined.Quarantined, f.refused)
 				}
 				assert.Check(t, f.servedShare(8, 25) >= 0.5)
 			})
--- a/core/quarantine/merge_test.go
+++ b/core/quarantine/merge_test.go
@@ -21,10 +21,13 @@
 			now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			table := rapid.SampledFrom(tables).Draw(t, "table")
 			s := of(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account"), rapid.SampledFrom([]uint64{1, 2, 3}).Draw(t, "part"), 4)
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			s.Request = rapid.SampledFrom([]uint64{0, 7, 8}).Draw(t, "request")
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
 				crashed += rapid.IntRange(0, 1).Draw(t, "other process")
-				table.Crashed(s, process(crashed), now.Add(-time.Duration(rapid.IntRange(1, 500).Draw(t, "sent before"))*time.Millisecond), now)
+				table.Crashed(s, quarantine.Crash{Process: process(crashed), Sent: now.Add(-time.Duration(rapid.IntRange(1, 500).Draw(t, "sent before")) * time.Millisecond), At: now, Silent: rapid.Bool().Draw(t, "silent")}, now)
+			case 5:
+				table.Completed(s, now.Add(-time.Duration(rapid.IntRange(0, 900).Draw(t, "since"))*time.Millisecond), now)
 			case 2:
 				table.Answered(s, now.Add(-time.Duration(rapid.IntRange(0, 900).Draw(t, "since"))*time.Millisecond), now)
 			case 3:
@@ -44,9 +47,13 @@
 		assert.DeepEqual(t, versionsOf(tables), versions)
 		for _, part := range []uint64{1, 2, 3, 4} {
 			for _, account := range []string{"a", "b", "c"} {
-				first := tables[0].MayRetry(of(account, part), false)
-				for _, table := range tables[1:] {
-					assert.Equal(t, table.MayRetry(of(account, part), false), first)
+				for _, id := range []uint64{0, 7, 8} {
+					s := of(account, part)
+					s.Request = id
+					first := tables[0].MayRetry(s, false)
+					for _, table := range tables[1:] {
+						assert.Equal(t, table.MayRetry(s, false), first)
+					}
 				}
 			}
 		}
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -25,27 +25,38 @@
 	// SentAge is the time since the oldest of the requests was sent to the endpoint.
 	SentAge time.Duration
 	Cleared bool
+	// Silent is set if the process ended without a sign.
+	Silent bool
 }
 
-// record is what this router knows of a part.
+// record is what this router knows of a part or a request.
 type record struct {
+	// request is set if it is that of a request.
+	request   bool
 	crashes   crashes
 	trial     trial
 	changedAt time.Time
 	// version is the table's version at the last change.
 	version int64
-	// announced is set while the part is known to be quarantined.
-	announced bool
 }
 
-// quarantineEvents is from how many crashes on requests with the part are refused. retryEvents is from how many on a request
-// that was at a crash itself is not sent again.
+// quarantineEvents is from how many crashes on the request, or requests with the part, are refused. retryEvents is from how many
+// crashes under a part on a request that was at one itself is not sent again.
 const (
 	quarantineEvents = 3
 	retryEvents      = 2
 )
 
-func (r *record) quarantined() bool { return r.crashes.counted().events() >= quarantineEvents }
+func (r *record) quarantined() bool { return r.events() >= quarantineEvents }
+
+// events returns the number of crashes that count. A request is at one endpoint at a time, so that each of its crashes does.
+func (r *record) events() int {
+	counted := r.crashes.counted()
+	if r.request {
+		return len(counted)
+	}
+	return counted.events()
+}
 
 // clear clears the crashes before an answer that went well, and reports whether that changed anything.
 func (r *record) clear(began time.Time) (changed bool) {
@@ -62,7 +73,7 @@
 // anything.
 func (r *record) clearProcess(process uint64, sent time.Time) (changed bool) {
 	changed = r.crashes.clear(func(c crash) bool {
-		return c.process == process && c.at.Before(sent) && sent.Sub(c.at) < minRestartTime
+		return c.process == process && c.at.Before(sent) && (c.silent || sent.Sub(c.at) < minRestartTime)
 	})
 	r.resetTrials(changed)
 	return changed
@@ -84,19 +95,19 @@
 		reported.TrialIn = r.trial.due.Sub(now)
 	}
 	for _, c := range r.crashes {
-		reported.Crashes = append(reported.Crashes, ReportedCrash{Process: c.process, Account: c.account, Age: now.Sub(c.at), SentAge: now.Sub(c.sent), Cleared: c.cleared})
+		reported.Crashes = append(reported.Crashes, ReportedCrash{Process: c.process, Account: c.account, Age: now.Sub(c.at), SentAge: now.Sub(c.sent), Cleared: c.cleared, Silent: c.silent})
 	}
 	return reported
 }
 
 // fromReport returns the record that another router reports.
 func fromReport(reported Record, now time.Time) (r record) {
-	r = record{changedAt: now.Add(-max(reported.Age, 0))}
+	r = record{request: reported.Key.Request, changedAt: now.Add(-max(reported.Age, 0))}
 	if reported.TrialNumber > 0 {
 		r.trial = trial{count: max(reported.Trials, 0), number: reported.TrialNumber, due: now.Add(reported.TrialIn)}
 	}
 	for _, c := range reported.Crashes[:min(len(reported.Crashes), maxCrashes)] {
-		r.crashes.add(crash{process: c.Process, account: c.Account, at: now.Add(-max(c.Age, 0)), sent: now.Add(-max(c.SentAge, c.Age, 0)), cleared: c.Cleared})
+		r.crashes.add(crash{process: c.Process, account: c.Account, at: now.Add(-max(c.Age, 0)), sent: now.Add(-max(c.SentAge, c.Age, 0)), cleared: c.Cleared, silent: c.Silent})
 	}
 	return r
 }
@@ -119,26 +130,40 @@
 	// suspicionTTL is how long crashes count of a part that is not quarantined, and how long cleared ones are kept, so that a late
 	// report does not make them count again.
 	suspicionTTL = 10 * time.Minute
-	// quarantineTTL is how long a quarantined part is kept after the last crash or trial.
+	// requestSuspicionTTL is how long crashes count of a request that is not quarantined. Its client may send it again after hours.
+	requestSuspicionTTL = 24 * time.Hour
+	// quarantineTTL is how long a quarantined part or request is kept after the last crash or trial.
 	quarantineTTL = 48 * time.Hour
 )
 
 func (r *record) expired(now time.Time) bool {
 	age := now.Sub(r.changedAt)
-	if r.quarantined() {
+	switch {
+	case r.quarantined():
 		return age > quarantineTTL
+	case r.request && len(r.crashes.counted()) > 0:
+		return age > requestSuspicionTTL
 	}
 	return age > suspicionTTL
 }
 
-// unexplained returns the crashes that no quarantined part explains which the request lacks.
+// unexplained returns the crashes that nothing quarantined explains which the request lacks: a part or request that was at as many
+// crashes, or a single request. If several requests with the part crash endpoints, the part is the likelier cause.
 func (r *record) unexplained(others []*record) (rest crashes) {
 	all := r.crashes.counted()
 	rest = slices.Clone(all)
+	var byRequest []crashes
 	for _, o := range others {
-		if explaining := o.crashes.counted(); explaining.outweigh(all) {
-			rest = slices.DeleteFunc(rest, func(c crash) bool { return explaining.has(c.process) })
+		explaining := o.crashes.counted()
+		if explaining.outweigh(all) {
+			rest = rest.without(explaining)
 		}
+		if o.request && len(all.without(explaining)) < len(all) {
+			byRequest = append(byRequest, explaining)
+		}
+	}
+	if len(byRequest) == 1 {
+		rest = rest.without(byRequest[0])
 	}
 	return rest
 }
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -1,7 +1,7 @@
 package quarantine
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -22,18 +22,24 @@
 	fleet   coldlimit.Fleet
 	// size is the number of records, so that requests need no lock while there are none.
 	size atomic.Int64
-	// ended are the processes whose crashes count.
-	ended map[uint64]bool
+	// touched are the keys whose records the current change has changed.
+	touched []Key
+	// quarantined are the keys of quarantined records.
+	quarantined map[Key]bool
+	// ended are the processes whose crashes count, with the keys of their records. It may hold more until the next expiry.
+	ended map[uint64]map[Key]bool
+	// nextExpiry is when to look for expired records again.
+	nextExpiry time.Time
 }
 
-// maxRecords limits the records: no client can fill the memory of routers by parts of its own. Those that changed longest ago
-// are dropped, quarantined ones last.
+// maxRecords limits the records of parts, and those of requests: no client can fill the memory of routers by parts and requests of
+// its own.
 const maxRecords = 1024
 
 // keptRecords is how many are kept when there are more than maxRecords, so that they need to be sorted seldom.
 const keptRecords = maxRecords * 7 / 8
 
-// Status is a part that is quarantined.
+// Status is a part or request that is quarantined.
 type Status struct {
 	Key Key
 	// Crashes is the number of crashes, and Processes the number of processes that ended in them.
@@ -52,6 +58,8 @@
 	// Trial means that the request is sent to learn whether its quarantined parts still crash endpoints. EndTrial must be called
 	// at its end.
 	Trial bool
+	// Wait is how long to wait before a trial is sent.
+	Wait time.Duration
 }
 
 // SetFleet sets the routers, which begin trials one after the other.
@@ -61,10 +69,25 @@
 	t.fleet = f
 }
 
-// Crashed records that the process of an endpoint crashed while it had not answered the request, or had just begun to. The
-// request was sent to it at the given time.
-func (t *Table) Crashed(s Subject, p Process, sent, now time.Time) {
+// Crash is the end of an endpoint's process before it had answered a request completely.
+type Crash struct {
+	Process Process
+	// Sent is when the request was sent to the endpoint, and At when the process ended.
+	Sent time.Time
+	At   time.Time
+	// Answered is set if the answer had gone well for so long that no part of the prompt crashed the endpoint.
+	Answered bool
+	// Silent is set if all that shows the end is that nothing came from the process any more.
+	Silent bool
+}
+
+// Crashed records that the process of an endpoint crashed under the request. Parts are suspected only if the answer had not begun
+// or just had, and if it is known that the process ended.
+func (t *Table) Crashed(s Subject, c Crash, now time.Time) {
 	keys := s.keys()
+	if c.Answered || c.Silent {
+		keys = slices.DeleteFunc(keys, func(k Key) bool { return !k.Request })
+	}
 	if len(keys) == 0 {
 		return
 	}
@@ -72,26 +95,32 @@
 		for _, k := range keys {
 			r := t.records[k]
 			if r == nil {
-				r = &record{}
+				r = &record{request: k.Request}
 				t.records[k] = r
 			}
-			if r.crashes.add(crash{process: p.hash(), account: s.account(), at: now, sent: sent}) {
+			if r.crashes.add(crash{process: c.Process.hash(), account: s.account(), at: c.At, sent: c.Sent, silent: c.Silent}) {
 				r.trial.schedule(now)
-				t.touch(r, now)
+				t.touch(k, now)
 			}
 		}
 	})
 }
 
-// Answered records that an endpoint has answered the request well, from the given time on.
-func (t *Table) Answered(s Subject, began, now time.Time) {
-	if t.size.Load() == 0 {
+// Answered records that an endpoint answers the request well, from the given time on. It may still crash under what the request
+// has of its own.
+func (t *Table) Answered(s Subject, began, now time.Time) { t.clear(s.parts(), began, now) }
+
+// Completed records that an endpoint has answered the request completely, from the given time on.
+func (t *Table) Completed(s Subject, began, now time.Time) { t.clear(s.keys(), began, now) }
+
+func (t *Table) clear(keys []Key, began, now time.Time) {
+	if t.Empty() {
 		return
 	}
 	t.change(now, func() {
-		for _, k := range s.keys() {
+		for _, k := range keys {
 			if r := t.records[k]; r != nil && r.clear(began) {
-				t.touch(r, now)
+				t.touch(k, now)
 			}
 		}
 	})
@@ -100,28 +129,42 @@
 // Responded records that a process has responded to a request that was sent to it at the given time. It did not crash before: the
 // router that reported that had lost its connections only.
 func (t *Table) Responded(p Process, sent, now time.Time) {
-	if t.size.Load() == 0 {
+	if t.Empty() {
 		return
 	}
 	process := p.hash()
 	t.mu.Lock()
-	ended := t.ended[process]
+	ended := len(t.ended[process]) > 0
 	t.mu.Unlock()
 	if !ended {
 		return
 	}
 	t.change(now, func() {
-		for _, r := range t.records {
-			if r.clearProcess(process, sent) {
-				t.touch(r, now)
+		for k := range t.ended[process] {
+			if r := t.records[k]; r != nil && r.clearProcess(process, sent) {
+				t.touch(k, now)
 			}
 		}
 	})
 }
 
+// Empty reports whether nothing is known of any part or request.
+func (t *Table) Empty() bool { return t.size.Load() == 0 }
+
+// Suspected reports whether an endpoint crashed under the request.
+func (t *Table) Suspected(s Subject) bool {
+	if t.Empty() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[s.request()]
+	return r != nil && len(r.crashes.counted()) > 0
+}
+
 // Decide decides on a request that is about to be sent for the first time.
 func (t *Table) Decide(s Subject, now time.Time) (d Decision) {
-	if t.size.Load() == 0 {
+	if t.Empty() {
 		return Decision{}
 	}
 	t.change(now, func() {
@@ -130,21 +173,33 @@
 			return
 		}
 		d.Trial = !slices.ContainsFunc(blocking, func(k Key) bool { return !t.mayTry(k, now) })
-		d.Refused = !d.Trial
 		d.Part = t.records[blocking[0]].status(blocking[0], now)
+		d.Refused = !d.Trial
 		if d.Trial {
 			for _, k := range blocking {
 				t.records[k].trial.begin(now)
-				t.touch(t.records[k], now)
+				t.touch(k, now)
+				if k.Request {
+					d.Wait = announceTime
+				}
 			}
 		}
 	})
 	return d
 }
 
+// mayTry reports whether this router may begin a trial of the part or request now.
+func (t *Table) mayTry(k Key, now time.Time) bool {
+	due := t.records[k].trial.due
+	if !k.Request {
+		due = due.Add(time.Duration(t.fleet.Rank(k.Part)) * trialStagger)
+	}
+	return !now.Before(due)
+}
+
 // MayRetry reports whether a request may be sent to another endpoint. atCrash is set if it was at a crash itself.
 func (t *Table) MayRetry(s Subject, atCrash bool) bool {
-	if t.size.Load() == 0 {
+	if t.Empty() {
 		return true
 	}
 	t.mu.Lock()
@@ -164,18 +219,22 @@
 	t.change(now, func() {
 		for _, k := range t.blocking(s, quarantineEvents) {
 			t.records[k].trial.takeBack(now)
-			t.touch(t.records[k], now)
+			t.touch(k, now)
 		}
 	})
 }
 
-// blocking returns the parts of the request that were at this many crashes or more which nothing else explains.
+// blocking returns the request's own key if it is quarantined, and its parts that were at this many crashes or more which nothing
+// else explains.
 func (t *Table) blocking(s Subject, events int) (keys []Key) {
+	if r := t.records[s.request()]; r != nil && r.quarantined() {
+		keys = append(keys, s.request())
+	}
 	own := s.keys()
 	var others []*record
-	for _, k := range own {
+	for _, k := range s.parts() {
 		r := t.records[k]
-		if r == nil || r.crashes.counted().events() < events {
+		if r == nil || r.events() < events {
 			continue
 		}
 		if others == nil {
@@ -188,42 +247,44 @@
 	return keys
 }
 
-// quarantinedBeside returns the quarantined parts that are not among the keys.
+// quarantinedBeside returns what is quarantined and not among the keys.
 func (t *Table) quarantinedBeside(keys []Key) (others []*record) {
-	for k, r := range t.records {
-		if r.quarantined() && !slices.Contains(keys, k) {
-			others = append(others, r)
+	for k := range t.quarantined {
+		if !slices.Contains(keys, k) {
+			others = append(others, t.records[k])
 		}
 	}
 	return others
 }
 
-// mayTry reports whether this router may begin a trial of the part now.
-func (t *Table) mayTry(k Key, now time.Time) bool {
-	due := t.records[k].trial.due.Add(time.Duration(t.fleet.Rank(k.Part)) * trialStagger)
-	return !now.Before(due)
+// touch records that the record with the key has changed now.
+func (t *Table) touch(k Key, now time.Time) {
+	t.records[k].changedAt = now
+	t.revise(k)
 }
 
-func (t *Table) touch(r *record, now time.Time) {
+// revise gives the record with the key a version, by which other routers get it.
+func (t *Table) revise(k Key) {
 	t.version++
-	r.version, r.changedAt = t.version, now
+	t.records[k].version = t.version
+	t.touched = append(t.touched, k)
 }
 
 // change makes a change and reports what follows from it.
 func (t *Table) change(now time.Time, apply func()) {
 	t.mu.Lock()
 	if t.records == nil {
-		t.records = map[Key]*record{}
+		t.records, t.quarantined, t.ended = map[Key]*record{}, map[Key]bool{}, map[uint64]map[Key]bool{}
 	}
-	before := t.version
+	t.expire(now)
 	apply()
-	changed := t.version != before
+	changed := len(t.touched) > 0
 	var quarantined, released []Status
 	if changed {
-		t.drop(now)
+		t.drop()
 		quarantined, released = t.announce(now)
-		t.ended = t.endedProcesses()
 	}
+	t.touched = t.touched[:0]
 	t.size.Store(int64(len(t.records)))
 	t.mu.Unlock()
 	if changed && t.OnChange != nil {
@@ -231,55 +292,101 @@
 	}
 }
 
-func (t *Table) endedProcesses() (ended map[uint64]bool) {
-	ended = map[uint64]bool{}
-	for _, r := range t.records {
-		for _, c := range r.crashes.counted() {
-			ended[c.process] = true
-		}
-	}
-	return ended
-}
-
-// announce returns the parts that have been quarantined or released since the last call.
+// announce takes note of the touched records, and returns what has been quarantined or released.
 func (t *Table) announce(now time.Time) (quarantined, released []Status) {
-	for k, r := range t.records {
-		is := r.quarantined()
-		if is == r.announced {
+	for _, k := range t.touched {
+		r := t.records[k]
+		if r == nil {
 			continue
 		}
-		r.announced = is
-		if is {
+		t.noteEnds(k)
+		is := r.quarantined()
+		switch {
+		case is == t.quarantined[k]:
+		case is:
+			t.quarantined[k] = true
 			quarantined = append(quarantined, r.status(k, now))
-		} else {
+		default:
+			delete(t.quarantined, k)
 			released = append(released, r.status(k, now))
 		}
 	}
 	return quarantined, released
 }
 
+// noteEnds takes note of the processes whose crashes count in the record.
+func (t *Table) noteEnds(k Key) {
+	for _, c := range t.records[k].crashes {
+		if c.cleared {
+			delete(t.ended[c.process], k)
+			continue
+		}
+		if t.ended[c.process] == nil {
+			t.ended[c.process] = map[Key]bool{}
+		}
+		t.ended[c.process][k] = true
+	}
+}
+
+func (t *Table) remove(k Key) {
+	delete(t.quarantined, k)
+	delete(t.records, k)
+}
+
 func (r *record) status(k Key, now time.Time) Status {
-	return Status{Key: k, Crashes: r.crashes.counted().events(), Processes: len(r.crashes.counted()), Trials: r.trial.count, TrialIn: max(r.trial.due.Sub(now), 0)}
+	return Status{Key: k, Crashes: r.events(), Processes: len(r.crashes.counted()), Trials: r.trial.count, TrialIn: max(r.trial.due.Sub(now), 0)}
+}
+
+// expiryInterval is how often expired records are removed.
+const expiryInterval = time.Second
+
+// expire removes records that have expired, from time to time.
+func (t *Table) expire(now time.Time) {
+	if now.Before(t.nextExpiry) {
+		return
+	}
+	t.nextExpiry = now.Add(expiryInterval)
+	t.ended = map[uint64]map[Key]bool{}
+	for k, r := range t.records {
+		if r.expired(now) {
+			t.remove(k)
+			continue
+		}
+		t.noteEnds(k)
+	}
 }
 
-// drop removes records that have expired and those beyond the limit.
-func (t *Table) drop(now time.Time) {
-	maps.DeleteFunc(t.records, func(_ Key, r *record) bool { return r.expired(now) })
+// drop removes records beyond the limits.
+func (t *Table) drop() {
 	if len(t.records) <= maxRecords {
 		return
 	}
-	keys := slices.SortedFunc(maps.Keys(t.records), func(a, b Key) int {
-		ra, rb := t.records[a], t.records[b]
-		if ra.quarantined() != rb.quarantined() {
-			if rb.quarantined() {
-				return -1
-			}
-			return 1
+	var parts, requests []Key
+	for k := range t.records {
+		if k.Request {
+			requests = append(requests, k)
+		} else {
+			parts = append(parts, k)
 		}
-		return ra.changedAt.Compare(rb.changedAt)
+	}
+	t.dropLeast(parts)
+	t.dropLeast(requests)
+}
+
+// dropLeast removes those beyond the limit that were at the fewest crashes, the oldest of them first.
+func (t *Table) dropLeast(keys []Key) {
+	if len(keys) <= maxRecords {
+		return
+	}
+	events := map[Key]int{}
+	for _, k := range keys {
+		events[k] = min(t.records[k].events(), quarantineEvents)
+	}
+	slices.SortFunc(keys, func(a, b Key) int {
+		return cmp.Or(cmp.Compare(events[a], events[b]), t.records[a].changedAt.Compare(t.records[b].changedAt))
 	})
 	for _, k := range keys[:len(keys)-keptRecords] {
-		delete(t.records, k)
+		t.remove(k)
 	}
 }
 
@@ -319,30 +426,35 @@
 	if other.expired(now) {
 		return
 	}
-	r := t.records[reported.Key]
-	if r == nil {
-		t.version++
-		other.version = t.version
+	known := t.records[reported.Key]
+	if known == nil {
 		t.records[reported.Key] = &other
+		t.revise(reported.Key)
 		return
 	}
-	if r.merge(other) {
-		t.version++
-		r.version = t.version
+	if known.merge(other) {
+		t.revise(reported.Key)
 	}
 }
 
-// Counts returns the number of parts that are suspected, and that are quarantined.
-func (t *Table) Counts() (suspected, quarantined int) {
+// Counts are numbers of parts or of requests.
+type Counts struct{ Suspected, Quarantined int }
+
+// Counts returns how many parts and how many requests are suspected and quarantined.
+func (t *Table) Counts() (parts, requests Counts) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, r := range t.records {
+	for k, r := range t.records {
+		n := &parts
+		if k.Request {
+			n = &requests
+		}
 		switch {
 		case r.quarantined():
-			quarantined++
+			n.Quarantined++
 		case len(r.crashes.counted()) > 0:
-			suspected++
+			n.Suspected++
 		}
 	}
-	return suspected, quarantined
+	return parts, requests
 }
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -41,7 +41,7 @@
 // crash records that one process crashed at the time under the requests.
 func crash(t *quarantine.Table, seconds float64, subjects ...quarantine.Subject) {
 	for _, s := range subjects {
-		t.Crashed(s, process(int(seconds*1e6)), at(-1), at(seconds))
+		t.Crashed(s, quarantine.Crash{Process: process(int(seconds * 1e6)), Sent: at(-1), At: at(seconds)}, at(seconds))
 	}
 }
 
@@ -75,8 +75,9 @@
 	for i := range 5 {
 		crash(&table, float64(i), of("a"))
 	}
-	suspected, quarantined := table.Counts()
-	assert.Equal(t, suspected+quarantined, 0)
+	parts, requests := table.Counts()
+	assert.Equal(t, parts, quarantine.Counts{})
+	assert.Equal(t, requests, quarantine.Counts{})
 	assert.Assert(t, !refused(&table, of("a"), 6))
 }
 
@@ -181,7 +182,7 @@
 	s := of("a", bad)
 	for i := range 3 {
 		sent := at(0.02 * float64(i))
-		table.Crashed(s, process(i), sent, sent.Add(15*time.Millisecond))
+		table.Crashed(s, quarantine.Crash{Process: process(i), Sent: sent, At: sent.Add(15 * time.Millisecond)}, sent.Add(15*time.Millisecond))
 		assert.Equal(t, table.MayRetry(s, true), i == 0)
 	}
 	assert.Assert(t, refused(&table, s, 1))
@@ -192,7 +193,7 @@
 	tables := []*quarantine.Table{newRouter(0, 2), newRouter(1, 2)}
 	s := of("a", 7)
 	for i := range 4 {
-		tables[0].Crashed(s, process(i), at(float64(i)-0.5), at(float64(i)))
+		tables[0].Crashed(s, quarantine.Crash{Process: process(i), Sent: at(float64(i) - 0.5), At: at(float64(i))}, at(float64(i)))
 	}
 	exchange(tables, at(4))
 	assert.Assert(t, refused(tables[1], s, 4))
--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -14,6 +14,10 @@
 	inconclusiveDelay = 5 * time.Second
 )
 
+// announceTime is the time in which all routers learn that a trial of a request has begun. It is sent only then: its client may send it
+// again to any router.
+const announceTime = 200 * time.Millisecond
+
 // trial is when requests with a quarantined part are tried. Each router keeps the latest one that it knows of.
 type trial struct {
 	// count is the number of trials so far.
--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"savoryfall/core/dispatch"
+	"savoryfall/core/quarantine"
 	"savoryfall/io/bootclock"
 	"savoryfall/io/clientconn"
 )
@@ -31,14 +32,14 @@
 	vm.metricSet.NewGauge("savoryfall_open_requests", func() float64 { return float64(vm.handler.ActiveRequests()) })
 	vm.metricSet.NewGauge("savoryfall_connections_made", func() float64 { return float64(vm.handler.Pool.ConnectionsOpened()) })
 	vm.metricSet.NewGauge("savoryfall_stream_origins", func() float64 { return float64(vm.origins.Records()) })
-	vm.metricSet.NewGauge("savoryfall_parts_suspected", func() float64 {
-		suspected, _ := vm.parts.Counts()
-		return float64(suspected)
-	})
-	vm.metricSet.NewGauge("savoryfall_parts_quarantined", func() float64 {
-		_, quarantined := vm.parts.Counts()
-		return float64(quarantined)
-	})
+	for name, count := range map[string]func(parts, requests quarantine.Counts) int{
+		"savoryfall_parts_suspected":      func(parts, _ quarantine.Counts) int { return parts.Suspected },
+		"savoryfall_parts_quarantined":    func(parts, _ quarantine.Counts) int { return parts.Quarantined },
+		"savoryfall_requests_suspected":   func(_, requests quarantine.Counts) int { return requests.Suspected },
+		"savoryfall_requests_quarantined": func(_, requests quarantine.Counts) int { return requests.Quarantined },
+	} {
+		vm.metricSet.NewGauge(name, func() float64 { return float64(count(vm.parts.Counts())) })
+	}
 	vm.metricSet.NewGauge("savoryfall_tunnels_open", func() float64 { return float64(vm.tunnels.Open()) })
 	vm.metricSet.NewGauge("savoryfall_tunnels_total", func() float64 { return float64(vm.tunnels.Total()) })
 	vm.metricSet.NewGauge("savoryfall_tunnel_bytes_total", func() float64 { return float64(vm.tunnels.Bytes()) })
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -202,7 +202,7 @@
 	if err != nil {
 		return err
 	}
-	vm.parts.OnChange = vm.onPartsChanged
+	vm.parts.OnChange = vm.onQuarantineChanged
 	vm.manager.Register("hub", vm.hub)
 	return nil
 }
--- a/io/command/partition_test.go
+++ b/io/command/partition_test.go
@@ -109,12 +109,37 @@
 	address   string
 	// lost is set once bytes that were written in a partition have been dropped: the connection ends with the partition.
 	lost atomic.Bool
+	// readDeadline is when reads fail, in Unix nanoseconds, 0 for never.
+	readDeadline atomic.Int64
+}
+
+// SetDeadline keeps the deadline for bytes that are held up.
+func (c *partitionedConn) SetDeadline(t time.Time) error {
+	c.keepDeadline(t)
+	return c.Conn.SetDeadline(t)
+}
+
+// SetReadDeadline does the same for reads only.
+func (c *partitionedConn) SetReadDeadline(t time.Time) error {
+	c.keepDeadline(t)
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *partitionedConn) keepDeadline(t time.Time) {
+	if t.IsZero() {
+		c.readDeadline.Store(0)
+		return
+	}
+	c.readDeadline.Store(t.UnixNano())
 }
 
 func (c *partitionedConn) Read(b []byte) (n int, err error) {
 	n, err = c.Conn.Read(b)
 	// Bytes that are held up arrive when the partition ends, unless the connection was closed meanwhile.
 	for err == nil && c.partition.silent(c.address) {
+		if deadline := c.readDeadline.Load(); deadline != 0 && time.Now().UnixNano() > deadline {
+			return 0, os.ErrDeadlineExceeded
+		}
 		<-time.After(10 * time.Millisecond)
 		if c.Conn.(*net.TCPConn).SetNoDelay(true) != nil {
 			return 0, net.ErrClosed
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -51,6 +51,7 @@
 func (x *exchange) chooseEndpoint() (a *attempt, p *request.Problem) {
 	q := dispatch.Query{
 		Service: x.service, Prompt: x.request.Prompt, Rank: x.rank(), Account: x.accountName(), Tried: x.tried, Origin: x.preferredOrigin(),
+		Spread: x.suspected(),
 	}
 	d, reason := x.handler.Dispatcher.Choose(q, time.Now())
 	if d == nil && q.Origin != x.origin.Load() {
@@ -183,8 +184,8 @@
 		a.response.Close()
 	}
 	a.cancel()
-	// What the endpoint did shows also if the client has left meanwhile.
-	byEndpoint := v
+	// Silence shows also if the client has left because of it.
+	silent := v == dispatch.Silent
 	if x.ctx.Err() != nil {
 		v = dispatch.Abandoned
 	}
@@ -196,12 +197,12 @@
 	switch {
 	case v == dispatch.Broken:
 		x.recordBroken(a)
-	case byEndpoint == dispatch.Silent:
+	case silent:
 		x.recordSilence(a)
 	case v == dispatch.Served && a.response.EndsWithConnection():
 		x.checkEnd(a)
 	case v == dispatch.Served:
-		x.recordAnswered(a)
+		x.recordCompleted(a)
 	}
 }
 
@@ -266,7 +267,7 @@
 	if x.sends == x.retriesCounted {
 		return true
 	}
-	if !x.handler.Parts.MayRetry(x.subject(), x.atCrash) || !x.handler.Retries.Allow(x.service, now) {
+	if !x.mayRetry() || !x.handler.Retries.Allow(x.service, now) {
 		return false
 	}
 	x.retriesCounted = x.sends
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -207,7 +207,7 @@
 	x.service = x.route.ChooseService(routeFraction(x.request.ID))
 	p := x.findOrigin()
 	if p == nil {
-		p = x.checkParts()
+		p = x.checkQuarantine()
 		defer x.endTrial()
 	}
 	x.handler.Retries.RecordFirst(x.service, time.Now())
--- a/io/entry/parts.go
+++ b/io/entry/parts.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"savoryfall/core/background"
 	"savoryfall/core/directory"
 	"savoryfall/core/event"
 	"savoryfall/core/field"
@@ -14,25 +15,44 @@
 	"savoryfall/core/request"
 )
 
-// subject describes the request for what is known of prompt parts.
+// subject describes the request for what is known of prompt parts and requests.
 func (x *exchange) subject() quarantine.Subject {
-	return quarantine.Subject{Service: x.service, Model: x.request.Model, Account: x.accountName(), Prompt: x.request.Prompt}
+	return quarantine.Subject{
+		Service: x.service, Model: x.request.Model, Account: x.accountName(), Prompt: x.request.Prompt, Request: x.identity(),
+	}
 }
 
-// checkParts refuses a request with a prompt part under which endpoints crashed.
-func (x *exchange) checkParts() *request.Problem {
+// checkQuarantine refuses a request under which endpoints crashed, or with a prompt part under which they did.
+func (x *exchange) checkQuarantine() *request.Problem {
+	if x.handler.Parts.Empty() {
+		return nil
+	}
 	d := x.handler.Parts.Decide(x.subject(), time.Now())
 	x.trial = d.Trial
-	if d.Trial {
-		_ = x.handler.Logger.Log(append([]any{field.Event, event.PartTried, field.Request, x.request.ID}, PartFields(d.Part)...)...)
+	switch {
+	case d.Trial && d.Part.Key.Request:
+		_ = x.handler.Logger.Log(append([]any{field.Event, event.RequestTried, field.Request, x.request.ID}, QuarantineFields(d.Part)...)...)
+	case d.Trial:
+		_ = x.handler.Logger.Log(append([]any{field.Event, event.PartTried, field.Request, x.request.ID}, QuarantineFields(d.Part)...)...)
 	}
 	if !d.Refused {
+		background.Sleep(x.ctx, d.Wait, nil)
 		return nil
 	}
 	x.quarantined = d.Part
 	return request.NotRun(request.Quarantined, max(d.Part.TrialIn, retryLater))
 }
 
+// suspected reports whether an endpoint crashed under the request.
+func (x *exchange) suspected() bool {
+	return !x.handler.Parts.Empty() && x.handler.Parts.Suspected(x.subject())
+}
+
+// mayRetry reports whether the crashes that are known allow another attempt.
+func (x *exchange) mayRetry() bool {
+	return x.handler.Parts.Empty() || x.handler.Parts.MayRetry(x.subject(), x.atCrash)
+}
+
 // endTrial reports a trial whose request neither crashed an endpoint nor was answered, as far as known.
 func (x *exchange) endTrial() {
 	if x.trial {
@@ -51,12 +71,15 @@
 
 func hexadecimal(id uint64) string { return strconv.FormatUint(id, 16) }
 
-// PartFields are the log fields of a quarantined prompt part.
-func PartFields(s quarantine.Status) []any {
-	return []any{
-		field.Part, hexadecimal(s.Key.Part), field.Scope, hexadecimal(s.Key.Scope), field.Crashes, s.Crashes,
-		field.Processes, s.Processes, field.Trials, s.Trials, field.TrialMs, s.TrialIn.Milliseconds(),
+// QuarantineFields are the log fields of a quarantined prompt part or request.
+func QuarantineFields(s quarantine.Status) []any {
+	counts := []any{
+		field.Crashes, s.Crashes, field.Processes, s.Processes, field.Trials, s.Trials, field.TrialMs, s.TrialIn.Milliseconds(),
+	}
+	if s.Key.Request {
+		return append([]any{field.RequestKey, hexadecimal(s.Key.Part)}, counts...)
 	}
+	return append([]any{field.Part, hexadecimal(s.Key.Part), field.Scope, hexadecimal(s.Key.Scope)}, counts...)
 }
 
 // eventsOfSoundAnswer is from how many events on an answer shows that its prompt does not crash the endpoint, which would
@@ -77,17 +100,30 @@
 	}
 }
 
-// recordAnswered records that the endpoint answers the prompt well.
+// recordAnswered records that the endpoint answers the prompt well. What the request has of its own may still crash it.
 func (x *exchange) recordAnswered(a *attempt) {
 	if a.answered || len(x.request.Prompt) == 0 {
 		return
 	}
 	a.answered = true
-	began := a.firstEventAt
+	if !x.handler.Parts.Empty() {
+		x.handler.Parts.Answered(x.subject(), a.answerBegan(), time.Now())
+	}
+}
+
+// recordCompleted records that the endpoint has answered the request completely.
+func (x *exchange) recordCompleted(a *attempt) {
+	if !x.handler.Parts.Empty() {
+		x.handler.Parts.Completed(x.subject(), a.answerBegan(), time.Now())
+	}
+}
+
+// answerBegan returns when the answer began, as far as known.
+func (a *attempt) answerBegan() time.Time {
 	if a.events == 0 {
-		began = a.Began()
+		return a.Began()
 	}
-	x.handler.Parts.Answered(x.subject(), began, time.Now())
+	return a.firstEventAt
 }
 
 // recordAlive records that the endpoint's process has responded. Another instance at its address shows nothing of it.
@@ -105,18 +141,24 @@
 	entry   directory.Entry
 	began   time.Time
 	subject quarantine.Subject
-	// silentFor is how long the router had received nothing from the endpoint, 0 if the connection ended.
+	// silentFor is how long the router had received nothing from the endpoint, and silent is set if other endpoints of the service were
+	// heard meanwhile, so that the silence shows something of this one.
 	silentFor time.Duration
-	// answered is set if the answer had gone well until then, expected if the endpoint may have ended for a reason of its own.
-	answered, expected bool
-	fields             []any
+	silent    bool
+	// answered is set if the answer had gone well until then.
+	answered bool
+	// expected is set if the endpoint may have ended for a reason of its own, announced if it has said so.
+	expected, announced bool
+	fields              []any
 }
 
 // endingOf describes how the answer of the attempt has ended.
 func (x *exchange) endingOf(a *attempt) (n *ending) {
-	e := a.Endpoint()
+	e, now := a.Endpoint(), time.Now()
+	silentFor := a.SilentFor(now)
 	return &ending{
-		x: x, entry: e, began: a.Began(), subject: x.subject(), answered: a.answered, expected: a.ExpectedToEnd(time.Now()),
+		x: x, entry: e, began: a.Began(), subject: x.subject(), answered: a.answered, expected: a.ExpectedToEnd(now), announced: a.AnnouncedEnd(now),
+		silentFor: silentFor, silent: silentFor >= minSilence && now.Sub(x.handler.Dispatcher.LastBytesAt(x.service)) < silentFor,
 		fields: []any{
 			field.Request, x.request.ID, field.RequestKey, hexadecimal(x.identity()), field.Route, x.routeName(),
 			field.Service, x.service, field.Account, x.accountName(), field.Endpoint, e.ID, field.Born, e.Born, field.Software, e.Version,
@@ -130,24 +172,31 @@
 	return n.x.handler.processes.check(n.entry, n.x.handler.Dial)
 }
 
-// record logs and counts the ending, and reports whether the endpoint's process crashed with it.
+// record logs and counts the ending, and reports whether the endpoint's process crashed with it. A process that does not respond at
+// all may have lost its machine or its way to this router: what is known of other requests and other routers tells these apart.
 func (n *ending) record(state processState) (crashed bool) {
 	h := n.x.handler
 	h.Metrics.recordBroken(n.entry.Service, state)
 	_ = h.Logger.Log(append([]any{
 		field.Event, event.AnswerBroken, field.Process, state, field.SilentMs, n.silentFor.Milliseconds(), field.Expected, n.expected,
 	}, n.fields...)...)
-	if state != processEnded || n.answered || n.expected {
+	c := quarantine.Crash{
+		Process: quarantine.Process{Endpoint: n.entry.ID, Born: n.entry.Born}, Sent: n.began, At: time.Now(), Answered: n.answered,
+	}
+	switch {
+	case state == processEnded && !n.expected:
+	default:
 		return false
 	}
-	h.Parts.Crashed(n.subject, quarantine.Process{Endpoint: n.entry.ID, Born: n.entry.Born}, n.began, time.Now())
+	h.Parts.Crashed(n.subject, c, time.Now())
 	return true
 }
 
-// recordBroken records an answer that has broken off, and whether the endpoint's process crashed with it.
+// recordBroken records an answer that has broken off, and whether the endpoint's process crashed with it. A request that has no prompt
+// is not delayed by that unless an endpoint crashed under it before.
 func (x *exchange) recordBroken(a *attempt) {
 	n := x.endingOf(a)
-	if len(x.request.Prompt) == 0 {
+	if len(x.request.Prompt) == 0 && !x.suspected() {
 		go n.record(n.checkProcess())
 		return
 	}
@@ -156,21 +205,18 @@
 	}
 }
 
-// recordSilence records an answer that was given up after the endpoint had been silent, and in the background whether its process
-// has ended. If nothing came from other endpoints of the service either, the silence shows nothing of this one.
+// recordSilence records an answer that was given up after the endpoint had been silent, and whether its process has ended.
 func (x *exchange) recordSilence(a *attempt) {
-	now := time.Now()
-	silentFor := a.SilentFor(now)
-	if silentFor < minSilence || now.Sub(x.handler.Dispatcher.LastBytesAt(x.service)) >= silentFor {
+	n := x.endingOf(a)
+	if !n.silent {
 		return
 	}
-	n := x.endingOf(a)
-	n.silentFor = silentFor
-	go func() {
+	record := func() {
 		if state := n.checkProcess(); state != processAlive {
 			n.record(state)
 		}
-	}()
+	}
+	go record()
 }
 
 const (
@@ -184,6 +230,7 @@
 // client it is complete in either case.
 func (x *exchange) checkEnd(a *attempt) {
 	if a.answered || len(x.request.Prompt) == 0 {
+		x.recordCompleted(a)
 		return
 	}
 	n := x.endingOf(a)
@@ -195,6 +242,7 @@
 		}
 		if state == processAlive {
 			x.recordAnswered(a)
+			x.recordCompleted(a)
 			return
 		}
 		n.record(state)
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -98,7 +98,7 @@
 		line = append(line, x.handler.Connections.LogFields(x.service)...)
 	}
 	if p.Reason == request.Quarantined {
-		line = append(line, PartFields(x.quarantined)...)
+		line = append(line, QuarantineFields(x.quarantined)...)
 	}
 	line = append(line, x.resumedFields()...)
 	if x.conn != nil && x.conn.CloseReason() != "" {
--- a/io/hub/parts_test.go
+++ b/io/hub/parts_test.go
@@ -26,7 +26,7 @@
 func (f *fleet) crashThree(r *simRouter) {
 	for i := range 3 {
 		now := time.Now()
-		r.parts.Crashed(crashing(uint64(10+i)), quarantine.Process{Born: int64(i)}, now.Add(-50*time.Millisecond), now)
+		r.parts.Crashed(crashing(uint64(10+i)), quarantine.Crash{Process: quarantine.Process{Born: int64(i)}, Sent: now.Add(-50 * time.Millisecond), At: now}, now)
 		time.Sleep(150 * time.Millisecond)
 	}
 }
@@ -77,7 +77,7 @@
 				before = f.peerBytes()
 				for i := range 3 {
 					now := time.Now()
-					f.routers[(routers-1)*i/2].parts.Crashed(crashing(uint64(10+i)), quarantine.Process{Born: int64(i)}, now.Add(-50*time.Millisecond), now)
+					f.routers[(routers-1)*i/2].parts.Crashed(crashing(uint64(10+i)), quarantine.Crash{Process: quarantine.Process{Born: int64(i)}, Sent: now.Add(-50 * time.Millisecond), At: now}, now)
 					time.Sleep(150 * time.Millisecond)
 				}
 				began := time.Now()
