io/entry: an endpoint that falls silent under a request counts as an end of it

What callers saw: a stream whose endpoint ends so that nothing answers at its address any more was sent on, 7 ends in 20 s and as many as its client had attempts, each of which hangs for 1 to 3 s.

Cause: only a refused connection showed that a process had ended; a process that does not respond at all was left out, because a lost machine or link looks the same.

A request that is suspected already waits for this check (0.1 s) before it is sent on; others are continued meanwhile.

TestSilentLinkIsNotACrash: a router that is cut off from half of the endpoints for 1.8 s, seven times, has ends counted and no request refused.

--- a/io/command/repeated_test.go
+++ b/io/command/repeated_test.go
@@ -230,3 +230,38 @@
 	assert.Check(f.t, known <= 1, "%d arrivals later than %v after the third end", known, knownTime)
 	assert.Check(f.t, later >= usual-0.02, "sound requests served: %.3f, %.3f before", later, usual)
 }
+
+// Guards against blaming requests for a silent way to some endpoints, again and again at one router.
+func TestSilentLinkIsNotACrash(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, crashOptions{routers: 3, endpoints: 6})
+	var cut []string
+	for _, e := range f.endpoints {
+		if len(cut) < 3 {
+			cut = append(cut, e.Address())
+		}
+	}
+	until := time.Now().Add(15 * time.Second)
+	var clients sync.WaitGroup
+	for n := range 3 {
+		clients.Go(func() {
+			for time.Now().Before(until) {
+				clients.Go(func() { f.send(n, testclient.Request{Method: "POST", Path: "/draft/x", Prompt: fmt.Sprintf("ba5e:300,%x:20", 0x10000+n)}) })
+				<-time.After(repeatPause)
+			}
+		})
+	}
+	for time.Now().Before(until) {
+		f.partitions[1].set(silentKind, cut...)
+		<-time.After(1800 * time.Millisecond)
+		f.partitions[1].set(healed)
+		<-time.After(400 * time.Millisecond)
+	}
+	clients.Wait()
+	assert.Check(t, strings.Contains(f.metrics(f.vms[1]), `savoryfall_answers_broken_total{service="models",state="unknown"}`))
+	for _, vm := range f.vms {
+		body := f.metrics(vm)
+		assert.Check(t, !strings.Contains(body, `reason="quarantined"`), "%s refused requests", vm.settings.VM().Name())
+		assert.Check(t, strings.Contains(body, "savoryfall_requests_quarantined 0\n"))
+	}
+}
--- a/io/entry/parts.go
+++ b/io/entry/parts.go
@@ -185,6 +185,9 @@
 	}
 	switch {
 	case state == processEnded && !n.expected:
+	case state == processUnknown && n.silent && !n.announced:
+		// That the endpoint is not listed any more may be a consequence of its end.
+		c.At, c.Silent = c.At.Add(-n.silentFor), true
 	default:
 		return false
 	}
@@ -205,7 +208,8 @@
 	}
 }
 
-// recordSilence records an answer that was given up after the endpoint had been silent, and whether its process has ended.
+// recordSilence records an answer that was given up after the endpoint had been silent, and whether its process has ended. A stream is
+// continued meanwhile unless an endpoint crashed under the request before.
 func (x *exchange) recordSilence(a *attempt) {
 	n := x.endingOf(a)
 	if !n.silent {
@@ -216,6 +220,11 @@
 			n.record(state)
 		}
 	}
+	x.endChecked = true
+	if x.suspected() {
+		record()
+		return
+	}
 	go record()
 }
 
