io/entry: an answer that ends with its connection is checked for a crash on all routes, also after many events

What callers saw: an endpoint whose answers have neither length nor chunks, and which ends under a request after three events or on a plain service, had answered it completely as far as the router knew; its client sent it again for ever. 72 to 75 ends in 9 s.

Cause: the check of the process after such an answer was left out for requests without a prompt and for streams that had gone well for three events.

Change: it is made for each such answer.

The check takes 50 ms, in which the client may send the request once more.

--- a/io/entry/parts.go
+++ b/io/entry/parts.go
@@ -238,10 +238,6 @@
 // checkEnd finds out, in the background, whether an answer that ended with its connection did so because the process crashed: to its
 // client it is complete in either case.
 func (x *exchange) checkEnd(a *attempt) {
-	if a.answered || len(x.request.Prompt) == 0 {
-		x.recordCompleted(a)
-		return
-	}
 	n := x.endingOf(a)
 	x.endChecked = true
 	time.AfterFunc(endCheckDelay, func() {
