--- a/io/hub/parts_test.go
+++ b/io/hub/parts_test.go
@@ -22,19 +22,29 @@
 	return quarantine.Subject{Service: "s", Account: "a", Prompt: prompt.Chain{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 100}, {ID: own, Tokens: 10}}}
 }
 
+// repeated is a request without a prompt that crashes endpoints, and beside are those that ran at an endpoint with it.
+var repeated = quarantine.Subject{Service: "s", Account: "a", Request: 9}
+
+func beside(i int) quarantine.Subject {
+	return quarantine.Subject{Service: "s", Account: "b", Request: uint64(1000 + i)}
+}
+
 // crashThree has the router report three crashes.
 func (f *fleet) crashThree(r *simRouter) {
 	for i := range 3 {
 		now := time.Now()
-		r.parts.Crashed(crashing(uint64(10+i)), quarantine.Crash{Process: quarantine.Process{Born: int64(i)}, Sent: now.Add(-50 * time.Millisecond), At: now}, now)
+		c := quarantine.Crash{Process: quarantine.Process{Born: int64(i)}, Sent: now.Add(-50 * time.Millisecond), At: now}
+		r.parts.Crashed(crashing(uint64(10+i)), c, now)
+		c.Process.Born += 100
+		r.parts.Crashed(repeated, c, now)
 		time.Sleep(150 * time.Millisecond)
 	}
 }
 
-// refusing returns how many routers refuse requests with the part.
-func (f *fleet) refusing() (n int) {
+// refusing returns how many routers refuse the request.
+func (f *fleet) refusing(s quarantine.Subject) (n int) {
 	for _, r := range f.routers {
-		if r.parts.Decide(crashing(9), time.Now()).Refused {
+		if r.parts.Decide(s, time.Now()).Refused {
 			n++
 		}
 	}
@@ -81,8 +91,8 @@
 					time.Sleep(150 * time.Millisecond)
 				}
 				began := time.Now()
-				for f.refusing() < routers {
-					assert.Assert(t, time.Since(began) < time.Second, "%d of %d routers refuse", f.refusing(), routers)
+				for f.refusing(crashing(9)) < routers {
+					assert.Assert(t, time.Since(began) < time.Second, "%d of %d routers refuse", f.refusing(crashing(9)), routers)
 					time.Sleep(10 * time.Millisecond)
 				}
 				took := 150*time.Millisecond + time.Since(began)
@@ -94,6 +104,43 @@
 	}
 }
 
+// Guards against a request that its client sends to one router after the other, each of which knows of a few crashes only.
+func TestRepeatedRequestIsKnownToAllRouters(t *testing.T) {
+	for _, routers := range []int{6, intFromEnv("HUB_ROUTERS", 100)} {
+		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, routers)
+				defer f.stop()
+				before := f.peerBytes()
+				time.Sleep(time.Second)
+				usual := f.peerBytes() - before
+				before = f.peerBytes()
+				for i := range 3 {
+					now := time.Now()
+					c := quarantine.Crash{Process: quarantine.Process{Born: int64(i)}, Sent: now.Add(-50 * time.Millisecond), At: now}
+					f.routers[(routers-1)*i/2].parts.Crashed(repeated, c, now)
+					for j := range victims {
+						f.routers[(i*victims+j)%routers].parts.Crashed(beside(i*victims+j), c, now)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				began := time.Now()
+				for f.refusing(repeated) < routers {
+					assert.Assert(t, time.Since(began) < time.Second, "%d of %d routers refuse", f.refusing(repeated), routers)
+					time.Sleep(10 * time.Millisecond)
+				}
+				took := 50*time.Millisecond + time.Since(began)
+				time.Sleep(time.Second - 150*time.Millisecond - time.Since(began))
+				extra := f.peerBytes() - before - usual
+				t.Logf("known to %d routers after %v; %d bytes more than the usual %d in that second, with %d other requests at each end", routers, took, extra, usual, victims)
+			})
+		})
+	}
+}
+
+// victims is the number of other requests at an endpoint that ends.
+const victims = 10
+
 // Guards against what is known of crashes that is lost with the hub, or not passed to a router that starts.
 func TestCrashesOutliveTheHub(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -104,7 +151,8 @@
 		f.kill(true, func(m members.Member) bool { return m.Name == root })
 		f.start(members.Member{Name: "new", Address: "10.0.9.9:1", FailureDomain: "domain0", Bears: 1}, false)
 		time.Sleep(2 * time.Second)
-		assert.Equal(t, f.refusing(), len(f.routers))
+		assert.Equal(t, f.refusing(crashing(9)), len(f.routers))
+		assert.Equal(t, f.refusing(repeated), len(f.routers))
 	})
 }
 
@@ -121,6 +169,7 @@
 		started := f.routers[len(f.routers)-1]
 		time.Sleep(50 * time.Millisecond)
 		assert.Assert(t, started.parts.Decide(crashing(9), time.Now()).Refused)
+		assert.Assert(t, started.parts.Decide(repeated, time.Now()).Refused)
 		time.Sleep(time.Second)
 	})
 }
