soak: one request that its client sends again and again

No more than one such request (the trial) may reach endpoints later than 3 s after the third end, at routers that no fault affects.

--- a/soak/endpoints_test.go
+++ b/soak/endpoints_test.go
@@ -81,6 +81,7 @@
 	o.OnCrash = func() { h.onCrash(e) }
 	e.Endpoint = fakeendpoint.New(o)
 	h.crashOnPart(e)
+	h.crashOnRepeated(e)
 	e.http = &http.Server{Handler: e.Endpoint}
 	go func() { _ = e.http.Serve(listener) }()
 	h.t.Cleanup(func() { _ = e.http.Close() })
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -68,7 +68,7 @@
 	mu        sync.Mutex
 	endpoints []*endpoint
 	requests  []*request
-	// crashing are the requests with a part that crashes engines, by id, and crashes the times of the crashes.
+	// crashing are the requests that crash endpoints, by id, and crashes the times of the crashes.
 	crashing   map[string]crashingRequest
 	crashes    []time.Time
 	faults     []fault
@@ -142,6 +142,7 @@
 		}
 	}
 	running.Go(func() { h.runCrashingClient(rand.New(rand.NewPCG(seed, 99))) })
+	running.Go(func() { h.runRepeatingClient(rand.New(rand.NewPCG(seed, 98))) })
 	// Faults that begin before any router serves would find routers that refuse every request, and test nothing.
 	h.recover()
 	for range intFromEnv("SOAK_ROUNDS", 1) {
--- a/soak/parts_test.go
+++ b/soak/parts_test.go
@@ -13,8 +13,8 @@
 const (
 	// crashingPart is a prompt part that crashes engines in every second seed.
 	crashingPart = "dead"
-	// partCrash is the kind of a fault: an engine crashed on the part.
-	partCrash = "endpoint crashed on a prompt part"
+	// requestCrash is the kind of a fault: an endpoint crashed on a request.
+	requestCrash = "endpoint crashed on a request"
 	// crashedTime is how long a crashed engine takes to be back, under another id.
 	crashedTime = 1500 * time.Millisecond
 	// allowedLate is how many requests with the part may reach engines later than settleTime after the fifth crash.
@@ -40,13 +40,13 @@
 	h.mu.Lock()
 	h.crashes = append(h.crashes, time.Now())
 	h.mu.Unlock()
-	h.fault(partCrash, "", crashedTime, false)
+	h.fault(requestCrash, "", crashedTime, false)
 	go func() {
 		h.crashEndpoint(e)
 		if h.doneWithin(crashedTime) {
 			return
 		}
-		o := h.endpointOptions(modelService)
+		o := h.endpointOptions(e.options.Service)
 		o.Version = e.options.Version
 		h.startEndpoint(o, e.link)
 	}()
@@ -62,9 +62,7 @@
 				Method: http.MethodPost, Host: host, Path: "/draft/x", ID: fmt.Sprint("x", h.nextID.Add(1)), Key: h.newestKey(),
 				Prompt: fmt.Sprintf(prompt, crashingPart, random.Uint32()),
 			}
-			h.mu.Lock()
-			h.crashing[q.ID] = crashingRequest{router: r, sent: time.Now()}
-			h.mu.Unlock()
+			h.recordCrashing(q.ID, r)
 			if testclient.Send(r.clientAddress, q).Status == http.StatusOK {
 				break
 			}
@@ -72,23 +70,33 @@
 	}
 }
 
-// checkCrashes verifies that requests with the part are stopped after the fifth crash, by routers that no fault and no stop or start
-// has affected just before.
+// checkCrashes verifies that requests that crash endpoints are stopped: those with the part after the fifth crash, and one request that
+// is sent again after the third.
 func (h *harness) checkCrashes() {
-	if len(h.crashes) < 5 {
+	if h.hasCrashingPart() {
+		h.checkStopped(5, allowedLate)
 		return
 	}
-	fifth, late := h.crashes[4], 0
+	h.checkStopped(3, allowedTrials)
+}
+
+// checkStopped verifies that no more than the allowed requests reach endpoints later than settleTime after the crash with the number, by
+// routers that no fault and no stop or start has affected just before.
+func (h *harness) checkStopped(number, allowed int) {
+	if len(h.crashes) < number {
+		return
+	}
+	last, late := h.crashes[number-1], 0
 	h.eachArrival(func(a fakeendpoint.ReceivedRequest) {
 		q, crashes := h.crashing[a.ID]
-		if crashes && a.At.Sub(fifth) > settleTime && !h.disturbedBy(q.router, a.At, a.At, func(f fault) bool { return f.kind != partCrash }) &&
+		if crashes && a.At.Sub(last) > settleTime && !h.disturbedBy(q.router, a.At, a.At, func(f fault) bool { return f.kind != requestCrash }) &&
 			!h.stopping(q.router, a.At.Add(-settleTime), a.At) {
 			late++
 		}
 	})
-	h.t.Logf("seed %d: %d crashes on a prompt part, %d late arrivals", h.seed, len(h.crashes), late)
-	if late > allowedLate {
-		h.addViolation("%d requests with a part that had crashed five engines reached engines %v later", late, settleTime)
+	h.t.Logf("seed %d: %d crashes by requests, %d late arrivals", h.seed, len(h.crashes), late)
+	if late > allowed {
+		h.addViolation("%d requests that crash endpoints reached some later than %v after crash %d", late, settleTime, number)
 	}
 }
 
--- a/soak/variants_test.go
+++ b/soak/variants_test.go
@@ -54,6 +54,9 @@
 	"crashesAreIgnored": {
 		"core/quarantine/record.go", "quarantineEvents = 3", "quarantineEvents = 300",
 	},
+	"repeatedRequestsAreIgnored": {
+		"core/quarantine/subject.go", "if s.Request != 0 {", "if s.Request == 1 {",
+	},
 	"clientKeyIsForwarded": {
 		"platform/endpointapi/codec.go", "\"Authorization\", headerInstance", "headerInstance",
 	},
