--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -113,27 +113,7 @@
 
 // runSeedWith performs one run, with partitions of routers from all endpoints if the binary supports that.
 func runSeedWith(t *testing.T, binary string, seed uint64, partitions bool) (h *harness) {
-	h = &harness{
-		t: t, dir: runDir(t, seed), binary: binary, seed: seed, partitions: partitions, runIndex: runs.Add(1), random: rand.New(rand.NewPCG(seed, seed)), done: make(chan struct{}),
-		keyWritten: map[string]time.Time{}, keyWithdrawn: map[string]time.Time{}, crashing: map[string]crashingRequest{},
-	}
-	s := httptest.NewServer(&h.store)
-	defer s.Close()
-	h.storeAddress = strings.TrimPrefix(s.URL, "http://")
-	h.writeConfiguration(longIdleLimit)
-	for range 3 {
-		h.startEndpoint(h.endpointOptions(plainService), nil)
-	}
-	for i := range 2 * len(softwareVersions) {
-		o := h.endpointOptions(modelService)
-		o.Version = softwareVersions[i%len(softwareVersions)]
-		h.startEndpoint(o, nil)
-	}
-	for i := range intFromEnv("SOAK_ROUTERS", 3) {
-		r := h.newRouter(i)
-		h.routers = append(h.routers, r)
-		h.start(r)
-	}
+	h = newHarness(t, binary, seed, partitions)
 	defer h.shutDown()
 	var running sync.WaitGroup
 	for s, number := range []int{idlesBriefly: 2 + 4*len(h.routers), idlesWithinLimit: 12 * len(h.routers), idlesPastLimit: 6 * len(h.routers)} {
@@ -159,6 +139,32 @@
 	return h
 }
 
+// newHarness starts a store, endpoints and routers.
+func newHarness(t *testing.T, binary string, seed uint64, partitions bool) (h *harness) {
+	h = &harness{
+		t: t, dir: runDir(t, seed), binary: binary, seed: seed, partitions: partitions, runIndex: runs.Add(1), random: rand.New(rand.NewPCG(seed, seed)), done: make(chan struct{}),
+		keyWritten: map[string]time.Time{}, keyWithdrawn: map[string]time.Time{}, crashing: map[string]crashingRequest{},
+	}
+	s := httptest.NewServer(&h.store)
+	t.Cleanup(s.Close)
+	h.storeAddress = strings.TrimPrefix(s.URL, "http://")
+	h.writeConfiguration(longIdleLimit)
+	for range 3 {
+		h.startEndpoint(h.endpointOptions(plainService), nil)
+	}
+	for i := range 2 * len(softwareVersions) {
+		o := h.endpointOptions(modelService)
+		o.Version = softwareVersions[i%len(softwareVersions)]
+		h.startEndpoint(o, nil)
+	}
+	for i := range intFromEnv("SOAK_ROUTERS", 3) {
+		r := h.newRouter(i)
+		h.routers = append(h.routers, r)
+		h.start(r)
+	}
+	return h
+}
+
 // runDir creates the directory of a run, which is kept if the run fails.
 func runDir(t *testing.T, seed uint64) (dir string) {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
--- a/soak/repeated_test.go
+++ b/soak/repeated_test.go
@@ -78,7 +78,7 @@
 	for !h.doneWithin(time.Duration(30+random.IntN(200)) * time.Millisecond) {
 		r := h.routers[random.IntN(len(h.routers))]
 		m := q.request
-		m.Host, m.Key, m.ID = host, h.newestKey(), fmt.Sprint("x", h.nextID.Add(1))
+		m.Host, m.Key, m.ID = host, h.newestKey(), h.newID()
 		if last > 0 {
 			m.LastEventID, m.Resumes = fmt.Sprint(last), first
 		}
@@ -94,6 +94,9 @@
 	}
 }
 
+// newID returns the id of a request that crashes endpoints.
+func (h *harness) newID() string { return fmt.Sprint("x", h.nextID.Add(1)) }
+
 func (h *harness) recordCrashing(id string, r *router) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
