core/quarantine: a decision allocates once

The keys of a request were appended one by one, and those of all parts computed twice: 1.7 us and 4 allocations a decision while anything is suspected, 0.8 us before requests were kept. Now 0.9 to 1.4 us and one allocation (BenchmarkDecide, BenchmarkDecideWithRequests, beside load), 41 ns while nothing is.

--- a/core/quarantine/bench_test.go
+++ b/core/quarantine/bench_test.go
@@ -27,3 +27,19 @@
 		}
 	}
 }
+
+// BenchmarkDecideWithRequests is the same with requests that were at one crash each, as many as are kept.
+func BenchmarkDecideWithRequests(b *testing.B) {
+	for _, n := range []int{10, 1000} {
+		b.Run(fmt.Sprintf("%d requests", n), func(b *testing.B) {
+			var table quarantine.Table
+			for i := range n {
+				table.Crashed(request(uint64(100+i), "a"), quarantine.Crash{Process: process(i), Sent: at(-1), At: at(1)}, at(1))
+			}
+			s := request(1<<40, "a", 1<<40, 2<<40, 3<<40, 4<<40)
+			for b.Loop() {
+				table.Decide(s, at(4))
+			}
+		})
+	}
+}
--- a/core/quarantine/subject.go
+++ b/core/quarantine/subject.go
@@ -49,6 +49,7 @@
 		return nil
 	}
 	scope := identity.Pair(s.Service, s.Model)
+	keys = make([]Key, 0, len(s.Prompt))
 	for _, p := range s.Prompt[:len(s.Prompt)-1] {
 		keys = append(keys, Key{Scope: scope, Part: p.ID})
 	}
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -230,7 +230,6 @@
 	if r := t.records[s.request()]; r != nil && r.quarantined() {
 		keys = append(keys, s.request())
 	}
-	own := s.keys()
 	var others []*record
 	for _, k := range s.parts() {
 		r := t.records[k]
@@ -238,7 +237,7 @@
 			continue
 		}
 		if others == nil {
-			others = t.quarantinedBeside(own)
+			others = t.quarantinedBeside(s.keys())
 		}
 		if c := r.unexplained(others); c.events() >= events && c.concern(s.account()) {
 			keys = append(keys, k)
