--- a/io/standin/engine/completions.go
+++ b/io/standin/engine/completions.go
@@ -65,6 +65,10 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	if crash := e.crashOf(req); crash != nil {
+		crash()
+		panic(http.ErrAbortHandler)
+	}
 	if faults.fail {
 		http.Error(w, "engine error", http.StatusInternalServerError)
 		return
@@ -82,6 +86,25 @@
 	e.writeAnswer(w, r, req, s, faults)
 }
 
+// CrashOn makes the engine call the function, which ends its process, when it gets a chat that holds the text.
+func (e *Engine) CrashOn(text string, crash func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashText, e.onCrash = text, crash
+}
+
+// crashOf returns what ends the engine because of the request, nil for nothing.
+func (e *Engine) crashOf(req completionRequest) func() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, m := range req.Messages {
+		if e.onCrash != nil && strings.Contains(m.text(), e.crashText) {
+			return e.onCrash
+		}
+	}
+	return nil
+}
+
 // hasModel returns whether the model itself, or any version of it, is loaded.
 func (e *Engine) hasModel(model string) bool {
 	e.mu.Lock()
--- a/io/standin/engine/engine.go
+++ b/io/standin/engine/engine.go
@@ -54,6 +54,9 @@
 	promptTokens  int64
 	cachedTokens  int64
 	busy          chan struct{}
+	// crashText is what a message has to hold to make the engine call onCrash, if that is not nil.
+	crashText string
+	onCrash   func()
 }
 
 type recordedReport struct {
