io/caller, io/peer, io/process: savoryfall router refuses a chat under which three engines crashed

What callers saw: a chat that crashes engines was sent to one after the other whenever its client sent it, 64 crashes of eight engines in 8 s, and other chats got 503.

Cause: the same as at savoryfall entry. A crash was a fact about the engine alone, and nothing identified a request over its client's attempts.

Change: the same table. The exchange between routers carries what the peer has not acknowledged, at once after a change. The check of a process is a package of its own (io/process), used by both. The host is no part of what identifies a request here, as it selects nothing.

Not done: engines that end in silence, bodies of more than 64 KB that are streamed to plain services.

--- a/io/caller/completion.go
+++ b/io/caller/completion.go
@@ -66,6 +66,12 @@
 // run tries engines until the response is complete or the request has to be given up. A completion may be repeated,
 // because it has no side effects.
 func (a *completion) run() {
+	a.x.identify(a.pool, a.chat.Body())
+	if p := a.x.checkQuarantine(); p != nil {
+		a.x.fail(p)
+		return
+	}
+	defer a.x.endTrial()
 	a.x.server.Retries.RecordFirst(a.pool)
 	warmEndpoint := a.warmEndpoint()
 	for {
@@ -140,9 +146,10 @@
 	s.requestMetrics.attempts.Inc()
 	flight := s.Ledger.StartRequest(at.Endpoint, expected)
 	defer flight.End()
-	start := time.Now()
+	start, incarnation := time.Now(), s.Health.Incarnation(at.Endpoint)
 	p = a.send(at, flight)
 	recordAttempt(at, start, p)
+	a.x.recordEnd(at, incarnation, start, p)
 	if p != nil && p.outcome == outcome.NotRun {
 		p.outcome = a.outcomeSoFar()
 	}
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -19,6 +19,7 @@
 	"savoryfall/core/decision"
 	"savoryfall/core/header"
 	"savoryfall/core/outcome"
+	"savoryfall/core/quarantine"
 	"savoryfall/io/tracing"
 )
 
@@ -38,6 +39,10 @@
 	decision       *decision.Decision
 	firstByteAfter time.Duration
 	abort          bool
+	// subject identifies the request over its client's attempts. trial is set while it is the trial of a quarantined one, atCrash if an
+	// endpoint crashed under it.
+	subject        quarantine.Subject
+	trial, atCrash bool
 }
 
 func (s *Server) newExchange(w http.ResponseWriter, r *http.Request) (x *exchange) {
--- a/io/caller/plainservice.go
+++ b/io/caller/plainservice.go
@@ -104,6 +104,13 @@
 // request is sent again.
 func (c *plainCall) attemptWithRetries(handle func(*http.Response) *problem) (p *problem) {
 	s := c.x.server
+	if c.unread == nil {
+		c.x.identify(c.pool, c.buffered)
+	}
+	if p = c.x.checkQuarantine(); p != nil {
+		return p
+	}
+	defer c.x.endTrial()
 	s.Retries.RecordFirst(c.pool)
 	for {
 		p = c.attempt(handle)
@@ -130,9 +137,10 @@
 	s.requestMetrics.attempts.Inc()
 	flight := s.Ledger.StartRequest(at.Endpoint, 1)
 	defer flight.End()
-	start := time.Now()
+	start, incarnation := time.Now(), s.Health.Incarnation(at.Endpoint)
 	p = c.send(at, handle)
 	recordAttempt(at, start, p)
+	x.recordEnd(at, incarnation, start, p)
 	return p
 }
 
--- a/io/caller/problem.go
+++ b/io/caller/problem.go
@@ -132,6 +132,13 @@
 	}
 }
 
+func quarantined(crashes int, delay time.Duration) *problem {
+	return &problem{
+		status: http.StatusServiceUnavailable, kind: kindServer, code: "request_quarantined",
+		message: fmt.Sprintf("%d endpoints crashed under this request", crashes), outcome: outcome.NotRun, retryAfter: max(delay, defaultRetryAfter),
+	}
+}
+
 func overloaded(message string, delay time.Duration) *problem {
 	return &problem{
 		status: http.StatusTooManyRequests, kind: kindOverload, code: "overloaded",
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -18,11 +18,13 @@
 	"savoryfall/core/ledger"
 	"savoryfall/core/overflow"
 	"savoryfall/core/placement"
+	"savoryfall/core/quarantine"
 	"savoryfall/core/retrybudget"
 	"savoryfall/core/settings"
 	"savoryfall/core/ticket"
 	"savoryfall/core/tokens"
 	"savoryfall/io/endpoint"
+	"savoryfall/io/process"
 )
 
 // Configuration provides the configuration in force.
@@ -58,15 +60,17 @@
 	Policy        placement.Policy
 	Tickets       *ticket.Signer
 	Overflow      *overflow.Table
-	Tokens        *tokens.Estimator
-	CacheValue    *tokens.CacheValue
-	Retries       *retrybudget.Budget
-	Decisions     *decision.Log
-	Tracer        trace.Tracer
-	Metrics       *metrics.Set
-	Logger        log.Logger
-	Callers       settings.Callers
-	Limits        settings.Limits
+	// Quarantine is what is known of requests under which endpoints crashed.
+	Quarantine *quarantine.Table
+	Tokens     *tokens.Estimator
+	CacheValue *tokens.CacheValue
+	Retries    *retrybudget.Budget
+	Decisions  *decision.Log
+	Tracer     trace.Tracer
+	Metrics    *metrics.Set
+	Logger     log.Logger
+	Callers    settings.Callers
+	Limits     settings.Limits
 }
 
 // Server serves the requests of clients.
@@ -74,6 +78,7 @@
 	Config
 	draining       atomic.Bool
 	requestMetrics requestMetrics
+	processes      process.Checker
 }
 
 // New returns a server that uses the given dependencies and settings.
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -25,6 +25,7 @@
 	"savoryfall/io/clientconn"
 	"savoryfall/io/http1"
 	"savoryfall/io/origins"
+	"savoryfall/io/process"
 )
 
 // ClientProtocol implements the protocol of the clients.
@@ -105,7 +106,7 @@
 	open  atomic.Int64
 	began time.Time
 	// processes finds out whether processes of endpoints have ended.
-	processes processChecks
+	processes process.Checker
 }
 
 // The phases of a Handler. While draining, it still serves requests, because the load balancer and open connections
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -9,6 +9,7 @@
 	"savoryfall/core/dispatch"
 	"savoryfall/core/request"
 	"savoryfall/core/routetable"
+	"savoryfall/io/process"
 )
 
 // Metrics are the metrics of client requests. Their labels are kinds, reasons and endpoint services, so that the number
@@ -36,7 +37,7 @@
 }
 
 // recordBroken counts an answer to a prompt that has broken off, by what became of the endpoint's process.
-func (m *Metrics) recordBroken(service string, s processState) {
+func (m *Metrics) recordBroken(service string, s process.State) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_answers_broken_total{service=%q,state=%q}`, service, s)).Inc()
 }
 
--- a/io/entry/parts.go
+++ b/io/entry/parts.go
@@ -13,6 +13,7 @@
 	"savoryfall/core/prompt"
 	"savoryfall/core/quarantine"
 	"savoryfall/core/request"
+	"savoryfall/io/process"
 )
 
 // subject describes the request for what is known of prompt parts and requests.
@@ -168,13 +169,13 @@
 }
 
 // checkProcess returns the state of the endpoint's process.
-func (n *ending) checkProcess() processState {
-	return n.x.handler.processes.check(n.entry, n.x.handler.Dial)
+func (n *ending) checkProcess() process.State {
+	return n.x.handler.processes.Check(n.entry.ID+"/"+strconv.FormatInt(n.entry.Born, 10), n.entry.Address, n.x.handler.Dial)
 }
 
 // record logs and counts the ending, and reports whether the endpoint's process crashed with it. A process that does not respond at
 // all may have lost its machine or its way to this router: what is known of other requests and other routers tells these apart.
-func (n *ending) record(state processState) (crashed bool) {
+func (n *ending) record(state process.State) (crashed bool) {
 	h := n.x.handler
 	h.Metrics.recordBroken(n.entry.Service, state)
 	_ = h.Logger.Log(append([]any{
@@ -184,8 +185,8 @@
 		Process: quarantine.Process{Endpoint: n.entry.ID, Born: n.entry.Born}, Sent: n.began, At: time.Now(), Answered: n.answered,
 	}
 	switch {
-	case state == processEnded && !n.expected:
-	case state == processUnknown && n.silent && !n.announced:
+	case state == process.Ended && !n.expected:
+	case state == process.Unknown && n.silent && !n.announced:
 		// That the endpoint is not listed any more may be a consequence of its end.
 		c.At, c.Silent = c.At.Add(-n.silentFor), true
 	default:
@@ -216,7 +217,7 @@
 		return
 	}
 	record := func() {
-		if state := n.checkProcess(); state != processAlive {
+		if state := n.checkProcess(); state != process.Alive {
 			n.record(state)
 		}
 	}
@@ -241,11 +242,11 @@
 	n := x.endingOf(a)
 	x.endChecked = true
 	time.AfterFunc(endCheckDelay, func() {
-		state := processAlive
+		state := process.Alive
 		if a.SilentFor(time.Now()) > endCheckDelay-settledBytes {
 			state = n.checkProcess()
 		}
-		if state == processAlive {
+		if state == process.Alive {
 			x.recordAnswered(a)
 			x.recordCompleted(a)
 			return
--- a/io/peer/agent.go
+++ b/io/peer/agent.go
@@ -18,6 +18,7 @@
 	"savoryfall/core/ledger"
 	"savoryfall/core/membership"
 	"savoryfall/core/overflow"
+	"savoryfall/core/quarantine"
 	"savoryfall/io/traffic"
 )
 
@@ -50,6 +51,7 @@
 	Prober         Prober
 	Claims         Claims
 	Overflow       *overflow.Table
+	Quarantine     *quarantine.Table
 	Meter          *traffic.Meter
 	Logger         log.Logger
 	TLS            *tls.Config
@@ -75,6 +77,7 @@
 	lastBytes       uint64
 	byteRate        float64
 	overflowCursors map[string]uint64
+	crashCursors    map[string]crashCursor
 	partitioned     func(name string) bool
 	exchangeNow     chan struct{}
 	cancel          context.CancelFunc
@@ -106,7 +109,7 @@
 	a = &Agent{
 		Config: c, connByPeer: map[string]*connection{}, openConns: map[*connection]bool{}, acceptedConns: map[net.Conn]bool{},
 		findings: map[string]*pendingFinding{}, marks: map[LeavingMark]int{}, unattributed: map[string][]string{},
-		overflowCursors: map[string]uint64{}, exchangeNow: make(chan struct{}, 1),
+		overflowCursors: map[string]uint64{}, crashCursors: map[string]crashCursor{}, exchangeNow: make(chan struct{}, 1),
 	}
 	a.listener, err = net.Listen("tcp", address)
 	return a, err
@@ -308,6 +311,7 @@
 		m.Shape, m.Load = a.Ledger.Digest()
 		m.Spills, a.overflowCursors[to] = a.Overflow.OwnSince(a.overflowCursors[to], maxOverflows)
 	}
+	a.addCrashes(m, to, time.Now())
 	a.addMarks(m)
 	a.addListedMarks(m, to)
 	a.addFindings(m, to, time.Now())
@@ -324,6 +328,7 @@
 		a.Ledger.SetPeerLoad(m.Self.Name, m.Shape, m.Load, now)
 	}
 	a.Overflow.Merge(m.Spills, now)
+	a.receiveCrashes(m, now)
 	for _, mark := range m.Marks {
 		a.receiveMark(mark)
 	}
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"savoryfall/core/claim"
 	"savoryfall/core/membership"
+	"savoryfall/core/quarantine"
 )
 
 // GossipMessage is both the request and the reply of an exchange between two routers.
@@ -18,6 +19,11 @@
 	// Unattributed holds endpoints that the VM list shows as leaving without the sender knowing which incarnation. The
 	// receiver replies with the leaving mark of that incarnation if it knows it.
 	Unattributed []string
+	// Crashes are records of requests under which endpoints crashed, up to CrashVersion of the sender. CrashesSeen is the version of the
+	// receiver up to which the sender has them.
+	Crashes      []quarantine.Record
+	CrashVersion int64
+	CrashesSeen  int64
 }
 
 // LeavingMark reports that an incarnation of an endpoint is leaving.
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,6 +20,7 @@
 	"savoryfall/core/membership"
 	"savoryfall/core/overflow"
 	"savoryfall/core/placement"
+	"savoryfall/core/quarantine"
 	"savoryfall/core/retrybudget"
 	"savoryfall/core/settings"
 	"savoryfall/core/ticket"
@@ -59,6 +61,7 @@
 	nameLedger        = "ledger"
 	nameProbe         = "probe"
 	nameOverflows     = "spills"
+	nameQuarantine    = "quarantine"
 	namePeers         = "peers"
 	nameAdmission     = "admission"
 	nameEndpoints     = "endpoints"
@@ -118,6 +121,7 @@
 	r.manager.Register(nameProbe, probe.New(r.health(), r.ledger(), r.meter(), r.settings.Routing().ProbePeriod(),
 		r.settings.Routing().Maturity(), r.logger))
 	r.manager.Register(nameOverflows, &overflow.Table{})
+	r.manager.Register(nameQuarantine, &quarantine.Table{})
 	return nil
 }
 
@@ -158,11 +162,16 @@
 	}
 	agent, err := peer.New(s.Peers().Address(), peer.Config{
 		Members: r.members(), Ledger: r.ledger(), Health: r.health(), Configuration: r.follower(), Prober: r.probe(),
-		Claims: r.claims(), Overflow: r.overflows(), Meter: r.meter(), Logger: r.logger, TLS: cfg, Period: s.Peers().Period(), BytesPerSecond: s.Peers().BytesPerSecond(),
+		Claims: r.claims(), Overflow: r.overflows(), Quarantine: r.quarantine(), Meter: r.meter(), Logger: r.logger, TLS: cfg, Period: s.Peers().Period(), BytesPerSecond: s.Peers().BytesPerSecond(),
 	})
 	if err != nil {
 		return err
 	}
+	r.quarantine().OnChange = func(quarantined, released []quarantine.Status) {
+		r.logQuarantine("requestQuarantined", quarantined)
+		r.logQuarantine("requestReleased", released)
+		agent.AnnounceCrashes()
+	}
 	r.members().SetAddress(agent.Address())
 	r.follower().SetPeers(agent)
 	r.claims().SetPeers(r.members(), agent)
@@ -182,6 +191,12 @@
 	return nil
 }
 
+func (r *Router) logQuarantine(event string, changed []quarantine.Status) {
+	for _, s := range changed {
+		_ = r.logger.Log("event", event, "requestKey", strconv.FormatUint(s.Key.Part, 16), "crashes", s.Crashes, "trials", s.Trials)
+	}
+}
+
 // buildOrders registers the services that order engines to load models. Without a weight store there are none: engines
 // then load models by themselves.
 func (r *Router) buildOrders() (err error) {
@@ -222,7 +237,7 @@
 	r.manager.Register(nameEndpoints, endpoint.New(r.probe()))
 	callerServer := caller.New(caller.Config{
 		Configuration: r.follower(), Endpoints: r.endpoints(), Admission: gate, Claims: r.claims(),
-		Ledger: r.ledger(), Health: r.health(), Policy: policy, Tickets: ticket.NewSigner(key), Overflow: r.overflows(),
+		Ledger: r.ledger(), Health: r.health(), Policy: policy, Tickets: ticket.NewSigner(key), Overflow: r.overflows(), Quarantine: r.quarantine(),
 		Tokens: &tokens.Estimator{}, CacheValue: &tokens.CacheValue{}, Retries: retrybudget.NewBudget(s.Limits().RetryRatio()), Decisions: &decision.Log{},
 		Tracer: r.tracing().Tracer(), Metrics: r.metrics(), Logger: r.logger, Callers: s.Callers(),
 		Limits: s.Limits(),
--- a/io/router/services.go
+++ b/io/router/services.go
@@ -8,6 +8,7 @@
 	"savoryfall/core/ledger"
 	"savoryfall/core/membership"
 	"savoryfall/core/overflow"
+	"savoryfall/core/quarantine"
 	"savoryfall/io/caller"
 	"savoryfall/io/claims"
 	"savoryfall/io/configuration"
@@ -28,10 +29,14 @@
 func (r *Router) members() *membership.Table {
 	return r.manager.Find(nameMembers).(*membership.Table)
 }
-func (r *Router) health() *health.Table      { return r.manager.Find(nameHealth).(*health.Table) }
-func (r *Router) ledger() *ledger.Ledger     { return r.manager.Find(nameLedger).(*ledger.Ledger) }
+func (r *Router) health() *health.Table  { return r.manager.Find(nameHealth).(*health.Table) }
+func (r *Router) ledger() *ledger.Ledger { return r.manager.Find(nameLedger).(*ledger.Ledger) }
 func (r *Router) overflows() *overflow.Table { return r.manager.Find(nameOverflows).(*overflow.Table) }
-func (r *Router) probe() *probe.Prober       { return r.manager.Find(nameProbe).(*probe.Prober) }
+
+func (r *Router) quarantine() *quarantine.Table {
+	return r.manager.Find(nameQuarantine).(*quarantine.Table)
+}
+func (r *Router) probe() *probe.Prober { return r.manager.Find(nameProbe).(*probe.Prober) }
 func (r *Router) follower() *configuration.Follower {
 	return r.manager.Find(nameConfiguration).(*configuration.Follower)
 }
