core/quarantine: a trial that crashed an endpoint says nothing of a part if its request has another suspected one

Cause: the part that all share was quarantined, as no sound request was answered while all engines were down. Its trial was the first request to come, which had a crashing part that was not quarantined yet; the crash put the next trial of both off by an hour. TestTrialByRequestWithAnotherSuspectedPart plays it and failed (refused for a minute, with the trial after an hour).

A request's own trial counts whatever its parts are.

--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -59,6 +59,8 @@
 	settled  bool
 	// culprit is set for the request of one.
 	culprit *culprit
+	// trial is set while the request is a trial.
+	trial bool
 	// admitted is set if a router is about to send the request.
 	admitted bool
 	// again is how often the client will send the request again if it fails, at the earliest at againAt.
@@ -155,7 +157,9 @@
 func (f *fleet) send(j *job) {
 	if j.attempts == 0 && !j.admitted {
 		j.router = f.random.IntN(len(f.routers))
-		if d := f.routers[j.router].Decide(j.s, at(f.now)); d.Refused {
+		d := f.routers[j.router].Decide(j.s, at(f.now))
+		j.trial = d.Trial
+		if d.Refused {
 			if !j.bad {
 				f.refused++
 				f.refusedFor[d.Part.Key]++
@@ -163,7 +167,8 @@
 			j.comeback = math.Ceil(max(d.Part.TrialIn, 500*time.Millisecond).Seconds()*1000) / 1000
 			f.finish(j, false)
 			return
-		} else if d.Wait > 0 {
+		}
+		if d.Wait > 0 {
 			j.admitted, j.againAt = true, f.now+d.Wait.Seconds()
 			f.later = append(f.later, j)
 			return
@@ -213,7 +218,16 @@
 	return nil
 }
 
+// endTrial ends the trial that the request is, if any.
+func (f *fleet) endTrial(j *job, conclusive bool) {
+	if j.trial {
+		j.trial = false
+		f.routers[j.router].EndTrial(j.s, conclusive, at(f.now))
+	}
+}
+
 func (f *fleet) finish(j *job, served bool) {
+	f.endTrial(j, served)
 	j.admitted = false
 	if j.culprit != nil {
 		j.culprit.nextAt = f.now + j.culprit.pause
@@ -272,6 +286,7 @@
 	for _, j := range jobs {
 		atCrash := !j.settled
 		f.routers[j.router].Crashed(j.s, quarantine.Crash{Process: ended, Sent: at(j.sent), At: at(f.now), Answered: j.settled}, at(f.now))
+		f.endTrial(j, true)
 		if j.attempts >= 2 || !f.routers[j.router].MayRetry(j.s, atCrash) {
 			f.finish(j, false)
 			continue
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -172,7 +172,7 @@
 		if len(blocking) == 0 {
 			return
 		}
-		d.Trial = !slices.ContainsFunc(blocking, func(k Key) bool { return !t.mayTry(k, now) })
+		d.Trial = !slices.ContainsFunc(blocking, func(k Key) bool { return !t.mayTry(k, len(blocking)-1, now) })
 		d.Part = t.records[blocking[0]].status(blocking[0], now)
 		d.Refused = !d.Trial
 		if d.Trial {
@@ -188,9 +188,10 @@
 	return d
 }
 
-// mayTry reports whether this router may begin a trial of the part or request now.
-func (t *Table) mayTry(k Key, now time.Time) bool {
-	due := t.records[k].trial.due
+// mayTry reports whether this router may begin a trial of the part or request now. Requests that are refused for less go first: the
+// others may crash endpoints for something else that they have.
+func (t *Table) mayTry(k Key, others int, now time.Time) bool {
+	due := t.records[k].trial.due.Add(time.Duration(others) * trialStagger)
 	if !k.Request {
 		due = due.Add(time.Duration(t.fleet.Rank(k.Part)) * trialStagger)
 	}
@@ -211,19 +212,27 @@
 	return len(t.blocking(s, events)) == 0
 }
 
-// EndTrial ends a trial. One that showed nothing is repeated soon.
+// EndTrial ends a trial. One that showed nothing is repeated soon: its request did not run or, for a part, crashed an endpoint and has
+// another suspected part that was not tried with it.
 func (t *Table) EndTrial(s Subject, conclusive bool, now time.Time) {
-	if conclusive {
-		return
-	}
 	t.change(now, func() {
+		ambiguous := slices.ContainsFunc(s.parts(), t.untried)
 		for _, k := range t.blocking(s, quarantineEvents) {
-			t.records[k].trial.takeBack(now)
-			t.touch(k, now)
+			showed := conclusive && (k.Request || !ambiguous)
+			if r := t.records[k]; !showed && r.trial.count > 0 {
+				r.trial.takeBack(now)
+				t.touch(k, now)
+			}
 		}
 	})
 }
 
+// untried reports whether the part is suspected and was not tried.
+func (t *Table) untried(k Key) bool {
+	r := t.records[k]
+	return r != nil && r.trial.count == 0 && r.events() >= retryEvents
+}
+
 // blocking returns the request's own key if it is quarantined, and its parts that were at this many crashes or more which nothing
 // else explains.
 func (t *Table) blocking(s Subject, events int) (keys []Key) {
--- a/core/quarantine/table_test.go
+++ b/core/quarantine/table_test.go
@@ -360,3 +360,32 @@
 	assert.Assert(t, !refused(&table, of("a", 7), 702))
 	assert.Assert(t, table.MayRetry(of("a", 7), true))
 }
+
+// Guards against sound requests that are refused for an hour, because a request that still crashes endpoints was the trial of a part
+// that they share with it.
+func TestTrialByRequestWithAnotherSuspectedPart(t *testing.T) {
+	table := newRouter(0, 1)
+	for i, part := range []uint64{bad, bad + 1, bad + 1, bad + 2, bad + 2} {
+		crash(table, float64(i), of("a", base, part))
+	}
+	sound, still := of("a", base, 5), of("a", base, bad+2)
+	assert.Assert(t, refused(table, sound, 5))
+	assert.Assert(t, table.Decide(still, at(9)).Trial)
+	crash(table, 9.05, still)
+	table.EndTrial(still, true, at(9.06))
+	for now := 9.1; now < 60; now += 0.1 {
+		if d := table.Decide(still, at(now)); d.Trial {
+			crash(table, now, still)
+			table.EndTrial(still, true, at(now))
+		}
+		if !table.Decide(sound, at(now)).Refused {
+			table.Answered(sound, at(now+0.01), at(now+0.02))
+			table.EndTrial(sound, false, at(now+0.02))
+			assert.Assert(t, now < 25, "after %v s", now)
+			assert.Assert(t, !refused(table, sound, now+1))
+			assert.Assert(t, !table.MayRetry(still, false))
+			return
+		}
+	}
+	t.Fatal("sound requests are refused for a minute")
+}
