core/quarantine: a trial of a request is announced for 500 ms

TestRequestThatCrashesEndpoints failed once in 34 cases under the race detector at load 14: a stream resumed by routers reached two endpoints later than 1 s after its third, where the trial may be the only one. Its client comes back 50 ms after the trial's crash, and announcements took longer than the 200 ms that the trial waits. A victim's trial waits that much longer; it was refused for 5 s before.

--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -14,9 +14,9 @@
 	inconclusiveDelay = 5 * time.Second
 )
 
-// announceTime is the time in which all routers learn that a trial of a request has begun. It is sent only then: its client may send it
-// again to any router.
-const announceTime = 200 * time.Millisecond
+// announceTime is the time in which all routers learn that a trial of a request has begun, also busy ones. It is sent only then: its
+// client may send it again to any router.
+const announceTime = 500 * time.Millisecond
 
 // trial is when requests with a quarantined part are tried. Each router keeps the latest one that it knows of.
 type trial struct {
