--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -48,6 +48,9 @@
 	retryEvents      = 2
 )
 
+// MaxCrashes is how many endpoints may crash under one request.
+const MaxCrashes = quarantineEvents
+
 func (r *record) quarantined() bool { return r.events() >= quarantineEvents }
 
 // events returns the number of crashes that count. A request is at one endpoint at a time, so that each of its crashes does.
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -151,15 +151,17 @@
 // Empty reports whether nothing is known of any part or request.
 func (t *Table) Empty() bool { return t.size.Load() == 0 }
 
-// Suspected reports whether an endpoint crashed under the request.
-func (t *Table) Suspected(s Subject) bool {
+// Crashes returns how many endpoints crashed under the request.
+func (t *Table) Crashes(s Subject) int {
 	if t.Empty() {
-		return false
+		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[s.request()]
-	return r != nil && len(r.crashes.counted()) > 0
+	if r := t.records[s.request()]; r != nil {
+		return r.events()
+	}
+	return 0
 }
 
 // Decide decides on a request that is about to be sent for the first time.
--- a/io/caller/chathandler.go
+++ b/io/caller/chathandler.go
@@ -143,10 +143,7 @@
 	if tries >= maxTries || reached >= limits.Attempts() || excluded < tries || x.ctx.Err() != nil {
 		return false
 	}
-	if !x.server.Quarantine.Empty() && !x.server.Quarantine.MayRetry(x.subject, x.atCrash) {
-		return false
-	}
-	return p.unreached || x.server.Retries.Allow(pool)
+	return x.mayRetryAfterCrashes() && (p.unreached || x.server.Retries.Allow(pool))
 }
 
 func (x *exchange) countPrompt(resp *http.Response) {
--- a/io/caller/completion.go
+++ b/io/caller/completion.go
@@ -71,15 +71,16 @@
 		a.x.fail(p)
 		return
 	}
-	defer a.x.endTrial()
 	a.x.server.Retries.RecordFirst(a.pool)
 	warmEndpoint := a.warmEndpoint()
 	for {
 		p := a.attempt(warmEndpoint)
 		if p == nil {
+			a.x.settleCrashes(nil)
 			return
 		}
 		if p.status < http.StatusInternalServerError || !a.x.mayRetry(a.pool, len(a.excluded), p) {
+			a.x.settleCrashes(p)
 			a.reportFailure(p)
 			return
 		}
--- a/io/caller/crash.go
+++ b/io/caller/crash.go
@@ -37,34 +37,44 @@
 	return nil
 }
 
-// endTrial reports a trial whose request neither crashed an endpoint nor was answered.
-func (x *exchange) endTrial() {
-	if x.trial {
-		x.server.Quarantine.EndTrial(x.subject, x.atCrash, time.Now())
-	}
+// mayRetryAfterCrashes reports whether the crashes under the request allow another attempt.
+func (x *exchange) mayRetryAfterCrashes() bool {
+	return len(x.crashes)+x.server.Quarantine.Crashes(x.subject) < quarantine.MaxCrashes
 }
 
-// recordEnd records whether the endpoint answered the request completely, or its process crashed under it.
+// recordEnd records whether the endpoint's process crashed under the request.
 func (x *exchange) recordEnd(at *decision.Attempt, incarnation string, sent time.Time, p *problem) {
-	s := x.server
 	broken := x.abort || p != nil && p.outcome == outcome.Unknown && x.ctx.Err() == nil
-	switch {
-	case p == nil && !broken && !s.Quarantine.Empty():
-		s.Quarantine.Completed(x.subject, sent, time.Now())
-	case broken && !s.Health.KnownLeaving(at.Endpoint) && x.hasCrashed(at.Endpoint, incarnation):
-		x.atCrash = true
-		now := time.Now()
-		ended := quarantine.Process{Endpoint: at.Endpoint + "/" + incarnation}
-		s.Quarantine.Crashed(x.subject, quarantine.Crash{Process: ended, Sent: sent, At: now}, now)
-		_ = s.Logger.Log("event", "endpointCrashed", "request", x.requestID, "account", x.account.Name(), "endpoint", at.Endpoint,
-			"incarnation", incarnation, "requestKey", strconv.FormatUint(x.subject.Request, 16))
+	if !broken || !x.hasCrashed(at.Endpoint, incarnation) {
+		return
+	}
+	x.crashes = append(x.crashes, quarantine.Crash{
+		Process: quarantine.Process{Endpoint: at.Endpoint + "/" + incarnation}, Sent: sent, At: time.Now(),
+	})
+	_ = x.server.Logger.Log("event", "endpointCrashed", "request", x.requestID, "account", x.account.Name(), "endpoint", at.Endpoint,
+		"incarnation", incarnation, "requestKey", strconv.FormatUint(x.subject.Request, 16))
+}
+
+// settleCrashes reports what is known of the request at its end. The crashes under one that was answered after all show nothing, and
+// its client has no reason to send it again before.
+func (x *exchange) settleCrashes(p *problem) {
+	q, now := x.server.Quarantine, time.Now()
+	if p == nil && !x.abort {
+		q.Completed(x.subject, x.startedAt, now)
+	} else {
+		for _, c := range x.crashes {
+			q.Crashed(x.subject, c, now)
+		}
+	}
+	if x.trial {
+		q.EndTrial(x.subject, len(x.crashes) > 0, now)
 	}
 }
 
 // hasCrashed reports whether the endpoint's process has ended.
 func (x *exchange) hasCrashed(name, incarnation string) bool {
 	e, ok := x.config.Endpoint(name)
-	if !ok || x.server.Health.State(name, time.Now()) == health.Leaving {
+	if !ok || x.server.Health.KnownLeaving(name) || x.server.Health.State(name, time.Now()) == health.Leaving {
 		return false
 	}
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -39,10 +39,11 @@
 	decision       *decision.Decision
 	firstByteAfter time.Duration
 	abort          bool
-	// subject identifies the request over its client's attempts. trial is set while it is the trial of a quarantined one, atCrash if an
-	// endpoint crashed under it.
-	subject        quarantine.Subject
-	trial, atCrash bool
+	// subject identifies the request over its client's attempts, crashes are those of endpoints under it. trial is set while it is the
+	// trial of a quarantined one.
+	subject quarantine.Subject
+	crashes []quarantine.Crash
+	trial   bool
 }
 
 func (s *Server) newExchange(w http.ResponseWriter, r *http.Request) (x *exchange) {
--- a/io/caller/plainservice.go
+++ b/io/caller/plainservice.go
@@ -110,11 +110,11 @@
 	if p = c.x.checkQuarantine(); p != nil {
 		return p
 	}
-	defer c.x.endTrial()
 	s.Retries.RecordFirst(c.pool)
 	for {
 		p = c.attempt(handle)
 		if p == nil || !c.mayRetry(p) {
+			c.x.settleCrashes(p)
 			return p
 		}
 		s.requestMetrics.retries.Inc()
--- a/io/entry/parts.go
+++ b/io/entry/parts.go
@@ -46,7 +46,7 @@
 
 // suspected reports whether an endpoint crashed under the request.
 func (x *exchange) suspected() bool {
-	return !x.handler.Parts.Empty() && x.handler.Parts.Suspected(x.subject())
+	return !x.handler.Parts.Empty() && x.handler.Parts.Crashes(x.subject()) > 0
 }
 
 // mayRetry reports whether the crashes that are known allow another attempt.
--- a/io/router/services.go
+++ b/io/router/services.go
@@ -29,8 +29,8 @@
 func (r *Router) members() *membership.Table {
 	return r.manager.Find(nameMembers).(*membership.Table)
 }
-func (r *Router) health() *health.Table  { return r.manager.Find(nameHealth).(*health.Table) }
-func (r *Router) ledger() *ledger.Ledger { return r.manager.Find(nameLedger).(*ledger.Ledger) }
+func (r *Router) health() *health.Table      { return r.manager.Find(nameHealth).(*health.Table) }
+func (r *Router) ledger() *ledger.Ledger     { return r.manager.Find(nameLedger).(*ledger.Ledger) }
 func (r *Router) overflows() *overflow.Table { return r.manager.Find(nameOverflows).(*overflow.Table) }
 
 func (r *Router) quarantine() *quarantine.Table {
