--- a/core/loadplan/plan.go
+++ b/core/loadplan/plan.go
@@ -21,6 +21,7 @@
 	Surges   []Surge
 	Churn    []Churn
 	Outages  []Outage
+	Repeats  []Repeat
 }
 
 // Fleet holds the numbers of processes and the failure domains that they are spread over.
@@ -90,6 +91,15 @@
 	Duration time.Duration
 }
 
+// Repeat is an interval in which a client sends one chat again and again that crashes each engine.
+type Repeat struct {
+	At       time.Duration
+	Duration time.Duration
+	// Pause is the time between two attempts, Down how long a crashed engine takes to be back.
+	Pause time.Duration
+	Down  time.Duration
+}
+
 const maxDuration = 10 * time.Minute
 
 // Parse parses and validates a plan. The error is a tomldoc.Errors that lists all errors.
@@ -174,4 +184,10 @@
 			At: o.Duration("at", 0, 0, maxDuration), Duration: o.Duration("for", time.Second, 0, maxDuration),
 		})
 	}
+	for _, c := range t.Tables("repeats") {
+		p.Repeats = append(p.Repeats, Repeat{
+			At: c.Duration("at", 0, 0, maxDuration), Duration: c.Duration("for", 10*time.Second, 0, maxDuration),
+			Pause: c.Duration("pause", 50*time.Millisecond, time.Millisecond, maxDuration), Down: c.Duration("down", time.Second, 0, maxDuration),
+		})
+	}
 }
--- a/io/loadtest/report.go
+++ b/io/loadtest/report.go
@@ -36,6 +36,8 @@
 	Calls                  int                `json:"calls"`
 	DuplicatesRun          int                `json:"duplicatesRun"`
 	AttemptsPerRequest     float64            `json:"attemptsPerRequest"`
+	// Crashes is the number of engines that crashed under chats that were sent again and again.
+	Crashes int `json:"crashes"`
 }
 
 // Skew summarizes the ratio of the busiest engine's load to the mean load of all engines, over windows of one second.
--- a/io/loadtest/run.go
+++ b/io/loadtest/run.go
@@ -148,6 +148,13 @@
 			r.fleet.Log.SetFaults(logservice.Faults{})
 		})
 	}
+	for _, c := range r.plan.Repeats {
+		all.Go(func() {
+			if r.sleepUntil(ctx, c.At) {
+				r.repeat(ctx, c)
+			}
+		})
+	}
 	all.Wait()
 }
 
