--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -162,9 +162,9 @@
 		if d.Refused {
 			if !j.bad {
 				f.refused++
-				f.refusedFor[d.Part.Key]++
+				f.refusedFor[d.Cause.Key]++
 			}
-			j.comeback = math.Ceil(max(d.Part.TrialIn, 500*time.Millisecond).Seconds()*1000) / 1000
+			j.comeback = math.Ceil(max(d.Cause.TrialIn, 500*time.Millisecond).Seconds()*1000) / 1000
 			f.finish(j, false)
 			return
 		}
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -44,12 +44,12 @@
 // quarantineEvents is from how many crashes on the request, or requests with the part, are refused. retryEvents is from how many
 // crashes under a part on a request that was at one itself is not sent again.
 const (
-	quarantineEvents = 3
+	quarantineEvents = MaxCrashes
 	retryEvents      = 2
 )
 
 // MaxCrashes is how many endpoints may crash under one request.
-const MaxCrashes = quarantineEvents
+const MaxCrashes = 3
 
 func (r *record) quarantined() bool { return r.events() >= quarantineEvents }
 
--- a/core/quarantine/request_test.go
+++ b/core/quarantine/request_test.go
@@ -34,8 +34,8 @@
 			}
 			for _, table := range tables {
 				d := table.Decide(s, at(3))
-				assert.Assert(t, d.Refused && d.Part.Key.Request)
-				assert.Equal(t, d.Part.Crashes, 3)
+				assert.Assert(t, d.Refused && d.Cause.Key.Request)
+				assert.Equal(t, d.Cause.Crashes, 3)
 				assert.Assert(t, !table.MayRetry(s, false))
 			}
 		})
--- a/io/caller/crash.go
+++ b/io/caller/crash.go
@@ -31,7 +31,7 @@
 	d := x.server.Quarantine.Decide(x.subject, time.Now())
 	x.trial = d.Trial
 	if d.Refused {
-		return quarantined(d.Part.Crashes, d.Part.TrialIn)
+		return quarantined(d.Cause.Crashes, d.Cause.TrialIn)
 	}
 	background.Sleep(x.ctx, d.Wait, nil)
 	return nil
--- a/io/command/crashfleet_test.go
+++ b/io/command/crashfleet_test.go
@@ -95,8 +95,8 @@
 
 // observe keeps which requests the router quarantines.
 func (f *crashFleet) observe(vm *entryVM) {
-	onChange := vm.parts.OnChange
-	vm.parts.OnChange = func(quarantined, released []quarantine.Status) {
+	onChange := vm.quarantine.OnChange
+	vm.quarantine.OnChange = func(quarantined, released []quarantine.Status) {
 		f.mu.Lock()
 		for _, s := range quarantined {
 			if s.Key.Request {
--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -38,7 +38,7 @@
 		"savoryfall_requests_suspected":   func(_, requests quarantine.Counts) int { return requests.Suspected },
 		"savoryfall_requests_quarantined": func(_, requests quarantine.Counts) int { return requests.Quarantined },
 	} {
-		vm.metricSet.NewGauge(name, func() float64 { return float64(count(vm.parts.Counts())) })
+		vm.metricSet.NewGauge(name, func() float64 { return float64(count(vm.quarantine.Counts())) })
 	}
 	vm.metricSet.NewGauge("savoryfall_tunnels_open", func() float64 { return float64(vm.tunnels.Open()) })
 	vm.metricSet.NewGauge("savoryfall_tunnels_total", func() float64 { return float64(vm.tunnels.Total()) })
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -66,7 +66,7 @@
 	// connector opens the connections to endpoints.
 	connector *connect.Connector
 	// parts is what is known of prompt parts under which endpoints crashed.
-	parts         quarantine.Table
+	quarantine    quarantine.Table
 	endpoints     *registry.Tracker
 	configTracker *storeconfig.Tracker
 	members       members.List
@@ -149,7 +149,7 @@
 	vm.routers.Store(int64(len(routers)))
 	fleet := coldlimit.New(members.Hash(vm.settings.VM().Name()), routers)
 	vm.dispatcher.SetFleet(fleet)
-	vm.parts.SetFleet(fleet)
+	vm.quarantine.SetFleet(fleet)
 	vm.updateRetryLimits()
 }
 
@@ -196,13 +196,13 @@
 		ListenAddress: vm.settings.PeerAddress(),
 		Members:       &vm.members, Split: vm.tunnels.Split, Register: vm.origins.Register, Configuration: configurationFollower, CurrentRecord: vm.configTracker.Record,
 		OtherRecords: vm.drainTracker.Records, Registry: registryFollower, Endpoints: vm.endpoints,
-		Loads: vm.dispatcher, Parts: &vm.parts, RouterList: hub.NewRouterList(storeClient.Topic(store.RoutersTopic)), Bootstrap: vm.settings.Bootstrap(), Meter: meter,
+		Loads: vm.dispatcher, Parts: &vm.quarantine, RouterList: hub.NewRouterList(storeClient.Topic(store.RoutersTopic)), Bootstrap: vm.settings.Bootstrap(), Meter: meter,
 		Logger: vm.logger, Clock: bootclock.Now, StaleAfter: staleAfter, OnRoutersChanged: vm.setRouters,
 	})
 	if err != nil {
 		return err
 	}
-	vm.parts.OnChange = vm.onQuarantineChanged
+	vm.quarantine.OnChange = vm.onQuarantineChanged
 	vm.manager.Register("hub", vm.hub)
 	return nil
 }
@@ -241,7 +241,7 @@
 	vm.connector.OnUnreachable = pool.DiscardIdle
 	vm.handler = entry.New(entry.Config{
 		ClientProtocol: clientapi.Codec{}, EndpointProtocol: endpointapi.Codec{}, Configuration: vm.configTracker, Lease: &vm.lease,
-		Endpoints: vm.endpoints, Origins: &vm.origins, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: pool, Connections: vm.connector, Parts: &vm.parts, Dial: vm.dialEndpoint, Tracer: tracer,
+		Endpoints: vm.endpoints, Origins: &vm.origins, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: pool, Connections: vm.connector, Quarantine: &vm.quarantine, Dial: vm.dialEndpoint, Tracer: tracer,
 		Metrics: entry.NewMetrics(vm.metricSet), Logger: vm.logger, Clock: bootclock.Now,
 	})
 	vm.clientServer, err = entry.NewServer(vm.settings.ClientAddress(), vm.handler)
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -88,8 +88,8 @@
 	Pool             *http1.Pool
 	// Connections is nil if nothing is known of the ways to endpoints.
 	Connections Connections
-	// Parts is what is known of prompt parts under which endpoints crashed. It may be nil.
-	Parts *quarantine.Table
+	// Quarantine is what is known of requests and prompt parts under which endpoints crashed. It may be nil.
+	Quarantine *quarantine.Table
 	// Dial opens a connection of its own to the address of an endpoint. It defaults to http1.DialTCP.
 	Dial    func(ctx context.Context, address string) (net.Conn, error)
 	Tracer  trace.Tracer
@@ -119,8 +119,8 @@
 
 // New creates a Handler.
 func New(c Config) *Handler {
-	if c.Parts == nil {
-		c.Parts = &quarantine.Table{}
+	if c.Quarantine == nil {
+		c.Quarantine = &quarantine.Table{}
 	}
 	if c.Dial == nil {
 		c.Dial = http1.DialTCP
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -36,7 +36,7 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`savoryfall_attempt_seconds{service=%q}`, service)).Update(took.Seconds())
 }
 
-// recordBroken counts an answer to a prompt that has broken off, by what became of the endpoint's process.
+// recordBroken counts an answer that has broken off or was given up, by what became of the endpoint's process.
 func (m *Metrics) recordBroken(service string, s process.State) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_answers_broken_total{service=%q,state=%q}`, service, s)).Inc()
 }
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -55,7 +55,7 @@
 	RecordReads(reads []fleetload.PrefixRead)
 }
 
-// Parts holds what this router knows of prompt parts under which endpoints crashed.
+// Parts holds what this router knows of requests and prompt parts under which endpoints crashed.
 type Parts interface {
 	Version() int64
 	Since(after int64, now time.Time) (records []quarantine.Record, version int64)
--- a/io/hub/message.go
+++ b/io/hub/message.go
@@ -18,7 +18,7 @@
 	Loads   LoadColumns
 	Demands []fleetload.Demand
 	Reads   []fleetload.PrefixRead
-	// Parts are prompt parts under which endpoints crashed, as far as the hub has not accepted what is known of them.
+	// Parts are requests and prompt parts under which endpoints crashed, as far as the hub has not accepted what is known of them.
 	Parts []quarantine.Record
 	// TakesParts says that this router takes such records. One of an earlier release does not, and would never have them all.
 	TakesParts bool
@@ -70,7 +70,7 @@
 	Loads   LoadColumns
 	Demands []fleetload.Demand
 	Reads   []fleetload.PrefixRead
-	// Parts are prompt parts under which endpoints crashed.
+	// Parts are requests and prompt parts under which endpoints crashed.
 	Parts []quarantine.Record
 	// Members are the routers that changed.
 	Members []members.Member
--- a/io/hub/parts.go
+++ b/io/hub/parts.go
@@ -13,7 +13,7 @@
 	"savoryfall/io/traffic"
 )
 
-// PartsReport is what a router sends to its hub at once when it has learned of crashes under prompt parts. Its next report has the
+// PartsReport is what a router sends to its hub at once when it has learned of crashes under requests and prompt parts. Its next report has the
 // same again, so that nothing is lost with it. Field names are part of the wire format.
 type PartsReport struct {
 	Parts []quarantine.Record
@@ -29,13 +29,13 @@
 	pushTimeout = 400 * time.Millisecond
 )
 
-// Parts takes in what a router reports of prompt parts.
+// Parts takes in what a router reports of requests and prompt parts.
 func (s *Service) Parts(args *PartsReport, _ *PartsReply) error {
 	s.agent.Parts.Merge(args.Parts, time.Now())
 	return nil
 }
 
-// NotifyParts has this router's hub and the routers that report to this one learn of changed records of prompt parts.
+// NotifyParts has this router's hub and the routers that report to this one learn of changed records of requests and prompt parts.
 func (a *Agent) NotifyParts() {
 	a.NotifyNews()
 	select {
@@ -44,7 +44,7 @@
 	}
 }
 
-// pushParts sends changed records of prompt parts to the hub. A report may be held there for a few hundred milliseconds, in which
+// pushParts sends changed records to the hub. A report may be held there for a few hundred milliseconds, in which
 // a request that crashes endpoints can reach several more.
 func (a *Agent) pushParts(ctx context.Context) {
 	pushed := int64(0)
@@ -84,16 +84,17 @@
 // KnownPartsArgs are the arguments of KnownParts.
 type KnownPartsArgs struct{}
 
-// KnownParts returns all that this router knows of prompt parts.
+// KnownParts returns all that this router knows of requests and prompt parts.
 func (s *Service) KnownParts(_ *KnownPartsArgs, reply *PartsReport) error {
 	reply.Parts, _ = s.agent.Parts.Since(0, time.Now())
 	return nil
 }
 
-// askedForParts is how many other routers a starting one asks for what they know of prompt parts.
+// askedForParts is how many other routers a starting one asks for what they know of requests and prompt
+// parts.
 const askedForParts = 3
 
-// fetchParts asks other routers for what they know of prompt parts. A router that starts gets that from its hub, but a root has
+// fetchParts asks other routers for what they know of requests and prompt parts. A router that starts gets that from its hub, but a root has
 // none, and serves before the others report to it.
 func (a *Agent) fetchParts(ctx context.Context) {
 	select {
