--- a/core/quarantine/request_test.go
+++ b/core/quarantine/request_test.go
@@ -210,3 +210,21 @@
 	crash(&table, 60, request(8, "a"))
 	assert.Assert(t, refused(&table, request(8, "a"), 61))
 }
+
+// Guards against a router that starts and takes over a part of the records only.
+func TestAllRecordsAreTakenOver(t *testing.T) {
+	var table, started quarantine.Table
+	for i := range 1000 {
+		crash(&table, float64(i)/100, of("a", uint64(1000+i)), request(uint64(1000+i), "b"))
+	}
+	for i := range 3 {
+		crash(&table, 20+float64(i), request(9, "a"))
+	}
+	records, _ := table.Since(0, at(23))
+	started.Merge(records, at(23))
+	parts, requests := table.Counts()
+	startedParts, startedRequests := started.Counts()
+	assert.Equal(t, startedParts, parts)
+	assert.Equal(t, startedRequests, requests)
+	assert.Assert(t, refused(&started, request(9, "a"), 23))
+}
--- a/core/quarantine/table.go
+++ b/core/quarantine/table.go
@@ -162,7 +162,7 @@
 		return
 	}
 	t.change(now, func() {
-		for _, reported := range records[:min(len(records), maxRecords)] {
+		for _, reported := range records[:min(len(records), 2*maxRecords)] {
 			t.merge(reported, now)
 		}
 	})
