core/quarantine: the trial of a short request does not wait until its deadline has passed

From reading: a trial waits 500 ms before it is sent, and a request with less time left was never sent, refused as having no endpoint, and its trial repeated each 5 s without an end. It waits a quarter of the time that is left at most, at the price of a second trial now and then where the fleet is slow to know. TestTrialOfAShortRequest.

--- a/core/quarantine/decision.go
+++ b/core/quarantine/decision.go
@@ -17,6 +17,14 @@
 	Wait time.Duration
 }
 
+// maxWaitShare is the part of the time that a request has left which its trial may wait.
+const maxWaitShare = 0.25
+
+// WaitWithin returns how long to wait before a trial is sent that has the time left.
+func (d Decision) WaitWithin(left time.Duration) time.Duration {
+	return min(d.Wait, time.Duration(maxWaitShare*float64(left)))
+}
+
 // Crashes returns how many endpoints crashed under the request.
 func (t *Table) Crashes(s Subject) int {
 	if t.Empty() {
--- a/core/quarantine/request_test.go
+++ b/core/quarantine/request_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -192,6 +193,18 @@
 	}
 }
 
+// Guards against trials of short requests that wait until their deadline has passed, and are never sent.
+func TestTrialOfAShortRequest(t *testing.T) {
+	table := newRouter(0, 1)
+	for i := range 3 {
+		crash(table, float64(i), plain("a"))
+	}
+	d := table.Decide(plain("a"), at(8))
+	assert.Assert(t, d.Trial)
+	assert.Equal(t, d.WaitWithin(300*time.Millisecond), 75*time.Millisecond)
+	assert.Equal(t, d.WaitWithin(time.Minute), d.Wait)
+}
+
 // Guards against clients that fill the memory of routers with requests, or have others dropped by that.
 func TestRequestRecordsAreBounded(t *testing.T) {
 	var table quarantine.Table
--- a/io/caller/crash.go
+++ b/io/caller/crash.go
@@ -33,7 +33,8 @@
 	if d.Refused {
 		return quarantined(d.Cause.Crashes, d.Cause.TrialIn)
 	}
-	background.Sleep(x.ctx, d.Wait, nil)
+	deadline, _ := x.ctx.Deadline()
+	background.Sleep(x.ctx, d.WaitWithin(time.Until(deadline)), nil)
 	return nil
 }
 
--- a/io/entry/quarantine.go
+++ b/io/entry/quarantine.go
@@ -33,7 +33,7 @@
 		_ = x.handler.Logger.Log(append([]any{field.Event, event.PartTried, field.Request, x.request.ID}, QuarantineFields(d.Cause)...)...)
 	}
 	if !d.Refused {
-		background.Sleep(x.ctx, d.Wait, nil)
+		background.Sleep(x.ctx, d.WaitWithin(time.Until(x.deadline)), nil)
 		return nil
 	}
 	x.quarantined = d.Cause
