io/entry: a plain request is sent on at once when its answer has broken off

What callers saw: a retry on a plain service waited 30 ms for the check whether the endpoint's process had ended, up to 130 ms where nothing answers.

Cause: the check ran before the goroutine that was to make it, as an argument.

Evidence: TestRetryOfPlainRequestIsNotDelayed failed with 30 ms on the fake clock, and passes with none.

--- a/io/entry/ending.go
+++ b/io/entry/ending.go
@@ -78,7 +78,7 @@
 func (x *exchange) recordBroken(a *attempt) {
 	n := x.endingOf(a)
 	if len(x.request.Prompt) == 0 && !x.suspected() {
-		go n.record(n.checkProcess())
+		go func() { n.record(n.checkProcess()) }()
 		return
 	}
 	if n.record(n.checkProcess()) {
