io/hub: one check for the two tests of how soon all routers know

The tests of crashing parts and of a repeated request had the same lines; the checks and bounds are the same.

--- a/io/hub/parts_test.go
+++ b/io/hub/parts_test.go
@@ -74,31 +74,39 @@
 	return n
 }
 
+// checkKnownToAll has three routers report one crash each, and checks that soon all routers refuse the request.
+func checkKnownToAll(t *testing.T, routers int, s quarantine.Subject, pause time.Duration, report func(f *fleet, r *simRouter, i int, c quarantine.Crash)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, routers)
+		defer f.stop()
+		before := f.peerBytes()
+		time.Sleep(time.Second)
+		usual := f.peerBytes() - before
+		before = f.peerBytes()
+		for i := range 3 {
+			now := time.Now()
+			c := quarantine.Crash{Process: quarantine.Process{Born: int64(i)}, Sent: now.Add(-50 * time.Millisecond), At: now}
+			report(f, f.routers[(routers-1)*i/2], i, c)
+			time.Sleep(pause)
+		}
+		began := time.Now()
+		for f.refusing(s) < routers {
+			assert.Assert(t, time.Since(began) < time.Second, "%d of %d routers refuse", f.refusing(s), routers)
+			time.Sleep(10 * time.Millisecond)
+		}
+		took := pause + time.Since(began)
+		time.Sleep(time.Second - 3*pause - time.Since(began))
+		extra := f.peerBytes() - before - usual
+		t.Logf("known to %d routers after %v; %d bytes more than the usual %d in that second", routers, took, extra, usual)
+	})
+}
+
 // Guards against routers each of which waits until it has seen enough crashes itself. HUB_ROUTERS sets the size of the large fleet.
 func TestCrashesAreKnownToAllRouters(t *testing.T) {
 	for _, routers := range []int{6, intFromEnv("HUB_ROUTERS", 100)} {
 		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(t, routers)
-				defer f.stop()
-				before := f.peerBytes()
-				time.Sleep(time.Second)
-				usual := f.peerBytes() - before
-				before = f.peerBytes()
-				for i := range 3 {
-					now := time.Now()
-					f.routers[(routers-1)*i/2].parts.Crashed(crashing(uint64(10+i)), quarantine.Crash{Process: quarantine.Process{Born: int64(i)}, Sent: now.Add(-50 * time.Millisecond), At: now}, now)
-					time.Sleep(150 * time.Millisecond)
-				}
-				began := time.Now()
-				for f.refusing(crashing(9)) < routers {
-					assert.Assert(t, time.Since(began) < time.Second, "%d of %d routers refuse", f.refusing(crashing(9)), routers)
-					time.Sleep(10 * time.Millisecond)
-				}
-				took := 150*time.Millisecond + time.Since(began)
-				time.Sleep(time.Second - 450*time.Millisecond - time.Since(began))
-				extra := f.peerBytes() - before - usual
-				t.Logf("known to %d routers after %v; %d bytes more than the usual %d in that second", routers, took, extra, usual)
+			checkKnownToAll(t, routers, crashing(9), 150*time.Millisecond, func(_ *fleet, r *simRouter, i int, c quarantine.Crash) {
+				r.parts.Crashed(crashing(uint64(10+i)), c, c.At)
 			})
 		})
 	}
@@ -108,31 +116,11 @@
 func TestRepeatedRequestIsKnownToAllRouters(t *testing.T) {
 	for _, routers := range []int{6, intFromEnv("HUB_ROUTERS", 100)} {
 		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(t, routers)
-				defer f.stop()
-				before := f.peerBytes()
-				time.Sleep(time.Second)
-				usual := f.peerBytes() - before
-				before = f.peerBytes()
-				for i := range 3 {
-					now := time.Now()
-					c := quarantine.Crash{Process: quarantine.Process{Born: int64(i)}, Sent: now.Add(-50 * time.Millisecond), At: now}
-					f.routers[(routers-1)*i/2].parts.Crashed(repeated, c, now)
-					for j := range victims {
-						f.routers[(i*victims+j)%routers].parts.Crashed(beside(i*victims+j), c, now)
-					}
-					time.Sleep(50 * time.Millisecond)
-				}
-				began := time.Now()
-				for f.refusing(repeated) < routers {
-					assert.Assert(t, time.Since(began) < time.Second, "%d of %d routers refuse", f.refusing(repeated), routers)
-					time.Sleep(10 * time.Millisecond)
+			checkKnownToAll(t, routers, repeated, 50*time.Millisecond, func(f *fleet, r *simRouter, i int, c quarantine.Crash) {
+				r.parts.Crashed(repeated, c, c.At)
+				for j := range victims {
+					f.routers[(i*victims+j)%routers].parts.Crashed(beside(i*victims+j), c, c.At)
 				}
-				took := 50*time.Millisecond + time.Since(began)
-				time.Sleep(time.Second - 150*time.Millisecond - time.Since(began))
-				extra := f.peerBytes() - before - usual
-				t.Logf("known to %d routers after %v; %d bytes more than the usual %d in that second, with %d other requests at each end", routers, took, extra, usual, victims)
 			})
 		})
 	}
