--- a/soak/variants_test.go
+++ b/soak/variants_test.go
@@ -52,7 +52,7 @@
 		"core/origin/origin.go", "if o.Service != e.Service {\n\t\treturn false", "if o.Service != e.Service || o.Version != e.Version {\n\t\treturn true",
 	},
 	"crashesAreIgnored": {
-		"core/quarantine/record.go", "quarantineEvents = 3", "quarantineEvents = 300",
+		"core/quarantine/record.go", "const MaxCrashes = 3", "const MaxCrashes = 300",
 	},
 	"repeatedRequestsAreIgnored": {
 		"core/quarantine/subject.go", "if s.Request != 0 {", "if s.Request == 1 {",
