io/caller: a request is hashed only if an endpoint crashed under it or anything is suspected

The subject is computed on demand now; its service went, as only prompt parts use it. Comments of records say requests too. No decision changes.

Checked: go test -race of io/fleet (TestChatThatCrashesEngines among them), io/peer and io/router, the tests of core/quarantine without its models, the linter.

--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Record is what a router reports to others of a part. Field names are part of the wire format between routers.
+// Record is what a router reports to others of a part or a request. Field names are part of the wire format between routers.
 type Record struct {
 	Key     Key
 	Crashes []ReportedCrash
@@ -17,7 +17,7 @@
 	Age time.Duration
 }
 
-// ReportedCrash is a crash at which a request had the part.
+// ReportedCrash is a crash at which a request had the part, or was there itself. Account and Request are 0 if there were several.
 type ReportedCrash struct {
 	Process uint64
 	Account uint64
@@ -116,7 +116,7 @@
 	return r
 }
 
-// merge adds what another router knows of the part, and reports whether that changed anything.
+// merge adds what another router knows of the part or request, and reports whether that changed anything.
 func (r *record) merge(other record) (changed bool) {
 	for _, c := range other.crashes {
 		changed = r.crashes.add(c) || changed
--- a/io/caller/completion.go
+++ b/io/caller/completion.go
@@ -66,7 +66,7 @@
 // run tries engines until the response is complete or the request has to be given up. A completion may be repeated,
 // because it has no side effects.
 func (a *completion) run() {
-	a.x.identify(a.pool, a.chat.Body())
+	a.x.identifyingBody = a.chat.Body()
 	if p := a.x.checkQuarantine(); p != nil {
 		a.x.fail(p)
 		return
--- a/io/caller/crash.go
+++ b/io/caller/crash.go
@@ -15,12 +15,13 @@
 	"savoryfall/io/process"
 )
 
-// identify records what the request has in common with its client's other attempts. The host is none of it: it selects nothing here.
-func (x *exchange) identify(pool string, body []byte) {
-	x.subject = quarantine.Subject{
-		Service: pool, Account: x.account.Name(),
-		Request: identity.Request{Method: x.r.Method, Target: x.r.URL.RequestURI(), Body: body}.Hash(),
+// subject returns what the request has in common with its client's other attempts. The host is none of it: it selects nothing here.
+// A request whose body is not kept is not identified.
+func (x *exchange) subject() quarantine.Subject {
+	if x.identityHash == 0 && x.identifyingBody != nil {
+		x.identityHash = identity.Request{Method: x.r.Method, Target: x.r.URL.RequestURI(), Body: x.identifyingBody}.Hash()
 	}
+	return quarantine.Subject{Account: x.account.Name(), Request: x.identityHash}
 }
 
 // checkQuarantine refuses a request under which endpoints crashed, but for single trials.
@@ -28,7 +29,7 @@
 	if x.server.Quarantine.Empty() {
 		return nil
 	}
-	d := x.server.Quarantine.Decide(x.subject, time.Now())
+	d := x.server.Quarantine.Decide(x.subject(), time.Now())
 	x.trial = d.Trial
 	if d.Refused {
 		return quarantined(d.Cause.Crashes, d.Cause.TrialIn)
@@ -40,7 +41,7 @@
 
 // mayRetryAfterCrashes reports whether the crashes under the request allow another attempt.
 func (x *exchange) mayRetryAfterCrashes() bool {
-	return len(x.crashes)+x.server.Quarantine.Crashes(x.subject) < quarantine.MaxCrashes
+	return len(x.crashes)+x.server.Quarantine.Crashes(x.subject()) < quarantine.MaxCrashes
 }
 
 // recordEnd records whether the endpoint's process crashed under the request.
@@ -53,22 +54,24 @@
 		Process: quarantine.Process{Endpoint: at.Endpoint + "/" + incarnation}, Sent: sent, At: time.Now(),
 	})
 	_ = x.server.Logger.Log("event", "endpointCrashed", "request", x.requestID, "account", x.account.Name(), "endpoint", at.Endpoint,
-		"incarnation", incarnation, "requestKey", strconv.FormatUint(x.subject.Request, 16))
+		"incarnation", incarnation, "requestKey", strconv.FormatUint(x.subject().Request, 16))
 }
 
 // settleCrashes reports what is known of the request at its end. The crashes under one that was answered after all show nothing, and
 // its client has no reason to send it again before.
 func (x *exchange) settleCrashes(p *problem) {
 	q, now := x.server.Quarantine, time.Now()
-	if p == nil && !x.abort {
-		q.Completed(x.subject, x.startedAt, now)
-	} else {
+	answered := p == nil && !x.abort
+	if answered && !q.Empty() {
+		q.Completed(x.subject(), x.startedAt, now)
+	}
+	if !answered {
 		for _, c := range x.crashes {
-			q.Crashed(x.subject, c, now)
+			q.Crashed(x.subject(), c, now)
 		}
 	}
 	if x.trial {
-		q.EndTrial(x.subject, len(x.crashes) > 0, now)
+		q.EndTrial(x.subject(), len(x.crashes) > 0, now)
 	}
 }
 
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -39,9 +39,11 @@
 	decision       *decision.Decision
 	firstByteAfter time.Duration
 	abort          bool
-	// subject identifies the request over its client's attempts, crashes are those of endpoints under it. trial is set while it is the
-	// trial of a quarantined one.
-	subject quarantine.Subject
+	// identifyingBody is the body that identifies the request with the rest, nil if it is not kept. identityHash is the hash, 0 before it
+	// is known.
+	identifyingBody []byte
+	identityHash    uint64
+	// crashes are those of endpoints under the request. trial is set while it is the trial of a quarantined one.
 	crashes []quarantine.Crash
 	trial   bool
 }
--- a/io/caller/plainservice.go
+++ b/io/caller/plainservice.go
@@ -105,7 +105,7 @@
 func (c *plainCall) attemptWithRetries(handle func(*http.Response) *problem) (p *problem) {
 	s := c.x.server
 	if c.unread == nil {
-		c.x.identify(c.pool, c.buffered)
+		c.x.identifyingBody = c.buffered
 	}
 	if p = c.x.checkQuarantine(); p != nil {
 		return p
