--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -25,8 +25,11 @@
 
 // Load is the load that an endpoint reports in an answer.
 type Load struct {
-	Running, Waiting int
-	Known            bool
+	// Slots is how many requests the endpoint runs at once, 0 if it does not say.
+	Running, Waiting, Slots int
+	// Slowdown is the factor by which work on the endpoint's VM takes longer than usual, 0 if it does not say.
+	Slowdown float64
+	Known    bool
 }
 
 // Verdict is how an attempt ended.
@@ -107,6 +110,9 @@
 	if l.Known {
 		e.recordLoad(l, now)
 	}
+	if l.Known && l.Slowdown > 0 {
+		a.d.recordSpeedReport(a.q.Service, now)
+	}
 	a.finishReading()
 	took := now.Sub(a.began)
 	if len(a.q.Prompt) == 0 {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -45,6 +45,9 @@
 	// withdrawals counts the events by which an endpoint may have been withdrawn, so that requests which are about to be
 	// sent need the lock only after one.
 	withdrawals atomic.Uint64
+	overload    OverloadControl
+	// speedReportedAt has the services whose endpoints report the speed of their VM, and when an answer last did.
+	speedReportedAt map[string]time.Time
 }
 
 // New returns a dispatcher for a router of the failure domain.
@@ -122,6 +125,14 @@
 	// Spread is set if an endpoint crashed under the request. It goes to any endpoint, so that those that share its prompt and may be
 	// the cause, or meet its crashes, are at other ones.
 	Spread bool
+	// Kind is the name of the request's route. LengthHint is the client's estimate of the output tokens, 0 for none.
+	Kind       string
+	LengthHint int
+	// LatencyTarget is the time within which the answer has its full value, and TimeLeft how long the client still waits. Both
+	// are 0 if unknown.
+	LatencyTarget, TimeLeft time.Duration
+	// Retrying is set if the client has tried the request before.
+	Retrying bool
 }
 
 // Reason is why no endpoint was chosen, or why this one was.
@@ -142,6 +153,9 @@
 	// it is not certain which version that was.
 	ReasonNoVersion       Reason = "noVersion"
 	ReasonDoubtfulVersion Reason = "doubtfulVersion"
+	// ReasonInfeasible means that no endpoint is expected to serve the request within its latency target and the client's
+	// deadline.
+	ReasonInfeasible Reason = "infeasible"
 )
 
 // Choose begins an attempt at the endpoint where the request costs least. The attempt is nil if there is none.
--- a/core/request/endpointrequest.go
+++ b/core/request/endpointrequest.go
@@ -39,7 +39,12 @@
 	Brittle bool
 	// Pause is for how long the endpoint wants no further requests from this router, 0 if it does not say.
 	Pause time.Duration
-	// Running and Waiting are the endpoint's load. They are valid only if HasLoad is set.
-	Running, Waiting int
-	HasLoad          bool
+	// Running and Waiting are the endpoint's load, Slots is how many requests it runs at once, 0 if it does not say. They are
+	// valid only if HasLoad is set.
+	Running, Waiting, Slots int
+	HasLoad                 bool
+	// Slowdown is the factor by which work on the endpoint's VM takes longer than usual at the moment, 0 if it does not say.
+	Slowdown float64
+	// InvalidLoad means that the answer has a load that cannot be read.
+	InvalidLoad bool
 }
--- a/core/request/problem.go
+++ b/core/request/problem.go
@@ -24,9 +24,11 @@
 	Paused          Reason = "paused"
 	Full            Reason = "full"
 	Reserved        Reason = "reserved"
-	Refused         Reason = "refused"
-	Unreachable     Reason = "unreachable"
-	Broken          Reason = "broken"
+	// Infeasible means that no endpoint was expected to serve the request in time.
+	Infeasible  Reason = "infeasible"
+	Refused     Reason = "refused"
+	Unreachable Reason = "unreachable"
+	Broken      Reason = "broken"
 	// NoVersion means that no endpoint of the software version that began the stream can take it, and UnknownVersion that it
 	// is not known which version that was.
 	NoVersion      Reason = "noVersion"
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -27,6 +27,10 @@
 	Model           string
 	Prompt          prompt.Chain
 	MaxOutputTokens int
+	// LengthHint is the client's estimate of the tokens that will be generated, 0 if there is none. InvalidHint means that the
+	// client sent one that is no positive number.
+	LengthHint  int
+	InvalidHint bool
 }
 
 // ResumesStream reports whether the client resumes a stream of which it has events.
--- a/core/settings/entry.go
+++ b/core/settings/entry.go
@@ -26,6 +26,8 @@
 	keyTerm       time.Duration
 	grace         time.Duration
 	retries       RetryBudget
+	overload      OverloadControl
+	terms         []string
 	traces        Traces
 }
 
@@ -79,6 +81,8 @@
 		grace:     t.Table("stop").Duration("grace", 8*time.Second, time.Second, time.Hour),
 		retries:   readRetries(t.Table("retries")),
 		cold:      readCold(t.Table("cold")),
+		overload:  readOverloadControl(t.Table("overloadControl")),
+		terms:     t.Table("vm").Strings("terms"),
 		traces:    readTraces(t.Table("traces")),
 	}
 	const announced = "announced"
@@ -164,5 +168,11 @@
 // Retries returns the retry budget of the whole fleet.
 func (s *Entry) Retries() RetryBudget { return s.retries }
 
+// OverloadControl returns the settings of overload control.
+func (s *Entry) OverloadControl() OverloadControl { return s.overload }
+
+// Terms returns the platform's names of the terms that apply to the deployment.
+func (s *Entry) Terms() []string { return s.terms }
+
 // Traces returns the destination of trace spans.
 func (s *Entry) Traces() Traces { return s.traces }
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -50,6 +50,7 @@
 	"savoryfall/platform/evacuation"
 	wireregistry "savoryfall/platform/registry"
 	"savoryfall/platform/store"
+	"savoryfall/platform/terms"
 )
 
 // entryVM runs the services of a router on an entry VM. All state that routers share comes from the platform's store.
@@ -137,12 +138,22 @@
 	vm.lease.SetTerm(cfg.WithdrawnKeyTTL() - keyTermMargin)
 	vm.dispatcher.SetColdBound(coldlimit.Bound{RateFactor: cfg.Cold().Overrun(), Slack: cfg.Cold().Slack()})
 	vm.dispatcher.SetDrainFetchTerm(cfg.DrainedWithin() / 2)
+	vm.dispatcher.SetOverloadControl(overloadControl(cfg))
 	vm.limits.Store(&retrylimit.Limits{
 		Ratio: cfg.Retries().Ratio(), Slack: cfg.Retries().Slack(), Window: cfg.Retries().Window(),
 	})
 	vm.updateRetryLimits()
 }
 
+// overloadControl returns when overload control is active.
+func overloadControl(cfg *settings.Entry) dispatch.OverloadControl {
+	c := cfg.OverloadControl()
+	return dispatch.OverloadControl{
+		Always: c.Mode() == settings.OverloadOn || c.Mode() == settings.OverloadAuto && terms.Terms(cfg.Terms()).MemoryPressure(),
+		Never:  c.Mode() == settings.OverloadOff, ReportTerm: c.ReportTerm(), Accounts: c.Accounts(),
+	}
+}
+
 // setRouters sets the routers of the fleet, as hashes of their names. Each of them gets a share of the retry budget and
 // of the request limits of cold endpoints.
 func (vm *entryVM) setRouters(routers []uint64) {
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -39,7 +39,9 @@
 // recordFirstBytes records the first bytes of the response and the load reported in its header.
 func (x *exchange) recordFirstBytes(a *attempt) {
 	now := time.Now()
-	a.RecordFirstBytes(dispatch.Load{Running: a.reply.Running, Waiting: a.reply.Waiting, Known: a.reply.HasLoad}, now)
+	a.RecordFirstBytes(dispatch.Load{
+		Running: a.reply.Running, Waiting: a.reply.Waiting, Slots: a.reply.Slots, Slowdown: a.reply.Slowdown, Known: a.reply.HasLoad,
+	}, now)
 	x.recordAlive(a, now)
 }
 
@@ -51,7 +53,8 @@
 func (x *exchange) chooseEndpoint() (a *attempt, p *request.Problem) {
 	q := dispatch.Query{
 		Service: x.service, Prompt: x.request.Prompt, Rank: x.rank(), Account: x.accountName(), Tried: x.tried, Origin: x.preferredOrigin(),
-		Spread: x.suspected(),
+		Spread: x.suspected(), Kind: x.route.Name, LengthHint: x.request.LengthHint, LatencyTarget: x.route.ResponseGoal,
+		TimeLeft: time.Until(x.deadline), Retrying: x.retrying(),
 	}
 	d, reason := x.handler.Dispatcher.Choose(q, time.Now())
 	if d == nil && q.Origin != x.origin.Load() {
@@ -66,6 +69,8 @@
 		return nil, request.NotRun(request.Paused, x.retryAfterPause())
 	case reason == dispatch.ReasonAllFull:
 		return nil, request.NotRun(request.Full, x.retryAfterFull())
+	case reason == dispatch.ReasonInfeasible:
+		return nil, request.NotRun(request.Infeasible, x.retryAfterFull())
 	case reason == dispatch.ReasonReserved:
 		return nil, request.NotRun(request.Reserved, x.retryAfterFull())
 	case reason == dispatch.ReasonNoVersion:
--- /dev/null
+++ b/io/entry/retrying.go
@@ -0,0 +1,4 @@
+package entry
+
+// retrying reports whether the client has tried the request before, as far as the time that it has left tells.
+func (x *exchange) retrying() bool { return false }
