core/bytebudget, io/entry: streams of slow readers are read ahead within a memory budget

Cause: a router read from an endpoint only as fast as the client took the events. The endpoint kept its slot until the client was done, cut off what stayed unread for some seconds, and was then avoided as one that fails. Nothing bounded what many slow clients or large bodies hold.

Change: where overload control is active, a stream is read ahead from the first write on that takes longer than 100 ms, within overloadControl.connectionBytes for each and overloadControl.slowReaderShare of the VM's memory for all. The dispatcher learns when the endpoint has sent everything. Bodies count; a plain answer that is ready is always delivered.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -17,6 +17,8 @@
 	unreadTokens  int
 	fetchSource   string
 	ended         bool
+	// released is set once the endpoint no longer holds the request.
+	released bool
 	// limited is set while the attempt counts as unanswered at an endpoint that has just ended a pause.
 	limited bool
 	// withdrawals is the dispatcher's count when the endpoint was chosen.
@@ -153,6 +155,23 @@
 	return a.e.backlog(now)
 }
 
+// RecordSent records that the endpoint has sent the whole answer, which the client may not have read yet.
+func (a *Attempt) RecordSent(now time.Time) {
+	a.d.mu.Lock()
+	defer a.d.mu.Unlock()
+	a.release(Served, now)
+}
+
+// release gives the endpoint's slot back.
+func (a *Attempt) release(v Verdict, now time.Time) {
+	if a.released {
+		return
+	}
+	a.released = true
+	a.e.running--
+	a.d.demand(a.q.Service).ended(a.q.Rank, v, now.Sub(a.began), now)
+}
+
 // End ends the attempt and returns how long it took. Only the first call has an effect.
 func (a *Attempt) End(v Verdict, now time.Time) (took time.Duration, first bool) {
 	a.d.mu.Lock()
@@ -162,13 +181,12 @@
 	}
 	took = now.Sub(a.began)
 	a.ended = true
-	a.e.running--
 	a.answered()
 	if v == Refused {
 		a.e.pause.shrink()
 		a.e.refusedAt = now
 	}
-	a.d.demand(a.q.Service).ended(a.q.Rank, v, took, now)
+	a.release(v, now)
 	a.finishReading()
 	if v == Abandoned || v == Withdrawn {
 		return took, true
--- a/core/dispatch/exchange_test.go
+++ b/core/dispatch/exchange_test.go
@@ -178,3 +178,21 @@
 	assert.Assert(t, refused[0] < requests/4/20, "%v", refused)
 	assert.Assert(t, refused[1] > 0, "%v", refused)
 }
+
+// Guards against a slot that stays taken while a slow client reads an answer which the endpoint has sent completely.
+func TestSentAnswerHoldsNoSlot(t *testing.T) {
+	d, _ := newDispatcher(1)
+	a := choose(t, d, dispatch.Query{Service: models}, start)
+	running := func() int {
+		loads := d.OwnWorkload(start).Loads
+		if len(loads) == 0 {
+			return 0
+		}
+		return loads[0].Running
+	}
+	assert.Equal(t, running(), 1)
+	a.RecordSent(start.Add(time.Second))
+	assert.Equal(t, running(), 0)
+	a.End(dispatch.Served, start.Add(time.Minute))
+	assert.Equal(t, running(), 0)
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -46,6 +46,7 @@
 	Stopping                Name = "stopping"
 	StreamContinued         Name = "streamContinued"
 	StreamNotContinued      Name = "streamNotContinued"
+	StreamPaused            Name = "streamPaused"
 	StoreLost               Name = "storeLost"
 	StoreRegained           Name = "storeRegained"
 	StoreRestored           Name = "storeRestored"
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -167,6 +167,8 @@
 	Born Name = "born"
 	// Leaving tells whether the endpoint's process has announced that it is leaving.
 	Leaving Name = "leaving"
+	// PausedMs is for how long a stream was not read for want of memory.
+	PausedMs Name = "pausedMs"
 	// PauseMs is for how long an endpoint asked for no requests.
 	PauseMs Name = "pauseMs"
 	// Refusals is the number of requests that the endpoint refused in a pause.
--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -43,6 +43,7 @@
 	vm.metricSet.NewGauge("savoryfall_tunnels_open", func() float64 { return float64(vm.tunnels.Open()) })
 	vm.metricSet.NewGauge("savoryfall_tunnels_total", func() float64 { return float64(vm.tunnels.Total()) })
 	vm.metricSet.NewGauge("savoryfall_tunnel_bytes_total", func() float64 { return float64(vm.tunnels.Bytes()) })
+	vm.registerMemoryGauges()
 	for state, count := range map[string]func(c clientconn.Counts) int{
 		"idle": clientconn.Counts.Idle, "reading": clientconn.Counts.Reading, "serving": clientconn.Counts.Serving,
 	} {
@@ -57,6 +58,22 @@
 	}
 }
 
+// registerMemoryGauges registers metrics of the memory that is held for slow readers.
+func (vm *entryVM) registerMemoryGauges() {
+	vm.metricSet.NewGauge("savoryfall_held_bytes", func() float64 {
+		held, _, _, _ := vm.memory.Usage()
+		return float64(held)
+	})
+	vm.metricSet.NewGauge("savoryfall_held_bytes_limit", func() float64 {
+		_, size, _, _ := vm.memory.Usage()
+		return float64(size)
+	})
+	vm.metricSet.NewGauge("savoryfall_held_bytes_denied_total", func() float64 {
+		_, _, _, denied := vm.memory.Usage()
+		return float64(denied)
+	})
+}
+
 // registerDispatchGauges registers metrics of cache reuse and load balance, and of the endpoint data they are based on.
 func (vm *entryVM) registerDispatchGauges() {
 	for name, value := range map[string]func(m dispatch.Metrics) float64{
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"savoryfall/core/annotate"
+	"savoryfall/core/bytebudget"
 	"savoryfall/core/coldlimit"
 	"savoryfall/core/directory"
 	"savoryfall/core/dispatch"
@@ -66,6 +67,9 @@
 	reach      reach.Tracker
 	// connector opens the connections to endpoints.
 	connector *connect.Connector
+	// memory is the budget of the bytes that are held for slow readers, connectionBytes how many may be held for one.
+	memory          bytebudget.Budget
+	connectionBytes atomic.Int64
 	// parts is what is known of prompt parts under which endpoints crashed.
 	quarantine    quarantine.Table
 	endpoints     *registry.Tracker
@@ -139,6 +143,8 @@
 	vm.dispatcher.SetColdBound(coldlimit.Bound{RateFactor: cfg.Cold().Overrun(), Slack: cfg.Cold().Slack()})
 	vm.dispatcher.SetDrainFetchTerm(cfg.DrainedWithin() / 2)
 	vm.dispatcher.SetOverloadControl(overloadControl(cfg))
+	vm.memory.SetSize(int64(cfg.OverloadControl().SlowReaderShare() * cfg.MemoryMB() * (1 << 20)))
+	vm.connectionBytes.Store(cfg.OverloadControl().ConnectionBytes())
 	vm.limits.Store(&retrylimit.Limits{
 		Ratio: cfg.Retries().Ratio(), Slack: cfg.Retries().Slack(), Window: cfg.Retries().Window(),
 	})
@@ -253,7 +259,7 @@
 	vm.handler = entry.New(entry.Config{
 		ClientProtocol: clientapi.Codec{}, EndpointProtocol: endpointapi.Codec{}, Configuration: vm.configTracker, Lease: &vm.lease,
 		Endpoints: vm.endpoints, Origins: &vm.origins, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: pool, Connections: vm.connector, Quarantine: &vm.quarantine, Dial: vm.dialEndpoint, Tracer: tracer,
-		Metrics: entry.NewMetrics(vm.metricSet), Logger: vm.logger, Clock: bootclock.Now,
+		Metrics: entry.NewMetrics(vm.metricSet), Logger: vm.logger, Clock: bootclock.Now, Memory: &vm.memory, ConnectionBytes: vm.connectionBytes.Load,
 	})
 	vm.clientServer, err = entry.NewServer(vm.settings.ClientAddress(), vm.handler)
 	if err != nil {
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"savoryfall/core/bytebudget"
 	"savoryfall/core/origin"
 	"savoryfall/core/quarantine"
 	"savoryfall/core/request"
@@ -59,6 +59,8 @@
 	trial bool
 	// quarantined is the prompt part that the request was refused for.
 	quarantined quarantine.Status
+	// memory is what is held of the request's body, nil if it does not count.
+	memory *bytebudget.Account
 	// lostConnection is set if an attempt has ended without the complete response.
 	lostConnection bool
 }
@@ -69,6 +71,7 @@
 	ctx, span := x.handler.Tracer.Start(x.r.Context(), "request")
 	defer span.End()
 	x.ctx = ctx
+	defer x.releaseMemory()
 	p := x.decode()
 	if p == nil {
 		x.handler.awaitConfiguration(ctx)
@@ -178,13 +181,15 @@
 	}
 	rc := http.NewResponseController(x.w)
 	_ = rc.SetReadDeadline(x.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := x.readLimited(limit)
 	x.bodyRead = err == nil
 	_ = rc.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return request.NotRun(request.BodyTooLarge, 0)
+	case errors.Is(err, errNoMemory):
+		return request.NotRun(request.Memory, retryLater)
 	case isTimeout(err):
 		return request.NotRun(request.BodySlow, 0)
 	case err != nil:
@@ -211,6 +216,9 @@
 		defer x.endTrial()
 	}
 	x.handler.Retries.RecordFirst(x.service, time.Now())
+	if p == nil {
+		p = x.checkMemory()
+	}
 	if p != nil {
 		return p
 	}
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"savoryfall/core/background"
+	"savoryfall/core/bytebudget"
 	"savoryfall/core/directory"
 	"savoryfall/core/dispatch"
 	"savoryfall/core/event"
@@ -91,10 +92,14 @@
 	// Quarantine is what is known of requests and prompt parts under which endpoints crashed. It may be nil.
 	Quarantine *quarantine.Table
 	// Dial opens a connection of its own to the address of an endpoint. It defaults to http1.DialTCP.
-	Dial    func(ctx context.Context, address string) (net.Conn, error)
-	Tracer  trace.Tracer
-	Metrics *Metrics
-	Logger  log.Logger
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Memory is the budget of the bytes that are held for slow readers. It may be nil. ConnectionBytes returns how many of them
+	// may be held for one, and is set if Memory is.
+	Memory          *bytebudget.Budget
+	ConnectionBytes func() int64
+	Tracer          trace.Tracer
+	Metrics         *Metrics
+	Logger          log.Logger
 	// Clock returns the time since boot, including time in which the VM was suspended.
 	Clock func() time.Duration
 }
--- /dev/null
+++ b/io/entry/memory.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"savoryfall/core/event"
+	"savoryfall/core/field"
+	"savoryfall/core/request"
+)
+
+// errNoMemory is returned if a body cannot be held within the memory budget.
+var errNoMemory = errors.New("the memory budget does not allow the body")
+
+// countsMemory reports whether the bytes that are held for the request count toward the memory budget.
+func (x *exchange) countsMemory() bool {
+	h := x.handler
+	if h.Memory == nil || x.route == nil {
+		return false
+	}
+	service := x.service
+	if service == "" {
+		service = x.route.ChooseService(routeFraction(x.request.ID))
+	}
+	return h.Dispatcher.OverloadControl(service, time.Now())
+}
+
+// checkMemory refuses a stream that would begin when memory is almost used up, because streams hold memory for as long as their
+// clients take to read them.
+func (x *exchange) checkMemory() *request.Problem {
+	if x.route.Kind.Streaming() && x.countsMemory() && x.handler.Memory.Full() {
+		return request.NotRun(request.Memory, retryLater)
+	}
+	return nil
+}
+
+// newReadAhead returns a reader that reads the attempt's response ahead, nil where memory does not count.
+func (x *exchange) newReadAhead(a *attempt) *readAhead {
+	if !x.countsMemory() {
+		return nil
+	}
+	return newReadAhead(a, x.handler.Memory, x.handler.ConnectionBytes())
+}
+
+// minBodyBytes is the size of the first buffer for a body.
+const minBodyBytes = 1 << 10
+
+// readLimited reads the body, up to limit bytes and within the memory budget.
+func (x *exchange) readLimited(limit int64) (body []byte, err error) {
+	from := http.MaxBytesReader(x.w, x.r.Body, limit)
+	if !x.countsMemory() {
+		return io.ReadAll(from)
+	}
+	// A buffer that is full is doubled, so that it may take up to twice the limit.
+	x.memory = x.handler.Memory.Open(2*limit + minBodyBytes)
+	for {
+		if len(body) == cap(body) {
+			grown := int64(max(cap(body), minBodyBytes))
+			if !x.memory.Reserve(grown) {
+				return nil, errNoMemory
+			}
+			body = append(make([]byte, 0, int64(cap(body))+grown), body...)
+		}
+		n, err := from.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// holdAnswer counts an answer that is ready. It is never cut off for want of memory.
+func (x *exchange) holdAnswer(n int) {
+	if !x.countsMemory() {
+		return
+	}
+	if x.memory == nil {
+		x.memory = x.handler.Memory.Open(0)
+	}
+	x.memory.Force(int64(n))
+}
+
+func (x *exchange) releaseMemory() {
+	if x.memory != nil {
+		x.memory.Close()
+	}
+}
+
+// recordSlowReader counts a stream that was read ahead, and logs one that was paused for want of memory.
+func (x *exchange) recordSlowReader(a *attempt, r *readAhead) {
+	slow, paused := r.slow()
+	if !slow {
+		return
+	}
+	x.handler.Metrics.recordSlowReader(paused > 0)
+	if paused > 0 {
+		_ = x.handler.Logger.Log(field.Event, event.StreamPaused, field.Request, x.request.ID, field.Endpoint, a.Endpoint().ID,
+			field.Account, x.accountName(), field.PausedMs, paused.Milliseconds())
+	}
+}
+
+func (m *Metrics) recordSlowReader(paused bool) {
+	m.set.GetOrCreateCounter("savoryfall_slow_readers_total").Inc()
+	if paused {
+		m.set.GetOrCreateCounter("savoryfall_paused_streams_total").Inc()
+	}
+}
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -21,6 +21,8 @@
 	headerWritten bool
 	flusher       http.Flusher
 	buf           []byte
+	// ahead reads the current response, nil if responses are not read ahead.
+	ahead *readAhead
 }
 
 // forwardStream handles a request whose response is a stream of events.
@@ -111,20 +113,32 @@
 // forwardEvents forwards complete events until the stream ends or fails.
 func (s *relay) forwardEvents(a *attempt) (done bool, p *request.Problem) {
 	var split sse.Splitter
-	err := s.copy(a, &split)
+	err := s.readAhead(a, &split)
 	if errors.Is(err, io.EOF) {
 		return s.finish(a, &split)
 	}
 	return s.fail(a, err)
 }
 
+// readAhead copies the stream, and reads it ahead where overload control is active.
+func (s *relay) readAhead(a *attempt, split *sse.Splitter) (err error) {
+	s.ahead = s.x.newReadAhead(a)
+	if s.ahead == nil {
+		return s.copy(a, a.response, split)
+	}
+	err = s.copy(a, s.ahead, split)
+	s.ahead.close()
+	s.x.recordSlowReader(a, s.ahead)
+	return err
+}
+
 // copy reads until the stream fails or the body ends, for which it returns io.EOF.
-func (s *relay) copy(a *attempt, split *sse.Splitter) (err error) {
+func (s *relay) copy(a *attempt, from io.Reader, split *sse.Splitter) (err error) {
 	if s.buf == nil {
 		s.buf = make([]byte, streamReadSize)
 	}
 	for receiving := false; ; {
-		n, err := a.response.Read(s.buf)
+		n, err := from.Read(s.buf)
 		if n > 0 && !receiving {
 			receiving = true
 			s.x.recordFirstBytes(a)
@@ -143,6 +157,11 @@
 	if isTimeout(err) {
 		v = dispatch.Silent
 	}
+	if s.ahead != nil && s.ahead.endedByPause() {
+		// The endpoint may have ended the response because this router did not read it.
+		s.x.finishAttempt(a, dispatch.Abandoned)
+		return false, s.x.unknownOutcome(v)
+	}
 	s.x.finishAttempt(a, v)
 	return false, s.x.unknownOutcome(v)
 }
@@ -186,6 +205,10 @@
 	}
 	a.RecordProgress(time.Now())
 	s.x.countEvents(a, len(events))
+	if s.ahead != nil {
+		s.ahead.beginWrite()
+		defer s.ahead.endWrite()
+	}
 	wrote := false
 	for _, e := range events {
 		if e.HasID && s.hasLast && e.ID <= s.lastID {
