core/dispatch: what the work of a service takes at ease

Cause: expecting when a request is answered needs the time of an event and of a plain answer of its service.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -48,6 +48,8 @@
 	overload    OverloadControl
 	// speedReportedAt has the services whose endpoints report the speed of their VM, and when an answer last did.
 	speedReportedAt map[string]time.Time
+	// times has what the work of each service takes.
+	times map[string]*serviceTimes
 }
 
 // New returns a dispatcher for a router of the failure domain.
