dispatch: requests go where they are expected to be answered in time

The count of requests decided where a request goes and whether it is refused, whatever the work takes. Where overload control is active, the cost of an endpoint is the expected time to the first event and what the request costs the streams beside it; an endpoint that is not expected to serve the request within its latency target and the client's deadline is left out, and without any the request is refused as infeasible. Loads are those that the endpoints reported within a second, with this router's requests since then. The states of endpoints and times of services are stand-ins for the parts that learn them. Elsewhere choices are as before.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"savoryfall/core/completion"
 	"savoryfall/core/directory"
 )
 
@@ -19,6 +20,12 @@
 	ended         bool
 	// limited is set while the attempt counts as unanswered at an endpoint that has just ended a pause.
 	limited bool
+	// controlled is set if overload control was active when the endpoint was chosen, expected is then when events were expected,
+	// slowdown by which factor the endpoint's work was expected to take longer, and heldTokens what it holds for the request.
+	controlled bool
+	expected   completion.Estimate
+	slowdown   float64
+	heldTokens int
 	// withdrawals is the dispatcher's count when the endpoint was chosen.
 	withdrawals uint64
 }
@@ -71,7 +78,10 @@
 	}
 	d.demand(q.Service).began(q.Rank)
 	a := &Attempt{d: d, e: e, entry: e.entry, q: q, began: now, missingTokens: missingTokens, unreadTokens: missingTokens, fetchSource: fetchSource, withdrawals: d.withdrawals.Load()}
-	e.unreadTokens += missingTokens
+	if c.expectation != nil {
+		a.expect(c, i)
+	}
+	e.unreadTokens += a.unreadTokens
 	a.countUnanswered()
 	if c.engine && len(q.Prompt) > 0 {
 		d.promptTokens += uint64(c.totalTokens)
@@ -81,6 +91,15 @@
 	return a
 }
 
+// expect records what was expected of the endpoint. Parts that it fetches are not read.
+func (a *Attempt) expect(c *scoring, i int) {
+	w := c.expectation.works[i]
+	a.controlled, a.expected, a.slowdown, a.heldTokens = true, c.expectation.estimates[i], w.Slowdown, w.RequestTokens
+	a.unreadTokens = max(w.MissingTokens-w.FetchedTokens, 0)
+	a.e.heldTokens += a.heldTokens
+	a.e.history.add(1, c.now)
+}
+
 // Endpoint returns the endpoint's directory entry as it was when the attempt began.
 func (a *Attempt) Endpoint() directory.Entry { return a.entry }
 
@@ -109,6 +128,7 @@
 	e.pause.grow(now)
 	if l.Known {
 		e.recordLoad(l, now)
+		e.recordState(l, now)
 	}
 	if l.Known && l.Slowdown > 0 {
 		a.d.recordSpeedReport(a.q.Service, now)
@@ -118,6 +138,9 @@
 	if len(a.q.Prompt) == 0 {
 		return
 	}
+	if a.controlled {
+		took = time.Duration(float64(took) / a.slowdown)
+	}
 	a.d.prefill.observe(a.missingTokens, took, now)
 }
 
@@ -163,6 +186,10 @@
 	took = now.Sub(a.began)
 	a.ended = true
 	a.e.running--
+	if a.controlled {
+		a.e.heldTokens -= a.heldTokens
+		a.e.history.add(-1, now)
+	}
 	a.answered()
 	if v == Refused {
 		a.e.pause.shrink()
--- a/core/dispatch/capacity.go
+++ b/core/dispatch/capacity.go
@@ -10,10 +10,24 @@
 	if slots == 0 {
 		slots = c.slots
 	}
-	if !c.engine && !c.brittle {
-		slots *= queueFactor
+	switch {
+	case c.engine || c.brittle:
+		return slots
+	case c.expectation != nil:
+		return c.timelyCapacity(e, slots)
 	}
-	return slots
+	return slots * queueFactor
+}
+
+// timelyCapacity returns how many requests a plain endpoint may be given so that the last of them is answered within its latency
+// target.
+func (c *scoring) timelyCapacity(e *endpoint, slots int) int {
+	if c.q.LatencyTarget <= 0 {
+		return slots * queueFactor
+	}
+	turns := float64(c.q.LatencyTarget) / (float64(c.d.plainTime(c.q.Service)) * e.slowdown(c.now))
+	turns = 1 + (turns-1)/waitMargin
+	return int(float64(slots) * min(max(turns, 1), maxPlainFactor))
 }
 
 // maxWaitMs is the longest backlog of prompts, in milliseconds of reading, with which an engine is given another one:
@@ -28,5 +42,13 @@
 	return capacity > 0 && c.confirmedLoad(e) >= float64(capacity) || c.waitMs(e) > maxWaitMs
 }
 
+// full reports whether the endpoint cannot take the request now.
+func (c *scoring) full(e *endpoint) bool {
+	if c.expectation != nil {
+		return !c.feasible(c.index(e))
+	}
+	return c.saturated(e)
+}
+
 // waitMs returns how many milliseconds of prompts the endpoint has to read before it begins with another one.
 func (c *scoring) waitMs(e *endpoint) float64 { return float64(e.backlog(c.now)) / c.d.prefill.perMs() }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -219,7 +219,7 @@
 	defer d.mu.Unlock()
 	c := d.scoring(q, d.pools[q.Service], now)
 	return slices.ContainsFunc(c.pool, func(e *endpoint) bool {
-		return !slices.Contains(q.Tried, e.entry.ID) && c.mayContinue(e) && !e.replaced && !e.breaker.isOpen(now) && !c.saturated(e) && !c.coldLimitReached(e) &&
+		return !slices.Contains(q.Tried, e.entry.ID) && c.mayContinue(e) && !e.replaced && !e.breaker.isOpen(now) && !c.full(e) && !c.coldLimitReached(e) &&
 			!c.brittleLimitReached(c.index(e)) && !e.pause.limited()
 	})
 }
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -47,6 +47,12 @@
 	// pause is nil if the endpoint has never asked for one.
 	pause *pause
 	cold  warmup
+	// newest is the newest load that the endpoint reported to any router.
+	newest endpointState
+	// history holds this router's recent requests at the endpoint while overload control is active, heldTokens is the number of
+	// prompt and output tokens of the running ones.
+	history    ownHistory
+	heldTokens int
 	// departedAt is when the directory stopped listing the endpoint.
 	departedAt time.Time
 }
--- a/core/dispatch/fetch.go
+++ b/core/dispatch/fetch.go
@@ -20,13 +20,7 @@
 	if !c.engine || len(c.cachedTokens) == 0 {
 		return ""
 	}
-	held := c.cachedTokens[i]
-	if c.pool[i] == c.home {
-		// If the assumption about the home is wrong, the whole prompt is read; a transfer that was not needed costs
-		// nothing.
-		held = c.knownCachedAtHome
-	}
-	threshold := held + minFetchTokens
+	threshold := c.heldTokens(i) + minFetchTokens
 	consider := func(e *endpoint, tokens int) {
 		if tokens > threshold && !e.replaced && e.failureRate(c.now) <= maxSourceFailureRate {
 			address, threshold = e.entry.Address, tokens
@@ -45,6 +39,16 @@
 	return address
 }
 
+// heldTokens returns how many tokens of the prompt endpoint i is known to have cached.
+func (c *scoring) heldTokens(i int) int {
+	if c.pool[i] == c.home {
+		// If the assumption about the home is wrong, the whole prompt is read; a transfer that was not needed costs
+		// nothing.
+		return c.knownCachedAtHome
+	}
+	return c.cachedTokens[i]
+}
+
 // departureGrace is for how long cached parts are fetched from an engine that has left the directory: it still serves
 // what it has cached, and exits some seconds after it announced that it leaves.
 const departureGrace = 3 * time.Second
--- a/core/dispatch/scoring.go
+++ b/core/dispatch/scoring.go
@@ -49,6 +49,8 @@
 	brittle bool
 	// projectedLoad is the mean load of an endpoint if all routers send as much as this one.
 	projectedLoad float64
+	// expectation holds the expected times while overload control is active for the service, nil otherwise.
+	expectation *expectation
 }
 
 func (d *Dispatcher) scoring(q Query, pool []*endpoint, now time.Time) *scoring {
@@ -83,6 +85,9 @@
 		c.home = c.findHome()
 		c.computeCachedTokens()
 	}
+	if d.overloadControl(q.Service, now) {
+		c.expect()
+	}
 	return c
 }
 
@@ -215,6 +220,9 @@
 
 // best returns the endpoint of lowest cost among those that are not saturated, or among all when too few are left.
 func (c *scoring) best() (best *endpoint, reason Reason) {
+	if c.expectation != nil {
+		return c.bestExpected()
+	}
 	best, reason, eligible := c.lowestCost(false)
 	if c.tooFewEligible(eligible) {
 		best, reason, _ = c.lowestCost(true)
