--- a/core/completion/work.go
+++ b/core/completion/work.go
@@ -9,10 +9,14 @@
 // unknown quantities are 0.
 type Work struct {
 	// Running and Waiting are the requests at the endpoint without this one, Slots is how many it runs at once.
+	// LoadError is the standard deviation of their number if it is estimated.
 	Running, Waiting float64
+	LoadError        float64
 	Slots            int
 	// HoldTime is the mean time for which a request holds a slot of this endpoint.
 	HoldTime time.Duration
+	// UrgentShare is the share of the slots released meanwhile that more urgent requests take.
+	UrgentShare float64
 	// UnreadTokens is the number of prompt tokens that the endpoint has to read before it begins with this prompt, MissingTokens
 	// that of this prompt which it has not cached, and FetchedTokens how many of these it fetches from another endpoint.
 	UnreadTokens, MissingTokens, FetchedTokens int
@@ -40,6 +44,8 @@
 	// faster than reading it. Another endpoint does the work, so that the slowdown does not apply.
 	fetchSetup = 8 * time.Millisecond
 	fetchSpeed = 5.0
+	// maxUrgentShare leaves the least urgent requests a wait that ends.
+	maxUrgentShare = 0.95
 	// maxEstimate bounds estimates, so that sums of them do not overflow.
 	maxEstimate = float64(time.Hour)
 )
@@ -58,11 +64,21 @@
 
 // SlotWait returns how long the request waits for a slot. Slots are released evenly over the time for which requests hold them.
 func (w Work) SlotWait() time.Duration {
-	ahead := w.Running + w.Waiting + 1 - float64(w.Slots)
-	if w.Slots <= 0 || ahead <= 0 {
+	if w.Slots <= 0 {
 		return 0
 	}
-	return bounded(ahead * float64(w.HoldTime) / float64(w.Slots))
+	ahead := expectedExcess(w.Running+w.Waiting+1-float64(w.Slots), w.LoadError)
+	return bounded(ahead * float64(w.HoldTime) / (float64(w.Slots) * (1 - min(max(w.UrgentShare, 0), maxUrgentShare))))
+}
+
+// expectedExcess returns the mean of the positive part of a normally distributed number: an endpoint that is expected to have its
+// last slot free has it taken half of the time.
+func expectedExcess(mean, deviation float64) float64 {
+	if deviation <= 0 {
+		return max(mean, 0)
+	}
+	z := mean / deviation
+	return mean*(1+math.Erf(z/math.Sqrt2))/2 + deviation*math.Exp(-z*z/2)/math.Sqrt(2*math.Pi)
 }
 
 // ReadingDelay returns how long the endpoint reads other prompts first.
--- a/core/completion/work_test.go
+++ b/core/completion/work_test.go
@@ -10,7 +10,10 @@
 	"savoryfall/core/completion"
 )
 
-const ms = time.Millisecond
+const (
+	ms = time.Millisecond
+	us = time.Microsecond
+)
 
 // stream is a stream on an endpoint with nothing else to do.
 var stream = completion.Work{
@@ -29,8 +32,12 @@
 		{"running below the slots", func(w *completion.Work) { w.Running = 23 }, 45 * ms, 745 * ms},
 		{"running at the slots", func(w *completion.Work) { w.Running = 24 }, 95 * ms, 795 * ms},
 		{"waiting", func(w *completion.Work) { w.Running, w.Waiting = 24, 3 }, 245 * ms, 945 * ms},
+		{"running below the slots, estimated", func(w *completion.Work) { w.Running, w.LoadError = 23, 4 }, 124788 * us, 824788 * us},
+		{"running far below the slots, estimated", func(w *completion.Work) { w.Running, w.LoadError = 3, 4 }, 45 * ms, 745 * ms},
 		{"slots unknown", func(w *completion.Work) { w.Running, w.Slots = 24, 0 }, 45 * ms, 745 * ms},
 		{"hold time", func(w *completion.Work) { w.Running, w.HoldTime = 24, 2400*ms }, 145 * ms, 845 * ms},
+		{"more urgent", func(w *completion.Work) { w.Running, w.UrgentShare = 24, 0.75 }, 245 * ms, 945 * ms},
+		{"only more urgent", func(w *completion.Work) { w.Running, w.UrgentShare = 24, 2 }, 1045 * ms, 1745 * ms},
 		{"unread", func(w *completion.Work) { w.UnreadTokens = 5000 }, 95 * ms, 795 * ms},
 		{"cached", func(w *completion.Work) { w.MissingTokens = 0 }, 35 * ms, 735 * ms},
 		{"fetched", func(w *completion.Work) { w.MissingTokens, w.FetchedTokens = 11000, 10000 }, 73 * ms, 773 * ms},
@@ -49,8 +56,8 @@
 			w := stream
 			tc.change(&w)
 			e := w.Estimate()
-			assert.Equal(t, e.First, tc.first)
-			assert.Equal(t, e.Last, tc.last)
+			assert.Equal(t, e.First.Round(time.Microsecond), tc.first)
+			assert.Equal(t, e.Last.Round(time.Microsecond), tc.last)
 		})
 	}
 }
--- a/core/dispatch/capacity.go
+++ b/core/dispatch/capacity.go
@@ -25,8 +25,7 @@
 	if c.q.LatencyTarget <= 0 {
 		return slots * queueFactor
 	}
-	turns := float64(c.q.LatencyTarget) / (float64(c.d.plainTime(c.q.Service)) * e.slowdown(c.now))
-	turns = 1 + (turns-1)/waitMargin
+	turns := 1 + maxWaitShare*float64(c.q.LatencyTarget)/(float64(c.d.plainTime(c.q.Service))*e.slowdown(c.now))
 	return int(float64(slots) * min(max(turns, 1), maxPlainFactor))
 }
 
--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -19,9 +19,9 @@
 	tokensPerEvent = 4.0
 	// readingTerm is the time in which most of the prompts that other routers reported as unread have been read.
 	readingTerm = 200 * time.Millisecond
-	// waitMargin is the weight of the wait for a slot in an admission: it is a mean, and a request that is late half of the time
-	// is not worth its capacity.
-	waitMargin = 1.5
+	// maxWaitShare is the largest share of the latency target for which a request may be expected to wait for a slot. What waits
+	// at an endpoint can be neither reordered nor refused any more, and the wait is the least certain part of an estimate.
+	maxWaitShare = 0.25
 	// maxPlainFactor is how many times its slots a plain endpoint may be given, however patient the callers are.
 	maxPlainFactor = 4.0
 )
@@ -69,6 +69,7 @@
 	} else {
 		x.base.PlainTime = d.plainTime(q.Service)
 	}
+	x.base.UrgentShare = c.urgentShare()
 	c.expectation = x
 	x.works, x.estimates = make([]completion.Work, len(c.pool)), make([]completion.Estimate, len(c.pool))
 	for i := range c.pool {
@@ -77,6 +78,15 @@
 	}
 }
 
+// urgentShare returns the share of the released capacity that more urgent requests take.
+func (c *scoring) urgentShare() float64 {
+	f := c.d.demand(c.q.Service).forecast(c.q.Rank, c.now)
+	if f.released <= 0 {
+		return 0
+	}
+	return f.moreUrgent / f.released
+}
+
 // requestTokens returns how many tokens the endpoint holds for the request at its end.
 func (c *scoring) requestTokens() int {
 	return c.q.Prompt.Tokens() + int(tokensPerEvent*c.d.expectedEvents(c.q))
@@ -86,7 +96,7 @@
 func (c *scoring) work(i int) completion.Work {
 	e, w := c.pool[i], c.expectation.base
 	w.Slowdown = e.slowdown(c.now)
-	w.Running, w.Slots = c.loads[i], c.slotsOf(e)
+	w.Running, w.LoadError, w.Slots = c.loads[i], c.loadError(e), c.slotsOf(e)
 	if !c.engine {
 		w.HoldTime = time.Duration(float64(w.PlainTime) * w.Slowdown)
 		return w
@@ -102,6 +112,25 @@
 	return w
 }
 
+// loadError returns the standard deviation of the estimate of the requests at an endpoint: the square root of how many of the
+// others' requests are unknown.
+func (c *scoring) loadError(e *endpoint) float64 {
+	known := 0.0
+	if s, ok := e.reported(c.now); ok && s.Age <= maxReportAge {
+		known = math.Exp(-float64(s.Age) / float64(c.reportHoldTime()))
+	}
+	return math.Sqrt(c.meanLoadOfOthers() * (1 - known))
+}
+
+// meanLoadOfOthers returns the mean number of requests of other routers at an endpoint.
+func (c *scoring) meanLoadOfOthers() float64 {
+	own := 0
+	for _, e := range c.pool {
+		own += e.running
+	}
+	return max(c.meanLoad-float64(own)/float64(len(c.pool)), 0)
+}
+
 // slotsOf returns how many requests the endpoint runs at once, 0 if unknown.
 func (c *scoring) slotsOf(e *endpoint) int {
 	if e.entry.Slots > 0 {
@@ -210,7 +239,9 @@
 	if c.brittle && w.SlotWait() > 0 {
 		return false
 	}
-	e.First += time.Duration((waitMargin - 1) * float64(w.SlotWait()))
+	if target := c.q.LatencyTarget; target > 0 && float64(w.SlotWait()) > maxWaitShare*float64(target) {
+		return false
+	}
 	return e.Within(c.q.LatencyTarget, c.q.TimeLeft)
 }
 
