--- a/core/dispatch/demand.go
+++ b/core/dispatch/demand.go
@@ -43,6 +43,8 @@
 	// arrivals counts the requests, decayed with time. running are those that hold capacity, holdTime for how many
 	// seconds they do.
 	arrivals float64
+	// retrying are those of them whose clients had tried before, where overload control is active.
+	retrying float64
 	running  int
 	holdTime decayingMean
 	// others is the demand of the other routers.
@@ -74,17 +76,17 @@
 	f := math.Exp2(-float64(now.Sub(m.decayedAt)) / float64(demandHalfLife))
 	for i := range m.levels {
 		m.levels[i].arrivals *= f
+		m.levels[i].retrying *= f
 		m.levels[i].others.Came *= float32(f)
 		m.levels[i].refused *= f
 	}
 	m.decayedAt = now
 }
 
-func (m *demand) recordArrival(rank int, account string, now time.Time) {
+func (m *demand) recordArrival(rank int, now time.Time) {
 	m.decayTo(now)
 	l := m.level(rank)
 	l.arrivals++
-	l.shares.Observe(account, now)
 	l.updateFull(now)
 }
 
@@ -163,6 +165,8 @@
 	// released is the capacity that becomes free, moreUrgent the number of more urgent requests, sameRank that of the
 	// same rank.
 	released, moreUrgent, sameRank float64
+	// horizon is the planning horizon in seconds.
+	horizon float64
 }
 
 // forecast plans for all routers together: what one of many sees is mostly chance, and extrapolated to the whole fleet
@@ -172,6 +176,7 @@
 	ownOnly := now.Sub(m.othersAt) > othersMaxAge
 	meanHold := m.holdTime.lastOr(planningHorizon.Seconds())
 	horizon := min(meanHold, planningHorizon.Seconds())
+	f.horizon = horizon
 	for i := range m.levels {
 		perSecond, running := m.levels[i].totals(ownOnly)
 		holdTime := max(m.levels[i].holdTime.lastOr(meanHold), horizon)
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"savoryfall/core/accountshare"
 	"savoryfall/core/coldlimit"
 	"savoryfall/core/directory"
 	"savoryfall/core/fleetload"
@@ -46,6 +47,8 @@
 	// sent need the lock only after one.
 	withdrawals atomic.Uint64
 	overload    OverloadControl
+	shares      accountshare.Shares
+	retries     retries
 	// speedReportedAt has the services whose endpoints report the speed of their VM, and when an answer last did.
 	speedReportedAt map[string]time.Time
 }
@@ -177,7 +180,13 @@
 		return c.beginCheapest()
 	}
 	m := d.demand(q.Service)
-	m.recordArrival(q.Rank, q.Account, now)
+	m.recordArrival(q.Rank, now)
+	controlled := d.overloadControl(q.Service, now)
+	if controlled {
+		d.recordDemand(q, now)
+	} else {
+		m.level(q.Rank).shares.Observe(q.Account, now)
+	}
 	m.updateSkew(d.fleet.Size(), now)
 	reason, rejected := c.rejects()
 	if !rejected {
@@ -186,6 +195,9 @@
 	if a == nil {
 		m.recordRefusal(q.Rank, now)
 	}
+	if controlled && q.Retrying {
+		d.retries.recordReturn(a != nil)
+	}
 	return a, reason
 }
 
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -33,7 +33,7 @@
 	if left >= expected.sameRank {
 		return "", false
 	}
-	if left > 0 && c.d.randomFloat() < m.level(c.q.Rank).shares.AdmitProbability(c.q.Account, left/expected.sameRank, c.now) {
+	if left > 0 && c.d.randomFloat() < c.admitProbability(left/expected.sameRank, expected) {
 		return "", false
 	}
 	if expected.moreUrgent == 0 {
--- /dev/null
+++ b/core/retryschedule/doc.go
@@ -0,0 +1,2 @@
+// Package retryschedule spreads the retries of refused clients over the capacity that becomes free in the whole fleet.
+package retryschedule
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -84,6 +84,12 @@
 // retryAfterFull returns how long the client should wait before it retries a request to a service that is at capacity.
 func (x *exchange) retryAfterFull() time.Duration {
 	now := time.Now()
+	if x.sends == 0 {
+		q := dispatch.Query{Service: x.service, Rank: x.rank(), LatencyTarget: x.route.ResponseGoal, TimeLeft: x.deadline.Sub(now)}
+		if delay, ok := x.handler.Dispatcher.RetryAfter(q, now); ok {
+			return delay
+		}
+	}
 	full := x.handler.Dispatcher.FullFor(x.service, x.rank(), now)
 	return retryafter.Delay(full, x.route.ResponseGoal, x.deadline.Sub(now), rand.Float64())
 }
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -107,6 +107,7 @@
 	began time.Time
 	// processes finds out whether processes of endpoints have ended.
 	processes process.Checker
+	stated    statedTimes
 }
 
 // The phases of a Handler. While draining, it still serves requests, because the load balancer and open connections
