core/waitqueue, io/entry: a request may wait for a place where overload control is active

Cause: a request that met all places taken was refused at once, also if a place became free a moment later.

Change: where overload control is active for the service, such a request waits in a bounded queue of this router and chooses again when an attempt ends or new state of the fleet arrives. It joins only if the places that became free lately let it expect one in time. Where it is not active nothing changes.

Measured: the existing tests of io/entry and platform/requestpath pass. TestOperationsPageDocumentsRefusalAndCloseReasons fails as before this change: infeasible is not documented.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -155,6 +155,7 @@
 
 // End ends the attempt and returns how long it took. Only the first call has an effect.
 func (a *Attempt) End(v Verdict, now time.Time) (took time.Duration, first bool) {
+	defer func() { a.reportEnd(first, v, now) }()
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
 	if a.ended {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -48,6 +48,7 @@
 	overload    OverloadControl
 	// speedReportedAt has the services whose endpoints report the speed of their VM, and when an answer last did.
 	speedReportedAt map[string]time.Time
+	onCapacity      func(service string, freed int)
 }
 
 // New returns a dispatcher for a router of the failure domain.
@@ -73,6 +74,7 @@
 // Update sets the endpoints that may get new work. What is known of an endpoint is kept, unless its process was
 // replaced.
 func (d *Dispatcher) Update(entries []directory.Entry, now time.Time) {
+	defer d.reportChange(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	byID, pools := map[string]*endpoint{}, map[string][]*endpoint{}
@@ -133,6 +135,8 @@
 	LatencyTarget, TimeLeft time.Duration
 	// Retrying is set if the client has tried the request before.
 	Retrying bool
+	// Waited is set if an earlier choice for this attempt found no capacity. The request has been counted then.
+	Waited bool
 }
 
 // Reason is why no endpoint was chosen, or why this one was.
@@ -177,15 +181,15 @@
 		return c.beginCheapest()
 	}
 	m := d.demand(q.Service)
-	m.recordArrival(q.Rank, q.Account, now)
+	if !q.Waited {
+		m.recordArrival(q.Rank, q.Account, now)
+	}
 	m.updateSkew(d.fleet.Size(), now)
 	reason, rejected := c.rejects()
 	if !rejected {
 		a, reason = c.beginCheapest()
 	}
-	if a == nil {
-		m.recordRefusal(q.Rank, now)
-	}
+	m.recordResult(q, a != nil, now)
 	return a, reason
 }
 
--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -8,6 +8,7 @@
 // SetDrained sets the failure domains whose endpoints get no new work. When the drain of a domain ends, its endpoints
 // may just have started: they count as cold for the usual time after a start.
 func (d *Dispatcher) SetDrained(domains []string, now time.Time) {
+	defer d.reportChange(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, e := range d.byID {
--- a/core/dispatch/exchange.go
+++ b/core/dispatch/exchange.go
@@ -33,6 +33,7 @@
 
 // SetFleetWorkload sets the work of all routers together, of which own is what this router had reported.
 func (d *Dispatcher) SetFleetWorkload(total, own fleetload.Workload, now time.Time) {
+	defer d.reportChange(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.othersAt = now
--- a/core/dispatch/fleetstate.go
+++ b/core/dispatch/fleetstate.go
@@ -17,6 +17,7 @@
 
 // SetFleetState sets what all routers together know, of which own is what this router had reported.
 func (d *Dispatcher) SetFleetState(t fleetstate.Totals, own fleetstate.Report, now time.Time) {
+	defer d.reportChange(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.setEndpointStates(t.Endpoints, own.Endpoints, now)
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -105,6 +105,8 @@
 	Taken Name = "taken"
 	// Places is the number of slots and queue positions.
 	Places Name = "places"
+	// WaitedMs is how long the request waited in this router for a place at an endpoint.
+	WaitedMs Name = "waitedMs"
 	// LoadsAgeMs is the age of the load data of the other routers.
 	LoadsAgeMs Name = "loadsAgeMs"
 )
--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// writeServiceGauges writes three metrics for each service of the configuration: this router's remaining retries, the
-// service's admission limit (places), and how much of the limit is in use.
+// writeServiceGauges writes metrics for each service of the configuration: this router's remaining retries, the service's
+// admission limit (places), how much of the limit is in use, and, with overload control, the requests that wait for a place.
 func (vm *entryVM) writeServiceGauges(w io.Writer) {
 	t := vm.configTracker.Current()
 	if t == nil {
@@ -90,5 +90,10 @@
 		} {
 			metrics.WriteGaugeFloat64(w, fmt.Sprintf("%s{service=%q}", metric, name), value)
 		}
+		if vm.dispatcher.OverloadControl(name, now) {
+			waiting, oldest := vm.handler.Waiting(name)
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("savoryfall_waiting{service=%q}", name), uint64(waiting))
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf("savoryfall_waiting_oldest_seconds{service=%q}", name), oldest.Seconds())
+		}
 	}
 }
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -139,6 +139,9 @@
 	vm.dispatcher.SetColdBound(coldlimit.Bound{RateFactor: cfg.Cold().Overrun(), Slack: cfg.Cold().Slack()})
 	vm.dispatcher.SetDrainFetchTerm(cfg.DrainedWithin() / 2)
 	vm.dispatcher.SetOverloadControl(overloadControl(cfg))
+	if vm.handler != nil {
+		vm.handler.SetWaitLimits(cfg.OverloadControl().MaxWait(), cfg.OverloadControl().MaxWaiting())
+	}
 	vm.limits.Store(&retrylimit.Limits{
 		Ratio: cfg.Retries().Ratio(), Slack: cfg.Retries().Slack(), Window: cfg.Retries().Window(),
 	})
@@ -254,6 +257,7 @@
 		ClientProtocol: clientapi.Codec{}, EndpointProtocol: endpointapi.Codec{}, Configuration: vm.configTracker, Lease: &vm.lease,
 		Endpoints: vm.endpoints, Origins: &vm.origins, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: pool, Connections: vm.connector, Quarantine: &vm.quarantine, Dial: vm.dialEndpoint, Tracer: tracer,
 		Metrics: entry.NewMetrics(vm.metricSet), Logger: vm.logger, Clock: bootclock.Now,
+		MaxWait: vm.settings.OverloadControl().MaxWait(), MaxWaiting: vm.settings.OverloadControl().MaxWaiting(),
 	})
 	vm.clientServer, err = entry.NewServer(vm.settings.ClientAddress(), vm.handler)
 	if err != nil {
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -39,6 +39,9 @@
 // recordFirstBytes records the first bytes of the response and the load reported in its header.
 func (x *exchange) recordFirstBytes(a *attempt) {
 	now := time.Now()
+	if !a.reply.NotExecuted {
+		x.handler.waiters.recordStart(x.service, now.Sub(a.Began()))
+	}
 	a.RecordFirstBytes(dispatch.Load{
 		Running: a.reply.Running, Waiting: a.reply.Waiting, Slots: a.reply.Slots, Slowdown: a.reply.Slowdown, Known: a.reply.HasLoad,
 	}, now)
@@ -49,19 +52,30 @@
 // arrives.
 const responseSlack = 40 * time.Millisecond
 
-// chooseEndpoint selects the endpoint for the next attempt. If there is none, the problem gives the reason.
-func (x *exchange) chooseEndpoint() (a *attempt, p *request.Problem) {
-	q := dispatch.Query{
+// query describes the request for the choice of its endpoint.
+func (x *exchange) query() dispatch.Query {
+	return dispatch.Query{
 		Service: x.service, Prompt: x.request.Prompt, Rank: x.rank(), Account: x.accountName(), Tried: x.tried, Origin: x.preferredOrigin(),
 		Spread: x.suspected(), Kind: x.route.Name, LengthHint: x.request.LengthHint, LatencyTarget: x.route.ResponseGoal,
-		TimeLeft: time.Until(x.deadline), Retrying: x.retrying(),
+		TimeLeft: time.Until(x.deadline), Retrying: x.retrying(), Waited: x.hasWaited,
 	}
+}
+
+// chooseEndpoint selects the endpoint for the next attempt, for which the request may wait. If there is none, the problem gives the
+// reason.
+func (x *exchange) chooseEndpoint() (a *attempt, p *request.Problem) {
+	q := x.query()
 	d, reason := x.handler.Dispatcher.Choose(q, time.Now())
 	if d == nil && q.Origin != x.origin.Load() {
 		q.Origin = nil
 		d, reason = x.handler.Dispatcher.Choose(q, time.Now())
 	}
+	if d == nil && x.mayWait(reason) {
+		d, reason, p = x.wait(reason)
+	}
 	switch {
+	case p != nil:
+		return nil, p
 	case d != nil:
 		ctx, cancel := context.WithCancel(x.ctx)
 		return &attempt{Attempt: d, ctx: ctx, cancel: cancel}, nil
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -61,6 +61,9 @@
 	quarantined quarantine.Status
 	// lostConnection is set if an attempt has ended without the complete response.
 	lostConnection bool
+	// hasWaited is set if the request has waited for a place, and waited is for how long.
+	hasWaited bool
+	waited    time.Duration
 }
 
 // serve processes the request: it decodes it, checks whether it may be served, reads the body, and forwards it to
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -97,6 +97,10 @@
 	Logger  log.Logger
 	// Clock returns the time since boot, including time in which the VM was suspended.
 	Clock func() time.Duration
+	// MaxWait is how long a request may wait for a place where overload control is active, and MaxWaiting how many may wait.
+	// With either at 0 none may.
+	MaxWait    time.Duration
+	MaxWaiting int
 }
 
 // Handler is the HTTP handler for client requests.
@@ -107,6 +111,7 @@
 	began time.Time
 	// processes finds out whether processes of endpoints have ended.
 	processes process.Checker
+	waiters   waiters
 }
 
 // The phases of a Handler. While draining, it still serves requests, because the load balancer and open connections
@@ -125,7 +130,10 @@
 	if c.Dial == nil {
 		c.Dial = http1.DialTCP
 	}
-	return &Handler{Config: c, began: time.Now()}
+	h := &Handler{Config: c, began: time.Now()}
+	h.SetWaitLimits(c.MaxWait, c.MaxWaiting)
+	c.Dispatcher.SetOnCapacity(h.waiters.onCapacity)
+	return h
 }
 
 const (
@@ -160,8 +168,11 @@
 // response.
 func (h *Handler) SetUnready() { h.phase.CompareAndSwap(phaseServing, phaseDraining) }
 
-// RefuseNew refuses further requests.
-func (h *Handler) RefuseNew() { h.phase.Store(phaseRefusing) }
+// RefuseNew refuses further requests, and those that wait for a place.
+func (h *Handler) RefuseNew() {
+	h.phase.Store(phaseRefusing)
+	h.waiters.close()
+}
 
 // ActiveRequests returns the number of requests in progress.
 func (h *Handler) ActiveRequests() int64 { return h.open.Load() }
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -71,9 +71,11 @@
 
 func (x *exchange) recordServed(status int) {
 	x.handler.Metrics.recordServed(x.kind(), status, time.Since(x.began))
-	if x.sends > 1 {
-		_ = x.handler.Logger.Log(field.Event, event.RequestServed, field.Request, x.request.ID, field.Route, x.routeName(), field.Status, status,
-			field.Sends, x.sends, field.Endpoints, x.endpoints(), field.Software, strings.Join(x.software, ","), field.Version, x.version(), field.Ms, time.Since(x.began).Milliseconds())
+	if x.sends > 1 || x.hasWaited {
+		_ = x.handler.Logger.Log(append([]any{
+			field.Event, event.RequestServed, field.Request, x.request.ID, field.Route, x.routeName(), field.Status, status,
+			field.Sends, x.sends, field.Endpoints, x.endpoints(), field.Software, strings.Join(x.software, ","), field.Version, x.version(), field.Ms, time.Since(x.began).Milliseconds(),
+		}, x.waitFields()...)...)
 	}
 	if status >= http.StatusInternalServerError {
 		_ = x.handler.Logger.Log(field.Event, event.RequestFailed, field.Request, x.request.ID, field.Route, x.routeName(), field.Status, status,
@@ -100,6 +102,7 @@
 	if p.Reason == request.Quarantined {
 		line = append(line, QuarantineFields(x.quarantined)...)
 	}
+	line = append(line, x.waitFields()...)
 	line = append(line, x.resumedFields()...)
 	if x.conn != nil && x.conn.CloseReason() != "" {
 		line = append(line, x.conn.LogFields()...)
