--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -30,6 +30,10 @@
 	vm.metricSet.NewGauge("savoryfall_routers", func() float64 { return float64(vm.routers.Load()) })
 	vm.registerDispatchGauges()
 	vm.metricSet.NewGauge("savoryfall_open_requests", func() float64 { return float64(vm.handler.ActiveRequests()) })
+	vm.metricSet.NewGauge("savoryfall_waiting_limit", func() float64 {
+		_, maxWaiting := vm.handler.WaitLimits()
+		return float64(maxWaiting)
+	})
 	vm.metricSet.NewGauge("savoryfall_connections_made", func() float64 { return float64(vm.handler.Pool.ConnectionsOpened()) })
 	vm.metricSet.NewGauge("savoryfall_stream_origins", func() float64 { return float64(vm.origins.Records()) })
 	for name, count := range map[string]func(parts, requests quarantine.Counts) int{
--- a/io/entry/wait.go
+++ b/io/entry/wait.go
@@ -20,6 +20,13 @@
 	return h.waiters.count(service, time.Now())
 }
 
+// WaitLimits returns how long a request may wait for a place, and how many may wait.
+func (h *Handler) WaitLimits() (maxWait time.Duration, maxWaiting int) {
+	h.waiters.mu.Lock()
+	defer h.waiters.mu.Unlock()
+	return h.waiters.limits.MaxWait, h.waiters.limits.MaxWaiting
+}
+
 // mayWait reports whether a request that was not given an endpoint may wait for one: its first attempt, where capacity is missing
 // and overload control is active.
 func (x *exchange) mayWait(reason dispatch.Reason) bool {
