--- a/core/dispatch/accountdemand.go
+++ b/core/dispatch/accountdemand.go
@@ -46,8 +46,12 @@
 	d.shares.SetFleet(total, own, now.Add(d.overload.reportTerm()))
 }
 
-// recordDemand records a request to a service for which overload control is active.
-func (d *Dispatcher) recordDemand(q Query, now time.Time) {
+// recordDemand records a request. controlled is set if overload control is active for its service.
+func (d *Dispatcher) recordDemand(q Query, controlled bool, now time.Time) {
+	if !controlled {
+		d.demand(q.Service).level(q.Rank).shares.Observe(q.Account, now)
+		return
+	}
 	d.shares.Observe(serviceHash(q.Service), q.Rank, q.Account, now)
 	if q.Retrying {
 		d.demand(q.Service).level(q.Rank).retrying++
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -53,6 +53,7 @@
 	speedReportedAt map[string]time.Time
 	// times has what the work of each service takes.
 	times map[string]*serviceTimes
+	onCapacity      func(service string, freed int)
 }
 
 // New returns a dispatcher for a router of the failure domain.
@@ -78,6 +79,7 @@
 // Update sets the endpoints that may get new work. What is known of an endpoint is kept, unless its process was
 // replaced.
 func (d *Dispatcher) Update(entries []directory.Entry, now time.Time) {
+	defer d.reportChange(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	byID, pools := map[string]*endpoint{}, map[string][]*endpoint{}
@@ -138,6 +140,8 @@
 	LatencyTarget, TimeLeft time.Duration
 	// Retrying is set if the client has tried the request before.
 	Retrying bool
+	// Waited is set if an earlier choice for this attempt found no capacity. The request has been counted then.
+	Waited bool
 }
 
 // Reason is why no endpoint was chosen, or why this one was.
@@ -182,21 +186,17 @@
 		return c.beginCheapest()
 	}
 	m := d.demand(q.Service)
-	m.recordArrival(q.Rank, now)
 	controlled := d.overloadControl(q.Service, now)
-	if controlled {
-		d.recordDemand(q, now)
-	} else {
-		m.level(q.Rank).shares.Observe(q.Account, now)
+	if !q.Waited {
+		m.recordArrival(q.Rank, now)
+		d.recordDemand(q, controlled, now)
 	}
 	m.updateSkew(d.fleet.Size(), now)
 	reason, rejected := c.rejects()
 	if !rejected {
 		a, reason = c.beginCheapest()
 	}
-	if a == nil {
-		m.recordRefusal(q.Rank, now)
-	}
+	m.recordResult(q, a != nil, now)
 	if controlled && q.Retrying {
 		d.retries.recordReturn(a != nil)
 	}
--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -30,6 +30,10 @@
 	vm.metricSet.NewGauge("savoryfall_routers", func() float64 { return float64(vm.routers.Load()) })
 	vm.registerDispatchGauges()
 	vm.metricSet.NewGauge("savoryfall_open_requests", func() float64 { return float64(vm.handler.ActiveRequests()) })
+	vm.metricSet.NewGauge("savoryfall_waiting_limit", func() float64 {
+		_, maxWaiting := vm.handler.WaitLimits()
+		return float64(maxWaiting)
+	})
 	vm.metricSet.NewGauge("savoryfall_connections_made", func() float64 { return float64(vm.handler.Pool.ConnectionsOpened()) })
 	vm.metricSet.NewGauge("savoryfall_stream_origins", func() float64 { return float64(vm.origins.Records()) })
 	for name, count := range map[string]func(parts, requests quarantine.Counts) int{
@@ -91,8 +95,8 @@
 	}
 }
 
-// writeServiceGauges writes three metrics for each service of the configuration: this router's remaining retries, the
-// service's admission limit (places), and how much of the limit is in use.
+// writeServiceGauges writes metrics for each service of the configuration: this router's remaining retries, the service's
+// admission limit (places), how much of the limit is in use, and, with overload control, the requests that wait for a place.
 func (vm *entryVM) writeServiceGauges(w io.Writer) {
 	t := vm.configTracker.Current()
 	if t == nil {
@@ -107,5 +111,10 @@
 		} {
 			metrics.WriteGaugeFloat64(w, fmt.Sprintf("%s{service=%q}", metric, name), value)
 		}
+		if vm.dispatcher.OverloadControl(name, now) {
+			waiting, oldest := vm.handler.Waiting(name)
+			metrics.WriteGaugeUint64(w, fmt.Sprintf("savoryfall_waiting{service=%q}", name), uint64(waiting))
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf("savoryfall_waiting_oldest_seconds{service=%q}", name), oldest.Seconds())
+		}
 	}
 }
