core/dispatch, io/entry: speed and load of each endpoint, length of each answer

Cause: a router knows an endpoint's speed and load only by what its own requests there do; answers report both, and other routers have newer ones.

Change: while overload control is active for a service, each endpoint has a speed.Tracker and its newest load report, from an answer to this router or another one. Work is what the router sees anyway: pauses between the events of a stream, and plain answers whose load header reports free slots, compared with the median of the service; a pause in which this router wrote to a slow client does not count. A report is as old as the header of its answer. The lengths of completely served streams are learned. Unreadable load headers, invalid hints and distrusted reports are counted; a log line tells of an endpoint whose speed has changed, at most one a minute each. The steps by which times at ease are learned are smaller: a few streams of one endpoint in a row moved the median by 19%. RecordEvents takes the place of RecordProgress.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -21,6 +21,12 @@
 	limited bool
 	// withdrawals is the dispatcher's count when the endpoint was chosen.
 	withdrawals uint64
+	// heldTokens is what the attempt counts for in the endpoint's memory.
+	heldTokens int
+	// lastEventAt is when the newest events of a stream arrived, zero if the pause until the next ones is not to be measured.
+	lastEventAt time.Time
+	// freeSlots is set if the endpoint reported with the answer that it had free slots.
+	freeSlots bool
 }
 
 // Load is the load that an endpoint reports in an answer.
@@ -30,6 +36,8 @@
 	// Slowdown is the factor by which work on the endpoint's VM takes longer than usual, 0 if it does not say.
 	Slowdown float64
 	Known    bool
+	// At is when the header of the answer arrived, zero if it arrived with the first bytes of the body.
+	At time.Time
 }
 
 // Verdict is how an attempt ended.
@@ -78,6 +86,9 @@
 		d.cachedTokens += uint64(c.totalTokens - missingTokens)
 		d.recordRead(q, e)
 	}
+	if c.engine {
+		a.holdTokens(now)
+	}
 	return a
 }
 
@@ -113,6 +124,7 @@
 	if l.Known && l.Slowdown > 0 {
 		a.d.recordSpeedReport(a.q.Service, now)
 	}
+	a.recordReport(l, now)
 	a.finishReading()
 	took := now.Sub(a.began)
 	if len(a.q.Prompt) == 0 {
@@ -127,13 +139,6 @@
 	a.unreadTokens = 0
 }
 
-// RecordProgress records that further bytes of a stream arrived.
-func (a *Attempt) RecordProgress(now time.Time) {
-	a.d.mu.Lock()
-	defer a.d.mu.Unlock()
-	a.e.lastBytesAt = now
-}
-
 // SilentFor returns how long the endpoint has sent this router nothing on any of its requests.
 func (a *Attempt) SilentFor(now time.Time) time.Duration {
 	a.d.mu.Lock()
@@ -170,6 +175,7 @@
 	}
 	a.d.demand(a.q.Service).ended(a.q.Rank, v, took, now)
 	a.finishReading()
+	a.releaseTokens()
 	if v == Abandoned || v == Withdrawn {
 		return took, true
 	}
@@ -179,6 +185,7 @@
 	a.e.failures.add(failureWeights[v], max(failureWeights[v], 1), now)
 	if v == Served && len(a.q.Prompt) == 0 {
 		a.e.latency.add(float64(took)/float64(time.Millisecond), now)
+		a.observeAnswer(took, now)
 	}
 	return took, true
 }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -11,6 +11,7 @@
 	"savoryfall/core/directory"
 	"savoryfall/core/fleetload"
 	"savoryfall/core/origin"
+	"savoryfall/core/outputlength"
 	"savoryfall/core/prompt"
 	"savoryfall/core/routetable"
 )
@@ -50,6 +51,10 @@
 	speedReportedAt map[string]time.Time
 	// times has what the work of each service takes.
 	times map[string]*serviceTimes
+	// lengths has how many events answers have.
+	lengths outputlength.Predictor
+	// distrustedReports counts how many times the reports of an endpoint's speed have become distrusted.
+	distrustedReports uint64
 }
 
 // New returns a dispatcher for a router of the failure domain.
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -49,6 +49,7 @@
 	cold  warmup
 	// departedAt is when the directory stopped listing the endpoint.
 	departedAt time.Time
+	state      endpointState
 }
 
 func newEndpoint(entry directory.Entry) *endpoint {
--- a/core/dispatch/metrics.go
+++ b/core/dispatch/metrics.go
@@ -21,17 +21,25 @@
 	FullFor time.Duration
 	// LoadReportAge is the time since the hub last reported the other routers' loads.
 	LoadReportAge time.Duration
+	// Slow is how many endpoints are believed to be slower than slowThreshold.
+	Slow int
+	// DistrustedReports counts how many times the reports of an endpoint's speed have become distrusted.
+	DistrustedReports uint64
 }
 
 // failingThreshold is the failure rate from which an endpoint counts as failing.
 const failingThreshold = 0.25
 
+// slowThreshold is the factor from which an endpoint counts as slow.
+const slowThreshold = 1.5
+
 // CurrentMetrics returns the current metrics.
 func (d *Dispatcher) CurrentMetrics(now time.Time) (m Metrics) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m.PromptTokens, m.CachedTokens, m.Endpoints = d.promptTokens, d.cachedTokens, len(d.byID)
 	m.LoadReportAge = d.loadReportAge(now)
+	m.DistrustedReports = d.distrustedReports
 	for _, pool := range d.pools {
 		m.MaxOverMean = max(m.MaxOverMean, maxOverMean(pool, now))
 		for _, e := range pool {
@@ -44,6 +52,9 @@
 			if e.pause.active(now) {
 				m.Paused++
 			}
+			if e.slowdown(now) >= slowThreshold {
+				m.Slow++
+			}
 		}
 	}
 	for _, asked := range d.demands {
--- a/core/dispatch/servicetimes.go
+++ b/core/dispatch/servicetimes.go
@@ -78,8 +78,8 @@
 	values int
 }
 
-// minQuantileStep is the least relative change by a value: some hundred values decide.
-const minQuantileStep = 0.02
+// minQuantileStep is the least relative change by a value: the hundred values of a few streams at one endpoint change little.
+const minQuantileStep = 0.004
 
 func (q *quantile) add(d time.Duration, fraction float64) {
 	if d <= 0 {
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -15,6 +15,7 @@
 	EndpointLeaving         Name = "endpointLeaving"
 	EndpointPaused          Name = "endpointPaused"
 	EndpointResumed         Name = "endpointResumed"
+	EndpointSpeed           Name = "endpointSpeed"
 	EndpointUsable          Name = "endpointUsable"
 	EntryColdUnreadable     Name = "entryColdUnreadable"
 	EntryUnreadable         Name = "entryUnreadable"
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -121,6 +121,18 @@
 	Ready Name = "ready"
 )
 
+// Fields of the speed that a router believes an endpoint to have.
+const (
+	// Factor is by how much longer than usual work is expected to take at the endpoint now.
+	Factor Name = "factor"
+	// Lasting is the part of the factor that does not depend on what the endpoint reports.
+	Lasting Name = "lasting"
+	// AgeMs is the time since the newest report or work of the endpoint.
+	AgeMs Name = "ageMs"
+	// Distrusted tells whether the reports of the endpoint have become distrusted.
+	Distrusted Name = "distrusted"
+)
+
 // Fields of a client connection that has ended.
 const (
 	// Ended is who ended the connection, a clientconn.CloseReason.
--- a/core/speed/tracker.go
+++ b/core/speed/tracker.go
@@ -66,7 +66,7 @@
 		}
 		weight = teachingWeight(age)
 	}
-	t.work.add(math.Log(measured/t.passing(at)), weight, at)
+	t.work.add(math.Log(measured/t.Passing(at)), weight, at)
 }
 
 // ObserveLasting takes the lasting factor that another observer of the endpoint has learned. It counts like one observation of work.
@@ -96,10 +96,11 @@
 	return true
 }
 
-// distrust forgets the reports and ignores them for some time.
+// distrust forgets the reports and ignores them for some time. After that the next contradiction makes them distrusted again, unless
+// work has agreed with them before.
 func (t *Tracker) distrust(at time.Time) {
 	t.distrusts++
-	t.contradictions = 0
+	t.contradictions = maxContradictions - 1
 	t.reports = timeMean{}
 	t.distrustedUntil = at.Add(distrustTime)
 }
@@ -118,8 +119,8 @@
 	return max(1-max(float64(age), 0)/float64(reportTerm), 0)
 }
 
-// passing returns the factor that the reports let expect.
-func (t *Tracker) passing(now time.Time) float64 {
+// Passing returns the part of the factor that follows from the reports.
+func (t *Tracker) Passing(now time.Time) float64 {
 	age := now.Sub(t.reportedAt)
 	if t.reportedAt.IsZero() || age >= forgetTime || t.Distrusted(now) {
 		return 1
@@ -130,7 +131,7 @@
 
 // Factor returns by which factor work is expected to take longer than usual now.
 func (t *Tracker) Factor(now time.Time) float64 {
-	return bounded(t.work.expected(now) * t.passing(now))
+	return bounded(t.work.expected(now) * t.Passing(now))
 }
 
 // Lasting returns the part of the factor that does not depend on the reports.
--- a/core/speed/tracker_test.go
+++ b/core/speed/tracker_test.go
@@ -147,6 +147,19 @@
 	}
 }
 
+// Guards against reports that are believed for eight more answers each time the distrust ends, and against distrust of an endpoint that
+// no longer lies.
+func TestNextContradictionRenewsDistrust(t *testing.T) {
+	var s speed.Tracker
+	now := work(&s, 100, 1, 1, start)
+	now = work(&s, 8, 1, 10, now.Add(time.Second)).Add(10 * time.Second)
+	now = work(&s, 1, 1, 10, now)
+	assert.Equal(t, s.Distrusts(), 2)
+	now = work(&s, 1, 1, 1, now.Add(10*time.Second))
+	work(&s, 7, 1, 10, now.Add(time.Second))
+	assert.Equal(t, s.Distrusts(), 2)
+}
+
 // Guards against distrust of an endpoint whose many streams slow down by five before it has reported that, or end late after it is over.
 func TestChangeOfSpeedIsNoContradiction(t *testing.T) {
 	var s speed.Tracker
--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -67,6 +67,8 @@
 		"savoryfall_endpoints_failing":        func(m dispatch.Metrics) float64 { return float64(m.Failing) },
 		"savoryfall_endpoints_silent":         func(m dispatch.Metrics) float64 { return float64(m.Silent) },
 		"savoryfall_endpoints_paused":         func(m dispatch.Metrics) float64 { return float64(m.Paused) },
+		"savoryfall_endpoints_slow":           func(m dispatch.Metrics) float64 { return float64(m.Slow) },
+		"savoryfall_distrusted_reports_total": func(m dispatch.Metrics) float64 { return float64(m.DistrustedReports) },
 		"savoryfall_full_for_seconds":         func(m dispatch.Metrics) float64 { return m.FullFor.Seconds() },
 		"savoryfall_load_view_age_seconds":    func(m dispatch.Metrics) float64 { return m.LoadReportAge.Seconds() },
 	} {
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -24,6 +24,8 @@
 	*dispatch.Attempt
 	response *http1.Response
 	reply    request.EndpointResponse
+	// repliedAt is when the header of the response arrived.
+	repliedAt time.Time
 	// ctx is done when the request's context is done or cancel is called. cancel may be called from any goroutine.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -41,6 +43,7 @@
 	now := time.Now()
 	a.RecordFirstBytes(dispatch.Load{
 		Running: a.reply.Running, Waiting: a.reply.Waiting, Slots: a.reply.Slots, Slowdown: a.reply.Slowdown, Known: a.reply.HasLoad,
+		At: a.repliedAt,
 	}, now)
 	x.recordAlive(a, now)
 }
@@ -120,7 +123,10 @@
 	if err != nil {
 		return err
 	}
-	a.reply = x.handler.EndpointProtocol.Decode(a.response.Status, a.response.Header)
+	a.reply, a.repliedAt = x.handler.EndpointProtocol.Decode(a.response.Status, a.response.Header), time.Now()
+	if a.reply.InvalidLoad {
+		x.handler.Metrics.recordInvalidLoad(x.service)
+	}
 	x.recordAnnouncements(a)
 	return nil
 }
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -95,6 +95,9 @@
 	if err != nil {
 		return request.NotRun(request.Malformed, 0)
 	}
+	if req.InvalidHint {
+		x.handler.Metrics.recordInvalidHint()
+	}
 	return nil
 }
 
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -146,6 +147,16 @@
 	}
 }
 
+// logSpeeds logs the endpoints of which this router believes another speed than before, and those whose reports it distrusts.
+func (h *Handler) logSpeeds(now time.Time) {
+	for _, s := range h.Dispatcher.SpeedNotices(now) {
+		_ = h.Logger.Log(field.Event, event.EndpointSpeed, field.Endpoint, s.Endpoint.ID, field.Service, s.Endpoint.Service, field.Born, s.Endpoint.Born,
+			field.Factor, rounded(s.Factor), field.Lasting, rounded(s.Lasting), field.AgeMs, s.Age.Milliseconds(), field.Distrusted, s.Distrusted)
+	}
+}
+
+func rounded(factor float64) string { return strconv.FormatFloat(factor, 'f', 2, 64) }
+
 // awaitConfiguration delays a request while a process that has just started has no configuration. Routers that restart
 // together receive requests before any of them has one. Clients that were told to retry were then served late, or used
 // their last attempt on another router that had no configuration either.
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -41,6 +41,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_answers_broken_total{service=%q,state=%q}`, service, s)).Inc()
 }
 
+// recordInvalidLoad counts an answer of the service with a load that cannot be read.
+func (m *Metrics) recordInvalidLoad(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_load_reports_invalid_total{service=%q}`, service)).Inc()
+}
+
+// recordInvalidHint counts a request with an estimate of its output that is no positive number.
+func (m *Metrics) recordInvalidHint() {
+	m.set.GetOrCreateCounter("savoryfall_length_hints_invalid_total").Inc()
+}
+
 func (m *Metrics) recordFirstEvent(kind string, took time.Duration) {
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`savoryfall_first_event_seconds{kind=%q}`, kind)).Update(took.Seconds())
 }
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -83,6 +83,7 @@
 func (s *Server) sweep(now time.Time) {
 	s.handler.Pool.Sweep(now)
 	s.handler.logEndedPauses(now)
+	s.handler.logSpeeds(now)
 	s.conns.Sweep(now)
 }
 
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -19,8 +19,10 @@
 	hasLast       bool
 	lastEvent     string
 	headerWritten bool
-	flusher       http.Flusher
-	buf           []byte
+	// written is the number of events that the client got.
+	written int
+	flusher http.Flusher
+	buf     []byte
 }
 
 // forwardStream handles a request whose response is a stream of events.
@@ -156,10 +158,20 @@
 	}
 	s.writeHeader(a)
 	x.finishAttempt(a, dispatch.Served)
+	x.recordOutput(s.written)
 	x.recordServed(http.StatusOK)
 	return true, nil
 }
 
+// recordOutput records the length of an answer that the client got from its beginning to its end.
+func (x *exchange) recordOutput(events int) {
+	if x.request.ResumesStream() {
+		return
+	}
+	q := dispatch.Query{Service: x.service, Kind: x.route.Name, LengthHint: x.request.LengthHint}
+	x.handler.Dispatcher.RecordOutput(q, events, time.Now())
+}
+
 // writeHeader sends the header of the first attempt that has events. Later attempts continue the same response.
 func (s *relay) writeHeader(a *attempt) {
 	if s.headerWritten {
@@ -184,7 +196,8 @@
 	if !ok {
 		return false
 	}
-	a.RecordProgress(time.Now())
+	now := time.Now()
+	a.RecordEvents(len(events), now)
 	s.x.countEvents(a, len(events))
 	wrote := false
 	for _, e := range events {
@@ -200,6 +213,7 @@
 			return false
 		}
 		wrote = true
+		s.written++
 		if e.HasID {
 			s.lastID, s.hasLast = e.ID, true
 			s.lastEvent = strconv.FormatInt(e.ID, 10)
@@ -208,5 +222,11 @@
 	if wrote && s.flusher != nil {
 		s.flusher.Flush()
 	}
+	if time.Since(now) > maxWriteTime {
+		a.RecordDelay()
+	}
 	return true
 }
+
+// maxWriteTime is the time to write events beyond which the pause until the next ones shows the client's speed and not the endpoint's.
+const maxWriteTime = 5 * time.Millisecond
