core/speed, core/dispatch: tests of long pauses, a common slowdown and reports from the future

Cause: three changes of the code passed all tests: a report of another router with a negative age was in the way of newer ones, long pauses counted in full, and the median of the service was not corrected by the reported slowdown.

The tests pass with -race.

--- a/core/dispatch/endpointstate_test.go
+++ b/core/dispatch/endpointstate_test.go
@@ -114,6 +114,21 @@
 	assertNear(t, float64(d.eventTime(testModels))/float64(testEvent), 1, 0.1)
 }
 
+// Guards against a slowdown of all engines that looks like the usual speed, since each is compared with the others.
+func TestCommonSlowdownIsExpected(t *testing.T) {
+	d := newStateDispatcher()
+	now := runEngines(d, 30, func(int) engineRun { return engineRun{1, 1} }, testStart)
+	now = runEngines(d, 60, func(int) engineRun { return engineRun{2.5, 2.5} }, now)
+	for i := range 4 {
+		id := fmt.Sprint(testModels, i)
+		attemptAt(d, id, Query{}, now).RecordFirstBytes(Load{Running: 1, Slots: testSlots, Slowdown: 2.5, Known: true}, now)
+		s, _ := d.EndpointSpeed(id, now)
+		assertNear(t, s.Lasting, 1, 0.1)
+		assertNear(t, s.Factor, 2.5, 0.3)
+	}
+	assertNear(t, float64(d.eventTime(testModels))/float64(testEvent), 1, 0.1)
+}
+
 // Guards against a report that is wrong by a factor of ten either way and changes what is expected of other engines, or is not found out.
 func TestLyingReportChangesOnlyItsEndpoint(t *testing.T) {
 	for _, lie := range []float64{0.1, 10} {
@@ -278,6 +293,10 @@
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, s, fleetstate.EndpointState{Endpoint: e.shortHash()})
 	assert.Equal(t, e.slowdown(testStart), 1.0)
+	now := testStart.Add(time.Second)
+	attemptAt(d, "models0", Query{}, now).RecordFirstBytes(Load{Running: 3, Slots: testSlots, Known: true}, now)
+	s, _ = e.reported(now)
+	assert.Equal(t, s.Running, 3, "a report from the future must not be in the way of newer ones")
 }
 
 // Guards against a report that is as old as the header of its answer and counts as new when the first event arrives.
--- a/core/speed/tracker_test.go
+++ b/core/speed/tracker_test.go
@@ -95,7 +95,9 @@
 	var s speed.Tracker
 	now := start
 	for range 40 {
-		now = work(&s, 19, 1.3, 1, now)
+		now = work(&s, 9, 1.3, 1, now)
+		s.ObserveWork(times(1.3*3.8), usual, now)
+		now = work(&s, 10, 1.3, 1, now)
 		s.ObserveWork(times(20), usual, now)
 	}
 	near(t, s.Lasting(), 1.3, 0.08)
