core/dispatch, io/entry: speed of endpoints and length of outputs join the estimates

Change: the state of an endpoint and the tokens held are those of the tracker of speeds; a stream that is read ahead teaches no pauses.

--- a/core/dispatch/accountdemand.go
+++ b/core/dispatch/accountdemand.go
@@ -40,7 +40,9 @@
 	return d.shares.Top(n, now)
 }
 
-func (d *Dispatcher) ownAccountDemands(now time.Time) []fleetstate.AccountDemand { return d.shares.Own(now) }
+func (d *Dispatcher) ownAccountDemands(now time.Time) []fleetstate.AccountDemand {
+	return d.shares.Own(now)
+}
 
 func (d *Dispatcher) setAccountDemands(total, own []fleetstate.AccountDemand, now time.Time) {
 	d.shares.SetFleet(total, own, now.Add(d.overload.reportTerm()))
--- a/core/dispatch/accountsurge_test.go
+++ b/core/dispatch/accountsurge_test.go
@@ -205,7 +205,9 @@
 	for _, r := range rates {
 		total += r
 	}
-	next := func() time.Time { return s.now.Add(time.Duration(s.random.ExpFloat64() / total * float64(time.Second))) }
+	next := func() time.Time {
+		return s.now.Add(time.Duration(s.random.ExpFloat64() / total * float64(time.Second)))
+	}
 	arrival := next()
 	for end := s.now.Add(d); s.now.Before(end); {
 		c := call{at: arrival}
--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -23,13 +23,18 @@
 	// limited is set while the attempt counts as unanswered at an endpoint that has just ended a pause.
 	limited bool
 	// controlled is set if overload control was active when the endpoint was chosen, expected is then when events were expected,
-	// slowdown by which factor the endpoint's work was expected to take longer, and heldTokens what it holds for the request.
+	// and slowdown by which factor the endpoint's work was expected to take longer.
 	controlled bool
 	expected   completion.Estimate
 	slowdown   float64
-	heldTokens int
 	// withdrawals is the dispatcher's count when the endpoint was chosen.
 	withdrawals uint64
+	// heldTokens is what the attempt counts for in the endpoint's memory.
+	heldTokens int
+	// lastEventAt is when the newest events of a stream arrived, zero if the pause until the next ones is not to be measured.
+	lastEventAt time.Time
+	// freeSlots is set if the endpoint reported with the answer that it had free slots.
+	freeSlots bool
 }
 
 // Load is the load that an endpoint reports in an answer.
@@ -39,6 +44,8 @@
 	// Slowdown is the factor by which work on the endpoint's VM takes longer than usual, 0 if it does not say.
 	Slowdown float64
 	Known    bool
+	// At is when the header of the answer arrived, zero if it arrived with the first bytes of the body.
+	At time.Time
 }
 
 // Verdict is how an attempt ended.
@@ -90,15 +97,17 @@
 		d.cachedTokens += uint64(c.totalTokens - missingTokens)
 		d.recordRead(q, e)
 	}
+	if c.engine {
+		a.holdTokens(now)
+	}
 	return a
 }
 
 // expect records what was expected of the endpoint. Parts that it fetches are not read.
 func (a *Attempt) expect(c *scoring, i int) {
 	w := c.expectation.works[i]
-	a.controlled, a.expected, a.slowdown, a.heldTokens = true, c.expectation.estimates[i], w.Slowdown, w.RequestTokens
+	a.controlled, a.expected, a.slowdown = true, c.expectation.estimates[i], w.Slowdown
 	a.unreadTokens = max(w.MissingTokens-w.FetchedTokens, 0)
-	a.e.heldTokens += a.heldTokens
 	a.e.history.add(1, c.now)
 }
 
@@ -130,11 +139,11 @@
 	e.pause.grow(now)
 	if l.Known {
 		e.recordLoad(l, now)
-		e.recordState(l, now)
 	}
 	if l.Known && l.Slowdown > 0 {
 		a.d.recordSpeedReport(a.q.Service, now)
 	}
+	a.recordReport(l, now)
 	a.finishReading()
 	took := now.Sub(a.began)
 	if len(a.q.Prompt) == 0 {
@@ -152,13 +161,6 @@
 	a.unreadTokens = 0
 }
 
-// RecordProgress records that further bytes of a stream arrived.
-func (a *Attempt) RecordProgress(now time.Time) {
-	a.d.mu.Lock()
-	defer a.d.mu.Unlock()
-	a.e.lastBytesAt = now
-}
-
 // SilentFor returns how long the endpoint has sent this router nothing on any of its requests.
 func (a *Attempt) SilentFor(now time.Time) time.Duration {
 	a.d.mu.Lock()
@@ -193,9 +195,9 @@
 	a.released = true
 	a.e.running--
 	if a.controlled {
-		a.e.heldTokens -= a.heldTokens
 		a.e.history.add(-1, now)
 	}
+	a.releaseTokens()
 	a.d.demand(a.q.Service).ended(a.q.Rank, v, now.Sub(a.began), now)
 }
 
@@ -225,6 +227,7 @@
 	a.e.failures.add(failureWeights[v], max(failureWeights[v], 1), now)
 	if v == Served && len(a.q.Prompt) == 0 {
 		a.e.latency.add(float64(took)/float64(time.Millisecond), now)
+		a.observeAnswer(took, now)
 	}
 	return took, true
 }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"savoryfall/core/directory"
 	"savoryfall/core/fleetload"
 	"savoryfall/core/origin"
+	"savoryfall/core/outputlength"
 	"savoryfall/core/prompt"
 	"savoryfall/core/routetable"
 )
@@ -52,8 +53,12 @@
 	// speedReportedAt has the services whose endpoints report the speed of their VM, and when an answer last did.
 	speedReportedAt map[string]time.Time
 	// times has what the work of each service takes.
-	times map[string]*serviceTimes
-	onCapacity      func(service string, freed int)
+	times      map[string]*serviceTimes
+	onCapacity func(service string, freed int)
+	// lengths has how many events answers have.
+	lengths outputlength.Predictor
+	// distrustedReports counts how many times the reports of an endpoint's speed have become distrusted.
+	distrustedReports uint64
 }
 
 // New returns a dispatcher for a router of the failure domain.
--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -15,8 +15,6 @@
 	maxReportAge = time.Second
 	// maxReportedFactor bounds a reported load, in slots: endpoints queue a few more requests than they have slots.
 	maxReportedFactor = 2.0
-	// tokensPerEvent is about how many output tokens an event holds.
-	tokensPerEvent = 4.0
 	// readingTerm is the time in which most of the prompts that other routers reported as unread have been read.
 	readingTerm = 200 * time.Millisecond
 	// maxWaitShare is the largest share of the latency target for which a request may be expected to wait for a slot. What waits
@@ -89,7 +87,7 @@
 
 // requestTokens returns how many tokens the endpoint holds for the request at its end.
 func (c *scoring) requestTokens() int {
-	return c.q.Prompt.Tokens() + int(tokensPerEvent*c.d.expectedEvents(c.q))
+	return c.q.Prompt.Tokens() + int(c.d.expectedOutputTokens(c.q))
 }
 
 // work returns what an endpoint of the pool has to do for the request and before it.
@@ -105,9 +103,9 @@
 	w.HoldTime = time.Duration(hold * w.Slowdown / c.expectation.meanSlowdown * float64(time.Second))
 	w.UnreadTokens = e.unreadTokens + c.expectedUnread(e)
 	w.MissingTokens, w.FetchedTokens = c.missingTokens(i), c.fetchedTokens(i)
-	w.HeldTokens = e.heldTokens
+	w.HeldTokens = e.state.heldTokens
 	if s, ok := e.reported(c.now); ok {
-		w.HeldTokens = max(w.HeldTokens, s.HeldTokens)
+		w.HeldTokens = s.HeldTokens
 	}
 	return w
 }
--- a/io/entry/readahead.go
+++ b/io/entry/readahead.go
@@ -50,7 +50,7 @@
 // newReadAhead returns a reader of the attempt's response that may keep up to limit bytes.
 func newReadAhead(a *attempt, b *bytebudget.Budget, limit int64) *readAhead {
 	return &readAhead{
-		response: a.response, budget: b, account: b.Open(limit), ctx: a.ctx, cancel: a.cancel, onRead: func() { a.RecordProgress(time.Now()) },
+		response: a.response, budget: b, account: b.Open(limit), ctx: a.ctx, cancel: a.cancel, onRead: func() { a.RecordEvents(0, time.Now()) },
 		onEnd:   func() { a.RecordSent(time.Now()) },
 		changed: make(chan struct{}, 1), done: make(chan struct{}),
 	}
@@ -204,6 +204,12 @@
 	r.account.Close()
 }
 
+// isSlow reports whether the response is read ahead, so that the times of events say nothing of the endpoint.
+func (r *readAhead) isSlow() bool {
+	slow, _ := r.slow()
+	return slow
+}
+
 // slow reports whether the response was read ahead, and for how long reading was paused for want of memory.
 func (r *readAhead) slow() (yes bool, paused time.Duration) {
 	r.mu.Lock()
