--- a/core/waitqueue/queue.go
+++ b/core/waitqueue/queue.go
@@ -80,7 +80,7 @@
 	e.joined, e.sequence = now, q.sequence+1
 	ahead := q.ahead(&e)
 	q.decayTo(now)
-	if ahead >= q.limits.MaxWaiting || float64(ahead+1) > q.placesWithin(q.Until(e).Sub(now)) {
+	if ahead >= q.limits.MaxWaiting || float64(ahead+1) > q.placesWithin(q.until(&e).Sub(now)) {
 		return false
 	}
 	q.sequence++
@@ -109,7 +109,9 @@
 func (q *Queue) ahead(e *Entry) int { return len(q.entries) - q.position(e) }
 
 // Until returns until when the request may wait.
-func (q *Queue) Until(e Entry) time.Time {
+func (q *Queue) Until(e Entry) time.Time { return q.until(&e) }
+
+func (q *Queue) until(e *Entry) time.Time {
 	until := e.joined.Add(q.limits.MaxWait)
 	if !e.StartBy.IsZero() && e.StartBy.Before(until) {
 		return e.StartBy
@@ -117,7 +119,7 @@
 	return until
 }
 
-func (q *Queue) expired(e *Entry, now time.Time) bool { return !q.Until(*e).After(now) }
+func (q *Queue) expired(e *Entry, now time.Time) bool { return !q.until(e).After(now) }
 
 // Pop removes and returns the first request that can still be served in time. Expire returns those that it passed over.
 func (q *Queue) Pop(now time.Time) (e Entry, ok bool) {
@@ -153,13 +155,13 @@
 
 // mayStay reports whether a waiting request may go on waiting behind the given number of others.
 func (q *Queue) mayStay(e *Entry, ahead int, now time.Time) bool {
-	return ahead < q.limits.MaxWaiting && float64(ahead) <= hopeFactor*q.placesWithin(q.Until(*e).Sub(now))
+	return ahead < q.limits.MaxWaiting && float64(ahead) <= hopeFactor*q.placesWithin(q.until(e).Sub(now))
 }
 
 // NextExpiry returns when the next request can no longer be served in time. ok is false if none waits.
 func (q *Queue) NextExpiry() (at time.Time, ok bool) {
 	for _, e := range q.entries {
-		if until := q.Until(*e); !ok || until.Before(at) {
+		if until := q.until(e); !ok || until.Before(at) {
 			at, ok = until, true
 		}
 	}
--- a/io/entry/wait.go
+++ b/io/entry/wait.go
@@ -72,11 +72,9 @@
 			case lacksCapacity(reason):
 				w.decline(k.place)
 				continue
-			case reason == dispatch.ReasonNoEndpoint || reason == dispatch.ReasonPaused:
-				w.leaveAll(k.place)
-			default:
-				w.leave(k.place)
 			}
+			// All that wait learn in this way that no endpoint is left.
+			w.leave(k.place)
 			result = waitNoEndpoint
 			return nil, reason, nil
 		case <-x.ctx.Done():
--- a/io/entry/waiters.go
+++ b/io/entry/waiters.go
@@ -240,19 +240,10 @@
 		s.offer(p, time.Now())
 		return
 	}
+	s.expire(time.Now())
 	s.resetTimer()
 }
 
-// leaveAll ends the waits of all requests for the service, which has no endpoint.
-func (w *waiter) leaveAll(p *place) {
-	s := w.service
-	s.all.mu.Lock()
-	defer s.all.mu.Unlock()
-	w.remove()
-	s.giveUp(p, time.Now())
-	s.endAll(waitNoEndpoint)
-}
-
 func (w *waiter) remove() {
 	w.left = true
 	w.service.queue.Remove(w.entry.ID)
