--- a/core/waitqueue/queue.go
+++ b/core/waitqueue/queue.go
@@ -26,8 +26,8 @@
 	// freed counts the places that have become free, decayed to freedAt.
 	freed   float64
 	freedAt time.Time
-	// usualStart is the mean time from the start of a request to its first event, 0 if none is known.
-	usualStart time.Duration
+	// usualStarts has the mean times from the start of a request to its first event, by kind of request.
+	usualStarts map[string]time.Duration
 }
 
 const (
@@ -39,6 +39,8 @@
 	hopeFactor = 2
 	// startWeight is the weight of a new time in the mean of the times to the first event.
 	startWeight = 1.0 / 16
+	// maxKinds bounds the kinds of requests whose times are known. Kinds have the names of routes, which configurations change.
+	maxKinds = 256
 )
 
 // SetLimits replaces the limits. They apply also to the requests that wait.
@@ -62,17 +64,20 @@
 	return q.freed * math.Ln2 * float64(d) / float64(freedHalfLife)
 }
 
-// RecordStart records the time from the start of a request at the service to its first event.
-func (q *Queue) RecordStart(took time.Duration) {
-	if q.usualStart == 0 {
-		q.usualStart = took
-		return
+// RecordStart records the time from the start of a request of the kind to its first event.
+func (q *Queue) RecordStart(kind string, took time.Duration) {
+	mean, known := q.usualStarts[kind]
+	switch {
+	case known:
+		took = mean + time.Duration(startWeight*float64(took-mean))
+	case q.usualStarts == nil || len(q.usualStarts) >= maxKinds:
+		q.usualStarts = map[string]time.Duration{}
 	}
-	q.usualStart += time.Duration(startWeight * float64(took-q.usualStart))
+	q.usualStarts[kind] = took
 }
 
-// UsualStart returns the mean time from the start of a request at the service to its first event, 0 if none is known.
-func (q *Queue) UsualStart() time.Duration { return q.usualStart }
+// UsualStart returns the mean time from the start of a request of the kind to its first event, 0 if none is known.
+func (q *Queue) UsualStart(kind string) time.Duration { return q.usualStarts[kind] }
 
 // Push adds a request, unless so few places have become free lately that it cannot expect one in time, behind those ordered
 // before it. If the queue is full, a request that is ordered behind gives way, which Expire returns.
--- a/core/waitqueue/queue_test.go
+++ b/core/waitqueue/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"os"
@@ -120,6 +121,30 @@
 	assert.Assert(t, !ok && q.Len() == 0)
 }
 
+// Guards against a kind of request that is taken for as slow as another one of its service, against a mean that a single answer
+// decides, and against memory that grows with the names of kinds.
+func TestUsualStartByKind(t *testing.T) {
+	var q waitqueue.Queue
+	assert.Equal(t, q.UsualStart("draft"), time.Duration(0))
+	for range 200 {
+		q.RecordStart("draft", 400*ms)
+		q.RecordStart("question", 100*ms)
+	}
+	q.RecordStart("draft", 2*time.Second)
+	assert.Assert(t, q.UsualStart("draft") >= 400*ms && q.UsualStart("draft") <= 500*ms, "%v", q.UsualStart("draft"))
+	assert.Equal(t, q.UsualStart("question"), 100*ms)
+	for i := range 10000 {
+		q.RecordStart(fmt.Sprint(i), ms)
+	}
+	known := 0
+	for i := range 10000 {
+		if q.UsualStart(fmt.Sprint(i)) > 0 {
+			known++
+		}
+	}
+	assert.Assert(t, known <= 256 && q.UsualStart("9999") == ms, "%d kinds", known)
+}
+
 // Guards against a full queue that keeps out an urgent request, or that grows beyond its bound.
 func TestUrgentRequestDisplacesTheLast(t *testing.T) {
 	q := newQueue(waitqueue.Limits{MaxWait: 250 * ms, MaxWaiting: 2}, 1000)
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -40,7 +40,7 @@
 func (x *exchange) recordFirstBytes(a *attempt) {
 	now := time.Now()
 	if !a.reply.NotExecuted {
-		x.handler.waiters.recordStart(x.service, now.Sub(a.Began()))
+		x.handler.waiters.recordStart(x.service, x.route.Name, now.Sub(a.Began()))
 	}
 	a.RecordFirstBytes(dispatch.Load{
 		Running: a.reply.Running, Waiting: a.reply.Waiting, Slots: a.reply.Slots, Slowdown: a.reply.Slowdown, Known: a.reply.HasLoad,
--- a/io/entry/wait.go
+++ b/io/entry/wait.go
@@ -96,7 +96,7 @@
 func (x *exchange) startBy() time.Time {
 	latest := x.deadline.Add(-minAttemptTime)
 	if goal := x.route.ResponseGoal; goal > 0 {
-		if at := x.began.Add(goal - x.handler.waiters.usualStart(x.service)); at.Before(latest) {
+		if at := x.began.Add(goal - x.handler.waiters.usualStart(x.service, x.route.Name)); at.Before(latest) {
 			return at
 		}
 	}
--- a/io/entry/waiters.go
+++ b/io/entry/waiters.go
@@ -114,18 +114,18 @@
 	s.offer(&place{offers: maxOffers, more: freed == 0}, now)
 }
 
-// recordStart records the time from the start of a request at the service to its first event.
-func (ws *waiters) recordStart(service string, took time.Duration) {
+// recordStart records the time from the start of a request of the kind at the service to its first event.
+func (ws *waiters) recordStart(service, kind string, took time.Duration) {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	ws.of(service).queue.RecordStart(took)
+	ws.of(service).queue.RecordStart(kind, took)
 }
 
-// usualStart returns the mean time from the start of a request at the service to its first event, 0 if none is known.
-func (ws *waiters) usualStart(service string) time.Duration {
+// usualStart returns the mean time from the start of a request of the kind at the service to its first event, 0 if none is known.
+func (ws *waiters) usualStart(service, kind string) time.Duration {
 	ws.mu.Lock()
 	defer ws.mu.Unlock()
-	return ws.of(service).queue.UsualStart()
+	return ws.of(service).queue.UsualStart(kind)
 }
 
 // join adds a request to those that wait. It returns nil if the request must not wait.
