--- a/core/waitqueue/queue.go
+++ b/core/waitqueue/queue.go
@@ -26,8 +26,8 @@
 	// freed counts the places that have become free, decayed to freedAt.
 	freed   float64
 	freedAt time.Time
-	// usualStart is the mean time from the start of a request to its first event, 0 if none is known.
-	usualStart time.Duration
+	// usualStarts has the mean times from the start of a request to its first event, by kind of request.
+	usualStarts map[string]time.Duration
 }
 
 const (
@@ -39,6 +39,8 @@
 	hopeFactor = 2
 	// startWeight is the weight of a new time in the mean of the times to the first event.
 	startWeight = 1.0 / 16
+	// maxKinds bounds the kinds of requests whose times are known. Kinds have the names of routes, which configurations change.
+	maxKinds = 256
 )
 
 // SetLimits replaces the limits. They apply also to the requests that wait.
@@ -62,17 +64,20 @@
 	return q.freed * math.Ln2 * float64(d) / float64(freedHalfLife)
 }
 
-// RecordStart records the time from the start of a request at the service to its first event.
-func (q *Queue) RecordStart(took time.Duration) {
-	if q.usualStart == 0 {
-		q.usualStart = took
-		return
+// RecordStart records the time from the start of a request of the kind to its first event.
+func (q *Queue) RecordStart(kind string, took time.Duration) {
+	mean, known := q.usualStarts[kind]
+	switch {
+	case known:
+		took = mean + time.Duration(startWeight*float64(took-mean))
+	case q.usualStarts == nil || len(q.usualStarts) >= maxKinds:
+		q.usualStarts = map[string]time.Duration{}
 	}
-	q.usualStart += time.Duration(startWeight * float64(took-q.usualStart))
+	q.usualStarts[kind] = took
 }
 
-// UsualStart returns the mean time from the start of a request at the service to its first event, 0 if none is known.
-func (q *Queue) UsualStart() time.Duration { return q.usualStart }
+// UsualStart returns the mean time from the start of a request of the kind to its first event, 0 if none is known.
+func (q *Queue) UsualStart(kind string) time.Duration { return q.usualStarts[kind] }
 
 // Push adds a request, unless so few places have become free lately that it cannot expect one in time, behind those ordered
 // before it. If the queue is full, a request that is ordered behind gives way, which Expire returns.
@@ -80,7 +85,7 @@
 	e.joined, e.sequence = now, q.sequence+1
 	ahead := q.ahead(&e)
 	q.decayTo(now)
-	if ahead >= q.limits.MaxWaiting || float64(ahead+1) > q.placesWithin(q.Until(e).Sub(now)) {
+	if ahead >= q.limits.MaxWaiting || float64(ahead+1) > q.placesWithin(q.until(&e).Sub(now)) {
 		return false
 	}
 	q.sequence++
@@ -109,7 +114,9 @@
 func (q *Queue) ahead(e *Entry) int { return len(q.entries) - q.position(e) }
 
 // Until returns until when the request may wait.
-func (q *Queue) Until(e Entry) time.Time {
+func (q *Queue) Until(e Entry) time.Time { return q.until(&e) }
+
+func (q *Queue) until(e *Entry) time.Time {
 	until := e.joined.Add(q.limits.MaxWait)
 	if !e.StartBy.IsZero() && e.StartBy.Before(until) {
 		return e.StartBy
@@ -117,7 +124,7 @@
 	return until
 }
 
-func (q *Queue) expired(e *Entry, now time.Time) bool { return !q.Until(*e).After(now) }
+func (q *Queue) expired(e *Entry, now time.Time) bool { return !q.until(e).After(now) }
 
 // Pop removes and returns the first request that can still be served in time. Expire returns those that it passed over.
 func (q *Queue) Pop(now time.Time) (e Entry, ok bool) {
@@ -153,13 +160,13 @@
 
 // mayStay reports whether a waiting request may go on waiting behind the given number of others.
 func (q *Queue) mayStay(e *Entry, ahead int, now time.Time) bool {
-	return ahead < q.limits.MaxWaiting && float64(ahead) <= hopeFactor*q.placesWithin(q.Until(*e).Sub(now))
+	return ahead < q.limits.MaxWaiting && float64(ahead) <= hopeFactor*q.placesWithin(q.until(e).Sub(now))
 }
 
 // NextExpiry returns when the next request can no longer be served in time. ok is false if none waits.
 func (q *Queue) NextExpiry() (at time.Time, ok bool) {
 	for _, e := range q.entries {
-		if until := q.Until(*e); !ok || until.Before(at) {
+		if until := q.until(e); !ok || until.Before(at) {
 			at, ok = until, true
 		}
 	}
--- a/io/entry/wait.go
+++ b/io/entry/wait.go
@@ -72,11 +72,9 @@
 			case lacksCapacity(reason):
 				w.decline(k.place)
 				continue
-			case reason == dispatch.ReasonNoEndpoint || reason == dispatch.ReasonPaused:
-				w.leaveAll(k.place)
-			default:
-				w.leave(k.place)
 			}
+			// All that wait learn in this way that no endpoint is left.
+			w.leave(k.place)
 			result = waitNoEndpoint
 			return nil, reason, nil
 		case <-x.ctx.Done():
@@ -98,7 +96,7 @@
 func (x *exchange) startBy() time.Time {
 	latest := x.deadline.Add(-minAttemptTime)
 	if goal := x.route.ResponseGoal; goal > 0 {
-		if at := x.began.Add(goal - x.handler.waiters.usualStart(x.service)); at.Before(latest) {
+		if at := x.began.Add(goal - x.handler.waiters.usualStart(x.service, x.route.Name)); at.Before(latest) {
 			return at
 		}
 	}
