--- a/io/entry/waiters.go
+++ b/io/entry/waiters.go
@@ -87,6 +87,7 @@
 	ws.limits = l
 	for _, s := range ws.services {
 		s.expire(time.Now())
+		s.timerAt = time.Time{}
 		s.resetTimer()
 	}
 }
@@ -195,9 +196,13 @@
 			s.queue.Return(w.entry)
 		}
 	}
+	// The timer ends the waits of all others in time.
+	if len(p.declined) > 0 || s.queue.Len() == 0 {
+		s.expire(now)
+		s.timerAt = time.Time{}
+		s.resetTimer()
+	}
 	p.declined = nil
-	s.expire(now)
-	s.resetTimer()
 }
 
 // decline offers the place, which the request could not use, to the next one. The request goes on waiting.
@@ -292,7 +297,8 @@
 	s.queue.SetLimits(l)
 }
 
-// startTimer starts the timer for the time, unless it fires before.
+// startTimer starts the timer for the time, unless it fires before. It never fires later than the first request in the queue can no
+// longer be served in time.
 func (s *serviceWaiters) startTimer(at time.Time) {
 	if !s.timerAt.IsZero() && !at.Before(s.timerAt) {
 		return
@@ -307,9 +313,11 @@
 
 // resetTimer stops the timer if no request waits, and starts it otherwise.
 func (s *serviceWaiters) resetTimer() {
-	at, ok := s.queue.NextExpiry()
-	if ok {
-		s.startTimer(at)
+	if s.queue.Len() > 0 {
+		if s.timerAt.IsZero() {
+			at, _ := s.queue.NextExpiry()
+			s.startTimer(at)
+		}
 		return
 	}
 	s.timerAt = time.Time{}
--- a/io/entry/waiters_test.go
+++ b/io/entry/waiters_test.go
@@ -87,6 +87,29 @@
 	})
 }
 
+// Guards against a request whose wait no timer ends, because it was offered a place while the timer was set for a later one.
+func TestDecliningRequestIsEndedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ws := newWaiters(10, 1000)
+		began := time.Now()
+		first := ws.join("plain", waitqueue.Entry{StartBy: began.Add(60 * time.Millisecond)})
+		offered := ws.join("plain", waitqueue.Entry{Rank: -1, StartBy: began.Add(100 * time.Millisecond)})
+		later := ws.join("plain", waitqueue.Entry{})
+		ws.onCapacity("plain", 1)
+		// The first leaves with the timer, which is then set for the last.
+		time.Sleep(80 * time.Millisecond)
+		assert.Equal(t, first.received().result, waitExpired)
+		offered.decline(offered.received().place)
+		p := later.received().place
+		assert.Assert(t, p != nil)
+		later.decline(p)
+		assert.Equal(t, (<-offered.wake).result, waitExpired)
+		assert.Equal(t, time.Since(began), 100*time.Millisecond)
+		assert.Equal(t, (<-later.wake).result, waitExpired)
+		assert.Equal(t, time.Since(began), 250*time.Millisecond)
+	})
+}
+
 // Guards against a limit that each service has for itself.
 func TestLimitCountsAllServices(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -170,3 +193,22 @@
 		assert.Assert(t, s.timerAt.IsZero(), "the timer of an idle queue runs")
 	})
 }
+
+// BenchmarkJoinAndUse adds a request to 256 that wait, and gives a place to the first.
+func BenchmarkJoinAndUse(b *testing.B) {
+	ws := &waiters{}
+	ws.setLimits(waitqueue.Limits{MaxWait: time.Hour, MaxWaiting: 512})
+	ws.onCapacity("plain", 1000)
+	first := make(chan *waiter, 512)
+	join := func() { first <- ws.join("plain", waitqueue.Entry{}) }
+	for range 256 {
+		join()
+	}
+	for b.Loop() {
+		join()
+		ws.onCapacity("plain", 1)
+		w := <-first
+		w.use((<-w.wake).place)
+	}
+	ws.close()
+}
