--- a/io/entry/wait.go
+++ b/io/entry/wait.go
@@ -61,6 +61,9 @@
 			if p = x.admitAgain(); p != nil {
 				w.leave(k.place)
 				result = waitWithdrawn
+				if p.Reason == request.Stopping {
+					result = waitStopped
+				}
 				return nil, reason, p
 			}
 			a, reason = h.Dispatcher.Choose(x.query(), time.Now())
--- a/io/entry/waiters.go
+++ b/io/entry/waiters.go
@@ -245,8 +245,10 @@
 		s.offer(p, time.Now())
 		return
 	}
-	s.expire(time.Now())
-	s.resetTimer()
+	if s.queue.Len() == 0 {
+		s.expire(time.Now())
+		s.resetTimer()
+	}
 }
 
 func (w *waiter) remove() {
