--- a/core/waitqueue/queue.go
+++ b/core/waitqueue/queue.go
@@ -34,9 +34,9 @@
 	// freedHalfLife is the half-life of places in the rate. It is of the order of the longest useful wait: a service that stalls
 	// is noticed while those that wait can still be told in time.
 	freedHalfLife = 500 * time.Millisecond
-	// hopeFactor is how many times as many places as lately must suffice for a waiting request to stay. The rate of a few places
+	// stayFactor is how many times as many places as lately must suffice for a waiting request to stay. The rate of a few places
 	// varies by about this factor; without it, requests would join and be dropped in turn.
-	hopeFactor = 2
+	stayFactor = 2
 	// startWeight is the weight of a new time in the mean of the times to the first event.
 	startWeight = 1.0 / 16
 	// maxKinds bounds the kinds of requests whose times are known. Kinds have the names of routes, which configurations change.
@@ -160,7 +160,7 @@
 
 // mayStay reports whether a waiting request may go on waiting behind the given number of others.
 func (q *Queue) mayStay(e *Entry, ahead int, now time.Time) bool {
-	return ahead < q.limits.MaxWaiting && float64(ahead) <= hopeFactor*q.placesWithin(q.until(e).Sub(now))
+	return ahead < q.limits.MaxWaiting && float64(ahead) <= stayFactor*q.placesWithin(q.until(e).Sub(now))
 }
 
 // NextExpiry returns when the next request can no longer be served in time. ok is false if none waits.
