core/dispatch: shares of accounts and retries over the fleet, with simulations

Cause: a router of many knows too few requests of an account to tell who is beyond its share, and told refused clients to return when the overload might have ended. Change: shares follow a steady estimate of what can be admitted; accounts beyond theirs bear its variation; promised retries are admitted within the account's share. Logs and metrics.

--- a/core/accountshare/demands.go
+++ b/core/accountshare/demands.go
@@ -111,7 +111,9 @@
 }
 
 // decay returns by what a weight is multiplied to get the demand now.
-func (d *demands) decay(now time.Time) float64 { return math.Exp2(-float64(now.Sub(d.epoch)) / float64(halfLife)) }
+func (d *demands) decay(now time.Time) float64 {
+	return math.Exp2(-float64(now.Sub(d.epoch)) / float64(halfLife))
+}
 
 // rebase makes the weights relative to now, and drops the accounts that have not been active lately.
 func (d *demands) rebase(now time.Time) {
@@ -139,7 +141,9 @@
 }
 
 // demand returns the account's demand at all routers, as far as the view contains them.
-func (d *demands) demand(hash uint32, now time.Time) float64 { return d.ownDemand(hash, now) + d.elsewhere[hash] }
+func (d *demands) demand(hash uint32, now time.Time) float64 {
+	return d.ownDemand(hash, now) + d.elsewhere[hash]
+}
 
 func (d *demands) report(c class, now time.Time) (list []fleetstate.AccountDemand) {
 	d.rebase(now)
@@ -176,7 +180,9 @@
 	for _, a := range d.own {
 		list = append(list, portion{a.weight + d.elsewhere[a.hash], 1})
 	}
-	slices.SortFunc(list, func(a, b portion) int { return cmp.Or(cmp.Compare(a.demand, b.demand), cmp.Compare(a.accounts, b.accounts)) })
+	slices.SortFunc(list, func(a, b portion) int {
+		return cmp.Or(cmp.Compare(a.demand, b.demand), cmp.Compare(a.accounts, b.accounts))
+	})
 	// Summed in sorted order, so that rounding is the same for the same requests.
 	d.sums = d.sums[:0]
 	sum := portion{}
@@ -189,53 +195,45 @@
 	d.sorted, d.total, d.accounts = list, sum.demand, sum.accounts
 }
 
-// addElsewhere estimates the demand of each account at the other routers, and appends the portions of accounts that this router does
-// not know.
+// addElsewhere estimates the demand of each account at the other routers, and appends the portions of accounts that have sent nothing to
+// this one.
 //
-// Requests that others report only in sum belong to accounts that this router knows, or to strangers, as the accounts that they
-// name do. Known accounts get their part by how far what is named of them stays behind what this router's own requests let expect.
-// A stranger has requests at as many routers as a named account, so that it was counted that many times.
+// What others report only in sum belongs to accounts that this router knows or to strangers, in the same proportion as the accounts that
+// they name. The known ones get an even part of it, on top of what is named of them. A stranger has requests at as many routers as a
+// named account, and was counted once at each.
 func (d *demands) addElsewhere(list []portion) []portion {
 	o := &d.others
 	d.elsewhere = make(map[uint32]float64, len(o.named)+len(d.own))
-	known, named, own := 0.0, 0.0, 0.0
+	own, named, seen := 0.0, 0.0, 0.0
 	for _, a := range d.own {
 		own += a.weight
-		if n, ok := o.named[a.hash]; ok {
-			known++
-			d.elsewhere[a.hash] = n
+		d.elsewhere[a.hash] = o.named[a.hash]
+		if o.named[a.hash] > 0 {
+			seen++
 		}
 	}
-	for _, hash := range o.sortedNames() {
-		n := o.named[hash]
-		named += n
-		if _, ok := d.index[hash]; !ok {
-			d.elsewhere[hash] = n
-			list = append(list, portion{n, 1})
-		}
+	names := o.sortedNames()
+	for _, hash := range names {
+		named += o.named[hash]
+		d.elsewhere[hash] = o.named[hash]
 	}
-	if o.rest == 0 {
-		return list
+	knownPart := seen / max(float64(len(names)), 1)
+	evenPart := knownPart * o.rest / max(float64(len(d.elsewhere)), 1)
+	for hash := range d.elsewhere {
+		d.elsewhere[hash] += evenPart
 	}
-	ownPart, knownPart := own/(own+named+o.rest), known/max(float64(len(o.named)), 1)
-	missing := func(a account) float64 { return max(a.weight/ownPart-a.weight-o.named[a.hash], 0) }
-	sum := 0.0
-	for _, a := range d.own {
-		sum += missing(a)
-	}
-	given := min(knownPart*o.rest, sum)
-	for _, a := range d.own {
-		if sum > 0 {
-			d.elsewhere[a.hash] += missing(a) * given / sum
+	for _, hash := range names {
+		if _, ok := d.index[hash]; !ok {
+			list = append(list, portion{d.elsewhere[hash], 1})
 		}
 	}
-	left := o.rest - given
+	left := (1 - knownPart) * o.rest
 	if left < minDemand {
 		return list
 	}
-	mean := (own + named + given) / float64(max(len(d.own)+len(list), 1))
-	routersOfEach := max(1, knownPart/max(ownPart, minDemand/o.rest))
-	strangers := max(o.restAccounts*(1-knownPart)/routersOfEach, left/max(mean, minDemand), 1)
+	ownPart := own / (own + named + o.rest)
+	routersOfEach := max(knownPart/max(ownPart, minDemand/o.rest), 1)
+	strangers := max(o.restAccounts*(1-knownPart)/routersOfEach, 1)
 	return append(list, portion{left / strangers, strangers})
 }
 
@@ -294,6 +292,8 @@
 		}
 	}
 	list = slices.DeleteFunc(list, func(a overAccount) bool { return a.demand <= share })
-	slices.SortFunc(list, func(a, b overAccount) int { return cmp.Or(-cmp.Compare(a.demand, b.demand), cmp.Compare(a.hash, b.hash)) })
+	slices.SortFunc(list, func(a, b overAccount) int {
+		return cmp.Or(-cmp.Compare(a.demand, b.demand), cmp.Compare(a.hash, b.hash))
+	})
 	return list
 }
--- a/core/dispatch/accountdemand.go
+++ b/core/dispatch/accountdemand.go
@@ -33,14 +33,22 @@
 	return d.shares.Rates(serviceHash(q.Service), q.Rank, q.Account, now)
 }
 
-// OverShare returns the accounts furthest beyond their share, at most n of each service and rank that has refused requests lately.
-func (d *Dispatcher) OverShare(n int, now time.Time) []accountshare.Account {
+// OverShare returns the accounts furthest beyond their share of the service, at most n of each rank that has refused requests lately.
+func (d *Dispatcher) OverShare(service string, n int, now time.Time) (list []accountshare.Account) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.shares.Top(n, now)
+	hash := serviceHash(service)
+	for _, a := range d.shares.Top(n, now) {
+		if a.Service == hash {
+			list = append(list, a)
+		}
+	}
+	return list
 }
 
-func (d *Dispatcher) ownAccountDemands(now time.Time) []fleetstate.AccountDemand { return d.shares.Own(now) }
+func (d *Dispatcher) ownAccountDemands(now time.Time) []fleetstate.AccountDemand {
+	return d.shares.Own(now)
+}
 
 func (d *Dispatcher) setAccountDemands(total, own []fleetstate.AccountDemand, now time.Time) {
 	d.shares.SetFleet(total, own, now.Add(d.overload.reportTerm()))
@@ -49,42 +57,69 @@
 // recordDemand records a request to a service for which overload control is active.
 func (d *Dispatcher) recordDemand(q Query, now time.Time) {
 	d.shares.Observe(serviceHash(q.Service), q.Rank, q.Account, now)
+	returning := 0.0
 	if q.Retrying {
-		d.demand(q.Service).level(q.Rank).retrying++
+		returning = 1
 	}
+	d.demand(q.Service).level(q.Rank).returning.add(returning, now)
 }
 
-// admitProbability returns the probability of admitting the request when only a fraction of those of its rank can be admitted.
+// controlled reports whether overload control is active for the service.
+func (c *scoring) controlled() bool { return c.d.overloadControl(c.q.Service, c.now) }
+
+// admitsShare decides on a request when left is what requests of its rank may take.
 //
 // Within what an account gets, clients that return go before new ones, which get what is left. Between accounts it makes no difference:
 // if returning clients went before those of all accounts, an account that is refused often would take the shares of the others by
 // retrying.
-func (c *scoring) admitProbability(fraction float64, expected forecast) float64 {
-	d, q, service := c.d, c.q, serviceHash(c.q.Service)
-	if !d.overloadControl(q.Service, c.now) {
-		return d.demand(q.Service).level(q.Rank).shares.AdmitProbability(q.Account, fraction, c.now)
+func (c *scoring) admitsShare(left float64, expected forecast) bool {
+	fraction := 1.0
+	if left < expected.sameRank {
+		fraction = max(left, 0) / expected.sameRank
 	}
-	share := d.shares.AdmitProbability(service, q.Rank, q.Account, fraction, c.now)
-	returning := c.returningPart(fraction, expected)
-	switch {
-	case share >= 1 || returning <= 0:
-		return share
-	case q.Retrying:
-		return min(share/returning, 1)
+	l := c.d.demand(c.q.Service).level(c.q.Rank)
+	steady := l.fraction.add(fraction, c.now)
+	if fraction >= 1 {
+		return true
 	}
-	return max(share-returning, 0) / max(1-returning, minDecayedWeight)
+	if fraction <= 0 {
+		return false
+	}
+	return c.d.randomFloat() < c.accountProbability(fraction, steady, expected)
 }
 
-// returningPart estimates which part of the requests of accounts beyond their share are retries, from those that came lately and from
-// those that were promised for now.
-func (c *scoring) returningPart(fraction float64, expected forecast) float64 {
-	service := serviceHash(c.q.Service)
-	sent, _ := c.d.shares.Over(service, c.q.Rank, fraction, c.now)
-	if sent <= 0 || expected.sameRank <= 0 {
-		return 0
+// accountProbability returns the probability of admitting the request while only a fraction of the requests of its rank can be admitted.
+//
+// Who is beyond its share follows the steady fraction, and new requests of these accounts alone bear what the present one differs by: it
+// varies by a quarter and more from one decision to the next, and with shares that follow it, accounts within theirs and clients that came
+// back as they were told were refused at its lows.
+func (c *scoring) accountProbability(fraction, steady float64, expected forecast) (probability float64) {
+	service, shares := serviceHash(c.q.Service), &c.d.shares
+	sent, granted := shares.Over(service, c.q.Rank, steady, c.now)
+	if granted <= 0 {
+		return shares.AdmitProbability(service, c.q.Rank, c.q.Account, fraction, c.now)
 	}
-	l := c.d.demand(c.q.Service).level(c.q.Rank)
-	came := l.retrying / max(l.arrivals, 1)
-	promised := c.d.retries.schedule.Expected(service, c.q.Rank, c.now) * expected.horizon / expected.sameRank
+	probability = shares.AdmitProbability(service, c.q.Rank, c.q.Account, steady, c.now)
+	within := 1 - sent
+	if probability >= 1 {
+		return min(fraction/max(within, minDecayedWeight), 1)
+	}
+	returning := c.returningPart(sent, expected)
+	returningProbability := 1.0
+	if returning > 0 {
+		returningProbability = min(probability/returning, 1)
+	}
+	if c.q.Retrying {
+		return returningProbability
+	}
+	left := probability*max(fraction-within, 0)/max(steady-within, minDecayedWeight) - returning*returningProbability
+	return max(left, 0) / max(1-returning, minDecayedWeight)
+}
+
+// returningPart estimates which part of the requests of accounts beyond their share are retries, from those that came lately and from
+// those that were promised for now. sent is the part of all requests that these accounts send.
+func (c *scoring) returningPart(sent float64, expected forecast) float64 {
+	came := c.d.demand(c.q.Service).level(c.q.Rank).returning.or(0, c.now)
+	promised := c.d.retries.schedule.Expected(serviceHash(c.q.Service), c.q.Rank, c.now) * expected.horizon / max(expected.sameRank, minDecayedWeight)
 	return min(max(came, promised)/sent, 1)
 }
--- a/core/dispatch/accountsurge_test.go
+++ b/core/dispatch/accountsurge_test.go
@@ -8,8 +8,9 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"savoryfall/core/dispatch"
-	"savoryfall/core/fleetload"
 	"savoryfall/core/fleetstate"
 	"savoryfall/core/retryafter"
 )
@@ -132,15 +133,15 @@
 	// limits holds, for each router and account, the calls that a fixed limit still allows.
 	limits   [][]bucket
 	accounts [surgeAccounts]accountCounts
-	// refusedAgain counts the requests that were refused a second time, byTry the calls by try.
+	// refusedOnce counts the requests that were refused, refusedAgain those of them that were refused a second time.
 	refusedOnce, refusedAgain int
 	served                    int
 }
 
-type accountCounts struct{ asked, served, first, firstServed int }
+// accountCounts are the requests of an account, those of them that were served, and those that were served at their first try.
+type accountCounts struct{ asked, served, servedFirst int }
 
 type pendingTotals struct {
-	router  int
 	totals  fleetstate.Totals
 	own     fleetstate.Report
 	arrives time.Time
@@ -158,7 +159,6 @@
 	timeout  time.Duration
 	tries    int
 	at       time.Time
-	counted  bool
 }
 
 func newAccountSurge(t *testing.T, seed uint64, routers int, p policy) *accountSurge {
@@ -191,7 +191,7 @@
 		s.lastDue[i] = due
 		own := d.OwnState(s.now)
 		s.reports[i] = stateReport{own, s.now}
-		s.pending[i] = pendingTotals{i, sumStates(s.reports, s.now), own, s.now.Add(stateDelay)}
+		s.pending[i] = pendingTotals{sumStates(s.reports, s.now), own, s.now.Add(stateDelay)}
 		load := d.OwnWorkload(s.now)
 		s.aggregator.AddReport(fmt.Sprint(i), load, d.TakeReads(), s.now)
 		total, _ := s.aggregator.Totals(s.now)
@@ -205,7 +205,9 @@
 	for _, r := range rates {
 		total += r
 	}
-	next := func() time.Time { return s.now.Add(time.Duration(s.random.ExpFloat64() / total * float64(time.Second))) }
+	next := func() time.Time {
+		return s.now.Add(time.Duration(s.random.ExpFloat64() / total * float64(time.Second)))
+	}
 	arrival := next()
 	for end := s.now.Add(d); s.now.Before(end); {
 		c := call{at: arrival}
@@ -225,7 +227,7 @@
 			}
 			c.timeout = time.Duration((0.85 + 0.15*s.random.Float64()) * float64(callTimeout))
 			c.deadline = s.now.Add(c.timeout)
-			s.accounts[c.account].first++
+			s.accounts[c.account].asked++
 		}
 		s.try(c)
 	}
@@ -240,20 +242,19 @@
 	left := c.deadline.Sub(s.now)
 	q := dispatch.Query{
 		Service: plain, Account: fmt.Sprint(c.account), LatencyTarget: callTarget, TimeLeft: left,
-		Retrying: float64(left) < 0.8*float64(callTimeout),
+		Retrying: float64(left) < 0.8*float64(callTimeout), RecognizedAfter: left - 8*callTimeout/10,
 	}
 	if s.policy == firstCome || s.policy == fixedLimits {
 		q.Account = ""
 	}
 	counts := &s.accounts[c.account]
-	counts.asked++
 	c.tries++
 	ms := 15 * math.Exp(0.5*s.random.NormFloat64()-0.125)
 	if s.withinLimit(i, c.account) && s.sendTo(d, q, time.Duration(ms*float64(time.Millisecond))) {
 		s.served++
 		counts.served++
 		if c.tries == 1 {
-			counts.firstServed++
+			counts.servedFirst++
 		}
 		return
 	}
@@ -309,12 +310,12 @@
 	return true
 }
 
-// usualRates are the accounts' calls a second on a usual day, three tenths of the capacity in all. The first ones send half as much as
-// the others.
-func usualRates(factor, hot float64) (rates [surgeAccounts]float64) {
-	unit := 0.3 * plainCapacity / (surgeAccounts - smallAccounts/2)
+// ratesOf returns the accounts' calls a second. In all they are a part of the capacity, but that the last account sends hot times its usual.
+// The first ones send half as much as the others.
+func ratesOf(part, hot float64) (rates [surgeAccounts]float64) {
+	unit := part * plainCapacity / (surgeAccounts - smallAccounts/2)
 	for i := range rates {
-		rates[i] = factor * unit
+		rates[i] = unit
 		if i < smallAccounts {
 			rates[i] /= 2
 		}
@@ -323,35 +324,249 @@
 	return rates
 }
 
-func (s *accountSurge) rate(from, to int, first bool) float64 {
-	asked, served := 0, 0
+// counts sums the counts of some accounts.
+func (s *accountSurge) counts(from, to int) (n accountCounts) {
 	for _, a := range s.accounts[from:to] {
-		if first {
-			asked, served = asked+a.first, served+a.firstServed
-		} else {
-			asked, served = asked+a.first, served+a.served
-		}
+		n.asked, n.served, n.servedFirst = n.asked+a.asked, n.served+a.served, n.servedFirst+a.servedFirst
+	}
+	return n
+}
+
+// rates returns the share of requests served, in the end and at the first try.
+func (n accountCounts) rates() (served, first float64) {
+	return float64(n.served) / float64(max(n.asked, 1)), float64(n.servedFirst) / float64(max(n.asked, 1))
+}
+
+const hotAccount = surgeAccounts - 1
+
+func (s *accountSurge) log(name string) {
+	small, smallFirst := s.counts(0, smallAccounts).rates()
+	others, othersFirst := s.counts(smallAccounts, hotAccount).rates()
+	hot, hotFirst := s.counts(hotAccount, surgeAccounts).rates()
+	s.t.Logf("%s, %d routers, %v: served %.2f (at once %.2f) of small accounts, %.2f (%.2f) of others, %.2f (%.2f) of the last; %d served, %d refused, %d again",
+		name, len(s.routers), s.policy, small, smallFirst, others, othersFirst, hot, hotFirst, s.served, s.refusedOnce, s.refusedAgain)
+}
+
+const usualPart = 0.25
+
+// runSurge plays a usual load, a surge of six seconds and a usual load again.
+func (s *accountSurge) runSurge(surge [surgeAccounts]float64) {
+	s.play(2*time.Second, ratesOf(usualPart, 1))
+	s.accounts = [surgeAccounts]accountCounts{}
+	s.play(6*time.Second, surge)
+	s.play(6*time.Second, ratesOf(usualPart, 1))
+}
+
+// assertNoneStarves fails if an account that asks for less than its share is served less than half as often as the mean of these.
+func (s *accountSurge) assertNoneStarves(t *testing.T) {
+	mean, meanFirst := s.counts(0, smallAccounts).rates()
+	for i := range smallAccounts {
+		served, first := s.counts(i, i+1).rates()
+		assert.Assert(t, served >= mean/2 && first >= meanFirst/2, "%v", s.accounts[:smallAccounts])
 	}
-	return float64(served) / float64(max(asked, 1))
 }
 
-func TestTrialAccounts(t *testing.T) {
+func eachFleet(t *testing.T, test func(t *testing.T, routers int)) {
+	t.Parallel()
 	for _, routers := range []int{6, 76} {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			t.Parallel()
+			test(t, routers)
+		})
+	}
+}
+
+// All accounts send five times their usual, one of them fifty times, nearly twice what the service can do. With shares of each router
+// alone, one of many sees too few requests of an account to know it, and accounts that ask for less than their share were refused.
+func TestAccountsKeepTheirShareOfTheFleet(t *testing.T) {
+	eachFleet(t, func(t *testing.T, routers int) {
 		for _, impatient := range []bool{false, true} {
-			for p := firstCome; p <= fleetShares; p++ {
+			var first [len(policies)]float64
+			var served [len(policies)]int
+			for p := range policy(len(policies)) {
 				s := newAccountSurge(t, 1, routers, p)
 				s.impatient = impatient
-				s.play(2*time.Second, usualRates(1, 1))
-				before := s.served
-				s.play(6*time.Second, usualRates(5, 10))
-				thru := float64(s.served-before) / 6
-				s.play(7*time.Second, usualRates(1, 1))
-				t.Logf("%d routers impatient %v %-12v: small %.2f %.2f normal %.2f %.2f hot %.2f %.2f; refused %d again %d served %d (%.0f/s in surge)", routers, impatient, p,
-					s.rate(0, smallAccounts, true), s.rate(0, smallAccounts, false), s.rate(smallAccounts, surgeAccounts-1, true), s.rate(smallAccounts, surgeAccounts-1, false),
-					s.rate(surgeAccounts-1, surgeAccounts, true), s.rate(surgeAccounts-1, surgeAccounts, false), s.refusedOnce, s.refusedAgain, s.served, thru)
+				s.runSurge(ratesOf(5*usualPart, 10))
+				s.log(fmt.Sprintf("surge, impatient %v", impatient))
+				_, first[p] = s.counts(0, smallAccounts).rates()
+				served[p] = s.served
+				if p == fleetShares {
+					s.assertNoneStarves(t)
+					small, _ := s.counts(0, smallAccounts).rates()
+					assert.Assert(t, small > 0.95, "%.3f", small)
+				}
+			}
+			assert.Assert(t, first[fleetShares] > first[firstCome]+0.1, "%.3f", first)
+			assert.Assert(t, impatient || first[fleetShares] > first[ownShares], "%.3f", first)
+			assert.Assert(t, served[fleetShares] > served[fixedLimits] && served[fleetShares] > served[ownShares]*98/100, "%v", served)
+		}
+	})
+}
+
+// One account sends ten times its usual, and the service is nearly full without it. It must lose its own surplus only, whichever routers
+// it uses.
+func TestSurplusOfOneAccountIsItsOwn(t *testing.T) {
+	eachFleet(t, func(t *testing.T, routers int) {
+		for name, routerOf := range map[string]func(s *accountSurge) int{
+			"all routers": func(s *accountSurge) int { return s.random.IntN(routers) },
+			"one router":  func(*accountSurge) int { return 1 },
+			"changing":    func(s *accountSurge) int { return int(s.now.Sub(start)/time.Second) % routers },
+		} {
+			t.Run(name, func(t *testing.T) {
+				s := newAccountSurge(t, 2, routers, fleetShares)
+				s.routerOf = func(account int) int {
+					if account == hotAccount {
+						return routerOf(s)
+					}
+					return s.random.IntN(routers)
+				}
+				s.play(2*time.Second, ratesOf(0.8, 1))
+				s.accounts = [surgeAccounts]accountCounts{}
+				s.play(6*time.Second, ratesOf(0.8, 10))
+				s.log("ten times its usual, " + name)
+				others, first := s.counts(0, hotAccount).rates()
+				hot := s.counts(hotAccount, surgeAccounts)
+				assert.Assert(t, others > 0.97 && first > 0.9, "%.3f and %.3f", others, first)
+				// What the others leave is a quarter of the capacity and more.
+				assert.Assert(t, float64(hot.served) < 0.35*6*plainCapacity, "%v", hot)
+				assert.Assert(t, hot.served > hot.asked/10, "%v", hot)
+			})
+		}
+	})
+}
+
+// All send five times their usual, a quarter more than the service can do. Clients were told to return when the overload may have ended,
+// all at about the same time, and met those that were new: every fourth was refused again.
+func TestPromisedRetriesAreKept(t *testing.T) {
+	eachFleet(t, func(t *testing.T, routers int) {
+		var again, served [len(policies)]int
+		for _, p := range []policy{ownShares, fleetShares} {
+			for seed := range uint64(2) {
+				s := newAccountSurge(t, seed, routers, p)
+				s.runSurge(ratesOf(5*usualPart, 1))
+				s.log("five times the load")
+				again[p] += s.refusedAgain
+				served[p] += s.served
 			}
 		}
+		assert.Assert(t, 5*again[fleetShares] < again[ownShares], "%v", again)
+		assert.Assert(t, served[fleetShares] > served[ownShares], "%v", served)
+	})
+}
+
+// Guards against routers that are greedy when they know little: one that starts in the surge, one that is cut off from the hub and one
+// after the other that leaves.
+func TestSharesSurviveFailures(t *testing.T) {
+	eachFleet(t, func(t *testing.T, routers int) {
+		surge := ratesOf(5*usualPart, 10)
+		for name, fail := range map[string]func(s *accountSurge){
+			"starts": func(s *accountSurge) {
+				fresh := newAccountSurge(t, 9, routers, fleetShares).routers[0]
+				s.routers[0], s.reports[0], s.pending[0] = fresh, stateReport{}, pendingTotals{}
+			},
+			"cut off": func(s *accountSurge) { s.cutOff[0] = true },
+			"all cut off": func(s *accountSurge) {
+				for i := range s.cutOff {
+					s.cutOff[i] = true
+				}
+			},
+			"half leave": func(s *accountSurge) {
+				for i := range routers / 2 {
+					s.gone[i] = true
+				}
+			},
+			"ends and comes again": func(s *accountSurge) {
+				s.play(3*time.Second, ratesOf(usualPart, 1))
+			},
+		} {
+			t.Run(name, func(t *testing.T) {
+				s := newAccountSurge(t, 3, routers, fleetShares)
+				s.play(2*time.Second, ratesOf(usualPart, 1))
+				s.accounts = [surgeAccounts]accountCounts{}
+				s.play(3*time.Second, surge)
+				fail(s)
+				before := s.served
+				s.play(4*time.Second, surge)
+				s.log(name)
+				s.assertNoneStarves(t)
+				small, first := s.counts(0, smallAccounts).rates()
+				served := float64(s.served-before) / 4
+				t.Logf("%.0f a second, small %.2f %.2f", served, small, first)
+				if name == "all cut off" {
+					// Each router sees a part of the demand only, and nobody knows the load.
+					assert.Assert(t, small > 0.5 && served > 0.6*plainCapacity, "%.3f, %.0f a second", small, served)
+					return
+				}
+				assert.Assert(t, small > 0.9 && first > 0.7, "%.3f and %.3f", small, first)
+				assert.Assert(t, served > 0.85*plainCapacity && served < 1.1*plainCapacity, "%.0f a second", served)
+			})
+		}
+	})
+}
+
+// A router that is cut off from its hub must not let in more of an account than an equal part, though its own view says that the others
+// ask for less.
+func TestCutOffRouterKeepsToEqualParts(t *testing.T) {
+	s := newAccountSurge(t, 1, 6, fleetShares)
+	s.runSurge(ratesOf(5*usualPart, 10))
+	d, q := s.routers[0], dispatch.Query{Service: plain, Account: fmt.Sprint(hotAccount)}
+	s.play(time.Second, ratesOf(5*usualPart, 10))
+	_, fleet := d.AccountRates(q, s.now)
+	s.cutOff[0] = true
+	s.play(3*time.Second, ratesOf(5*usualPart, 10))
+	_, alone := d.AccountRates(q, s.now)
+	t.Logf("share of an account %.1f a second, cut off %.1f at one of 6 routers", fleet, alone)
+	assert.Assert(t, fleet > 0 && alone > 0 && alone < fleet/3, "%.1f and %.1f", fleet, alone)
+}
+
+// An account that has sent nothing lately must claim nothing, and one that is not known must not be refused more than others.
+func TestIdleAccountClaimsNothing(t *testing.T) {
+	s := newAccountSurge(t, 1, 6, fleetShares)
+	rates := ratesOf(5*usualPart, 1)
+	idle := rates
+	for i := 1; i < surgeAccounts/2; i++ {
+		idle[i] = 0
 	}
+	s.play(2*time.Second, rates)
+	s.play(7*time.Second, idle)
+	served := s.served
+	s.play(2*time.Second, idle)
+	assert.Assert(t, float64(s.served-served)/2 > 0.6*plainCapacity, "%d", s.served-served)
+	assert.Assert(t, s.routers[0].AccountDeficit(dispatch.Query{Service: plain, Account: "idle"}, s.now) >= 0)
 }
 
-var _ = fleetload.Workload{}
+// Without overload control, requests of clients that retry are decided as any other, and no delay is promised.
+func TestNothingIsPromisedWithoutOverloadControl(t *testing.T) {
+	d, _ := newDispatcher(1)
+	q := dispatch.Query{Service: plain, Account: "a", TimeLeft: time.Second, Retrying: true}
+	for range 40 {
+		d.Choose(q, start)
+	}
+	_, ok := d.RetryAfter(q, start)
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(d.OwnState(start).Accounts), 0)
+	assert.Equal(t, d.RetryMetrics(), dispatch.RetryMetrics{})
+}
+
+// BenchmarkDecisionByShares measures a decision at an overloaded service.
+func BenchmarkDecisionByShares(b *testing.B) {
+	for _, accounts := range []int{24, 1000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			d, _ := newDispatcher(3)
+			d.SetOverloadControl(dispatch.OverloadControl{Always: true})
+			names := make([]string, accounts)
+			for i := range names {
+				names[i] = fmt.Sprint(i)
+			}
+			now := start
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				_, _ = d.Choose(dispatch.Query{Service: plain, Account: names[i*7%accounts]}, now)
+				if i%400 == 0 {
+					own := d.OwnState(now)
+					d.SetFleetState(sumStates([]stateReport{{own, now}, {own, now}}, now), own, now)
+				}
+			}
+		})
+	}
+}
--- a/core/dispatch/demand.go
+++ b/core/dispatch/demand.go
@@ -31,6 +31,9 @@
 	othersAt time.Time
 	// holdTime is how many seconds a request holds capacity, averaged over all ranks.
 	holdTime decayingMean
+	// routers is the number of routers where overload control is active, 0 elsewhere. steadyHold then takes the place of holdTime.
+	routers    int
+	steadyHold steadyMean
 	// skewedSince is since when this router has got many more requests than each of the others, zero if it does not.
 	skewedSince time.Time
 }
@@ -43,8 +46,6 @@
 	// arrivals counts the requests, decayed with time. running are those that hold capacity, holdTime for how many
 	// seconds they do.
 	arrivals float64
-	// retrying are those of them whose clients had tried before, where overload control is active.
-	retrying float64
 	running  int
 	holdTime decayingMean
 	// others is the demand of the other routers.
@@ -55,6 +56,9 @@
 	fullSince time.Time
 	refusedAt time.Time
 	shares    fairness.Shares
+	// Where overload control is active, free is the capacity for retries in requests a second, returning the part of the requests whose
+	// clients had tried before, fraction the part that could be admitted, and steadyHold takes the place of holdTime.
+	free, returning, fraction, steadyHold steadyMean
 }
 
 func (d *Dispatcher) demand(service string) *demand {
@@ -76,7 +80,6 @@
 	f := math.Exp2(-float64(now.Sub(m.decayedAt)) / float64(demandHalfLife))
 	for i := range m.levels {
 		m.levels[i].arrivals *= f
-		m.levels[i].retrying *= f
 		m.levels[i].others.Came *= float32(f)
 		m.levels[i].refused *= f
 	}
@@ -127,6 +130,17 @@
 	s := max(holdTime, minHoldTime).Seconds()
 	l.holdTime.add(s, now)
 	m.holdTime.add(s, now)
+	l.steadyHold.addDecaying(s, holdDecay(now.Sub(l.steadyHold.at)), now)
+	m.steadyHold.addDecaying(s, holdDecay(now.Sub(m.steadyHold.at)), now)
+}
+
+// holdHalfLife is the half-life of hold times in steadyHold: shorter than reports are late, so that it adds no delay of its own.
+const holdHalfLife = 100 * time.Millisecond
+
+// holdDecay returns by how much older hold times count less than one that comes after some time: a few values decide where they are rare, and
+// those of the last few hundred milliseconds where they are many.
+func holdDecay(elapsed time.Duration) float64 {
+	return max(math.Exp2(-float64(elapsed)/float64(holdHalfLife)), 1-smoothingFactor)
 }
 
 // report returns this router's demand for the other routers, without ranks that have next to none.
@@ -170,17 +184,24 @@
 }
 
 // forecast plans for all routers together: what one of many sees is mostly chance, and extrapolated to the whole fleet
-// it once kept a third of the capacity unused. A router without recent reports plans for its own requests.
+// it once kept a third of the capacity unused. A router without recent reports plans for its own requests; where overload control
+// is active, it takes the others to have as many each, so that it does not claim what they use.
 func (m *demand) forecast(rank int, now time.Time) (f forecast) {
 	m.decayTo(now)
 	ownOnly := now.Sub(m.othersAt) > othersMaxAge
 	meanHold := m.holdTime.lastOr(planningHorizon.Seconds())
+	if m.routers > 0 {
+		meanHold = m.steadyHold.lastOr(meanHold)
+	}
 	horizon := min(meanHold, planningHorizon.Seconds())
 	f.horizon = horizon
 	for i := range m.levels {
 		perSecond, running := m.levels[i].totals(ownOnly)
-		holdTime := max(m.levels[i].holdTime.lastOr(meanHold), horizon)
-		f.released += running * horizon / holdTime
+		holdTime := m.levels[i].holdTime.lastOr(meanHold)
+		if m.routers > 0 {
+			holdTime = m.levels[i].steadyHold.lastOr(meanHold)
+		}
+		f.released += running * horizon / max(holdTime, horizon)
 		switch {
 		case i < min(rank, maxRanks-1):
 			f.moreUrgent += perSecond * horizon
@@ -188,6 +209,10 @@
 			f.sameRank = perSecond * horizon
 		}
 	}
+	if ownOnly && m.routers > 1 {
+		others := float64(m.routers)
+		f.released, f.moreUrgent, f.sameRank = f.released*others, f.moreUrgent*others, f.sameRank*others
+	}
 	return f
 }
 
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -134,8 +134,10 @@
 	// LatencyTarget is the time within which the answer has its full value, and TimeLeft how long the client still waits. Both
 	// are 0 if unknown.
 	LatencyTarget, TimeLeft time.Duration
-	// Retrying is set if the client has tried the request before.
-	Retrying bool
+	// Retrying is set if the client has tried the request before. RecognizedAfter is how long a client that is refused now must wait for
+	// its next attempt to be recognized as one that retries.
+	Retrying        bool
+	RecognizedAfter time.Duration
 }
 
 // Reason is why no endpoint was chosen, or why this one was.
@@ -182,7 +184,9 @@
 	m := d.demand(q.Service)
 	m.recordArrival(q.Rank, now)
 	controlled := d.overloadControl(q.Service, now)
+	m.routers = 0
 	if controlled {
+		m.routers = max(d.fleet.Size(), 1)
 		d.recordDemand(q, now)
 	} else {
 		m.level(q.Rank).shares.Observe(q.Account, now)
--- a/core/dispatch/promisedretries.go
+++ b/core/dispatch/promisedretries.go
@@ -14,6 +14,9 @@
 	// targetFraction is the part of the latency target that a client may spend on waiting for a retry: what is left is enough to serve
 	// it on time.
 	targetFraction = 0.5
+	// promisedPart is the part of what becomes free that is promised. The rest makes up for errors of the estimate, and is used by new
+	// requests, which can still be served within their latency target.
+	promisedPart = 0.75
 	// unpromisedSpread is the part of the longest delay over which retries without a promise are spread, as refusals that come together
 	// would otherwise return together.
 	unpromisedSpread = 0.25
@@ -56,21 +59,29 @@
 		return 0, false
 	}
 	most := time.Duration(maxRetryFraction * float64(max(q.TimeLeft, 0)))
-	least := min(time.Duration(targetFraction*float64(q.LatencyTarget)), most)
-	d.retries.schedule.SetRouters(d.fleet.Size())
-	delay = d.retries.schedule.Promise(serviceHash(q.Service), q.Rank, least, most, d.freeForRetries(q, now), d.randomFloat(), now)
+	free := promisedPart * d.demand(q.Service).level(q.Rank).free.add(d.freeForRetries(q, now), now)
+	// A retry that is not recognized has no precedence.
+	least := max(time.Duration(targetFraction*float64(q.LatencyTarget)), q.RecognizedAfter)
+	delay = most
+	if !q.Retrying {
+		d.retries.schedule.SetRouters(d.fleet.Size())
+		delay = d.retries.schedule.Promise(serviceHash(q.Service), q.Rank, min(least, most), most, free, d.randomFloat(), now)
+	}
 	if delay >= most {
 		delay = time.Duration(float64(most) * (1 - unpromisedSpread*d.randomFloat()))
 	}
 	return delay, true
 }
 
-// freeForRetries returns how many retries of the rank can be served in a second. New requests of accounts within their share and more
-// urgent ones go before them.
+// freeForRetries returns how many retries of the rank can be served in a second. New requests of accounts within their share and more urgent ones go before retries. What becomes free is the lesser of what the
+// hold times let expect and of what was admitted lately: the first is too high by a tenth while hold times vary.
 func (d *Dispatcher) freeForRetries(q Query, now time.Time) (perSecond float64) {
 	f := d.demand(q.Service).forecast(q.Rank, now)
 	free := max(f.released-f.moreUrgent, 0)
-	if f.sameRank <= 0 || free >= f.sameRank {
+	if admitted := d.demand(q.Service).level(q.Rank).fraction.or(1, now); admitted < 1 {
+		free = min(free, admitted*f.sameRank)
+	}
+	if free >= f.sameRank {
 		return free / f.horizon
 	}
 	_, granted := d.shares.Over(serviceHash(q.Service), q.Rank, free/f.sameRank, now)
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -30,10 +30,11 @@
 	// The square root is the standard deviation of the more urgent arrivals: with only their mean reserved, some of
 	// them would be refused.
 	left := capacity - taken + expected.released - expected.moreUrgent - math.Sqrt(expected.moreUrgent)
-	if left >= expected.sameRank {
-		return "", false
-	}
-	if left > 0 && c.d.randomFloat() < c.admitProbability(left/expected.sameRank, expected) {
+	if c.controlled() {
+		if c.admitsShare(left, expected) {
+			return "", false
+		}
+	} else if left >= expected.sameRank || left > 0 && c.d.randomFloat() < m.level(c.q.Rank).shares.AdmitProbability(c.q.Account, left/expected.sameRank, c.now) {
 		return "", false
 	}
 	if expected.moreUrgent == 0 {
@@ -52,8 +53,18 @@
 		if e.replaced {
 			continue
 		}
-		taken += e.trackedLoad(c.now)
+		taken += float64(e.running) + c.othersTaking(e)
 		capacity += float64(c.capacity(e))
 	}
 	return taken, capacity
 }
+
+// othersTaking returns how many requests other routers hold at the endpoint. Without reports of theirs, what its last answer implied counts
+// for as long as such requests last where overload control is active: else a router that refuses all for it would get no newer answer.
+func (c *scoring) othersTaking(e *endpoint) float64 {
+	others := e.currentOthers(c.now)
+	if c.now.Sub(e.othersReportAt) > othersMaxAge && c.controlled() {
+		others *= c.shareStillRunning(e)
+	}
+	return others
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -6,6 +6,7 @@
 // The events of a router that takes its state from the platform's store.
 const (
 	AcceptFailed            Name = "acceptFailed"
+	AccountOverShare        Name = "accountOverShare"
 	AnswerBroken            Name = "answerBroken"
 	ConfigurationInForce    Name = "configurationInForce"
 	ConfigurationUnreadable Name = "configurationUnreadable"
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -107,6 +107,14 @@
 	Places Name = "places"
 	// LoadsAgeMs is the age of the load data of the other routers.
 	LoadsAgeMs Name = "loadsAgeMs"
+	// AccountDemand is how many requests a second the account sends to the service at this rank, by all routers.
+	AccountDemand Name = "accountDemand"
+	// AccountShare is how many of them it may have served.
+	AccountShare Name = "accountShare"
+	// AccountHash identifies an account of which this router has no requests, in hexadecimal.
+	AccountHash Name = "accountHash"
+	// Retrying tells whether the client has tried the request before.
+	Retrying Name = "retrying"
 )
 
 // Fields of a service whose endpoints this router cannot connect to.
--- a/core/retryschedule/schedule.go
+++ b/core/retryschedule/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -94,6 +95,8 @@
 func (s *Schedule) Promise(service uint32, rank int, least, most time.Duration, freePerSecond, draw float64, now time.Time) time.Duration {
 	p := s.promises(newClass(service, rank), now)
 	free := freePerSecond * slotTime.Seconds()
+	// The square root is the standard deviation of what comes in a slot: with the mean alone, every second slot would be too full.
+	free -= math.Sqrt(max(free, 0))
 	start := now.Add(max(least, 0))
 	for slot := slotOf(start); slot < p.first+slots; slot++ {
 		begin := time.Unix(0, slot*int64(slotTime))
--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -72,10 +72,17 @@
 	} {
 		vm.metricSet.NewGauge(name, func() float64 { return value(vm.dispatcher.CurrentMetrics(time.Now())) })
 	}
+	for name, value := range map[string]func(m dispatch.RetryMetrics) uint64{
+		"savoryfall_retries_promised_total": func(m dispatch.RetryMetrics) uint64 { return m.Promised },
+		"savoryfall_retries_returned_total": func(m dispatch.RetryMetrics) uint64 { return m.Returned },
+		"savoryfall_retries_served_total":   func(m dispatch.RetryMetrics) uint64 { return m.Served },
+	} {
+		vm.metricSet.NewGauge(name, func() float64 { return float64(value(vm.dispatcher.RetryMetrics())) })
+	}
 }
 
-// writeServiceGauges writes three metrics for each service of the configuration: this router's remaining retries, the
-// service's admission limit (places), and how much of the limit is in use.
+// writeServiceGauges writes the metrics of each service of the configuration: this router's remaining retries, the service's admission
+// limit (places), how much of the limit is in use, and how far the account furthest beyond its share is.
 func (vm *entryVM) writeServiceGauges(w io.Writer) {
 	t := vm.configTracker.Current()
 	if t == nil {
@@ -87,8 +94,17 @@
 		for metric, value := range map[string]float64{
 			"savoryfall_retries_left": vm.retries.Remaining(name, now),
 			"savoryfall_places":       float64(places), "savoryfall_places_taken": float64(taken),
+			"savoryfall_account_over_share": vm.mostOverShare(name, now),
 		} {
 			metrics.WriteGaugeFloat64(w, fmt.Sprintf("%s{service=%q}", metric, name), value)
 		}
 	}
 }
+
+// mostOverShare returns the demand over the share of the account that is furthest beyond its share of the service, 0 if none is.
+func (vm *entryVM) mostOverShare(service string, now time.Time) (factor float64) {
+	for _, a := range vm.dispatcher.OverShare(service, 1, now) {
+		factor = max(factor, a.Demand/a.Share)
+	}
+	return factor
+}
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -85,7 +85,10 @@
 func (x *exchange) retryAfterFull() time.Duration {
 	now := time.Now()
 	if x.sends == 0 {
-		q := dispatch.Query{Service: x.service, Rank: x.rank(), LatencyTarget: x.route.ResponseGoal, TimeLeft: x.deadline.Sub(now)}
+		q := dispatch.Query{
+			Service: x.service, Rank: x.rank(), LatencyTarget: x.route.ResponseGoal, TimeLeft: x.deadline.Sub(now),
+			Retrying: x.retrying(), RecognizedAfter: x.recognizedAfter(now),
+		}
 		if delay, ok := x.handler.Dispatcher.RetryAfter(q, now); ok {
 			return delay
 		}
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -108,6 +109,8 @@
 	// processes finds out whether processes of endpoints have ended.
 	processes process.Checker
 	stated    statedTimes
+	// overShareLoggedAt is when the accounts beyond their share were last logged, by service.
+	overShareLoggedAt sync.Map
 }
 
 // The phases of a Handler. While draining, it still serves requests, because the load balancer and open connections
--- a/io/entry/retrying.go
+++ b/io/entry/retrying.go
@@ -69,3 +69,12 @@
 	stated := x.timeout()
 	return float64(stated) < retryingFraction*float64(x.handler.stated.observe(x.route.Name, stated, x.began))
 }
+
+// recognizedAfter returns how long the client must wait for its next attempt to be recognized as one that retries.
+func (x *exchange) recognizedAfter(now time.Time) time.Duration {
+	if x.request.Timeout <= 0 {
+		return 0
+	}
+	longest := x.handler.stated.observe(x.route.Name, x.timeout(), x.began)
+	return x.deadline.Sub(now) - time.Duration(retryingFraction*float64(longest))
+}
