--- a/core/dispatch/accountdemand.go
+++ b/core/dispatch/accountdemand.go
@@ -91,8 +91,8 @@
 // accountProbability returns the probability of admitting the request while only a fraction of the requests of its rank can be admitted.
 //
 // Who is beyond its share follows the steady fraction, and new requests of these accounts alone bear what the present one differs by: it
-// varies by a quarter and more from one decision to the next, and with shares that follow it, accounts within theirs and clients that came
-// back as they were told were refused at its lows.
+// varies much from one decision to the next, and with shares that follow it, accounts within theirs and clients that come back as they were
+// told are refused at its lows.
 func (c *scoring) accountProbability(fraction, steady float64, expected forecast) (probability float64) {
 	service, shares := serviceHash(c.q.Service), &c.d.shares
 	sent, granted := shares.Over(service, c.q.Rank, steady, c.now)
--- a/core/dispatch/promisedretries.go
+++ b/core/dispatch/promisedretries.go
@@ -74,7 +74,7 @@
 }
 
 // freeForRetries returns how many retries of the rank can be served in a second. New requests of accounts within their share and more urgent ones go before retries. What becomes free is the lesser of what the
-// hold times let expect and of what was admitted lately: the first is too high by a tenth while hold times vary.
+// hold times let expect and of what was admitted lately: the first is too high while hold times vary.
 func (d *Dispatcher) freeForRetries(q Query, now time.Time) (perSecond float64) {
 	f := d.demand(q.Service).forecast(q.Rank, now)
 	free := max(f.released-f.moreUrgent, 0)
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -111,7 +111,7 @@
 	AccountDemand Name = "accountDemand"
 	// AccountShare is how many of them it may have served.
 	AccountShare Name = "accountShare"
-	// AccountHash identifies an account of which this router has no requests, in hexadecimal.
+	// AccountHash identifies an account between routers, in hexadecimal.
 	AccountHash Name = "accountHash"
 	// Retrying tells whether the client has tried the request before.
 	Retrying Name = "retrying"
--- a/io/entry/overshare.go
+++ b/io/entry/overshare.go
@@ -40,13 +40,7 @@
 	}
 	h.overShareLoggedAt.Store(x.service, now)
 	for _, a := range h.Dispatcher.OverShare(x.service, overShareLogged, now) {
-		line := []any{
-			field.Event, event.AccountOverShare, field.Service, x.service, field.Rank, a.Rank, field.Account, a.Name,
-			field.AccountDemand, tenths(a.Demand), field.AccountShare, tenths(a.Share),
-		}
-		if a.Name == "" {
-			line = append(line, field.AccountHash, fmt.Sprintf("%08x", a.Hash))
-		}
-		_ = h.Logger.Log(line...)
+		_ = h.Logger.Log(field.Event, event.AccountOverShare, field.Service, x.service, field.Rank, a.Rank, field.Account, a.Name,
+			field.AccountHash, fmt.Sprintf("%08x", a.Hash), field.AccountDemand, tenths(a.Demand), field.AccountShare, tenths(a.Share))
 	}
 }
