--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -143,8 +143,10 @@
 	// LatencyTarget is the time within which the answer has its full value, and TimeLeft how long the client still waits. Both
 	// are 0 if unknown.
 	LatencyTarget, TimeLeft time.Duration
-	// Retrying is set if the client has tried the request before.
-	Retrying bool
+	// Retrying is set if the client has tried the request before. RecognizedAfter is how long a client that is refused now must wait for
+	// its next attempt to be recognized as one that retries.
+	Retrying        bool
+	RecognizedAfter time.Duration
 	// Waited is set if an earlier choice for this attempt found no capacity. The request has been counted then.
 	Waited bool
 }
@@ -192,6 +194,10 @@
 	}
 	m := d.demand(q.Service)
 	controlled := d.overloadControl(q.Service, now)
+	m.routers = 0
+	if controlled {
+		m.routers = max(d.fleet.Size(), 1)
+	}
 	if !q.Waited {
 		m.recordArrival(q.Rank, now)
 		d.recordDemand(q, controlled, now)
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -119,6 +120,8 @@
 	processes process.Checker
 	stated    statedTimes
 	waiters   waiters
+	// overShareLoggedAt is when the accounts beyond their share were last logged, by service.
+	overShareLoggedAt sync.Map
 }
 
 // The phases of a Handler. While draining, it still serves requests, because the load balancer and open connections
