dispatch: a request is compared at few endpoints, with means kept for 10 ms

With overload control it compares those that hold the prompt, by an index from prompt part to endpoints, the first by rendezvous rank, one of the less loaded half and one at random, and all only if none of these can take the request. When few have a free slot, requests are kept from them in proportion, so that routers with the same late reports do not all send there. A router that has heard of nothing no longer overflows the age of reports.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -78,7 +78,7 @@
 	}
 	d.demand(q.Service).began(q.Rank)
 	a := &Attempt{d: d, e: e, entry: e.entry, q: q, began: now, missingTokens: missingTokens, unreadTokens: missingTokens, fetchSource: fetchSource, withdrawals: d.withdrawals.Load()}
-	if c.expectation != nil {
+	if c.view != nil {
 		a.expect(c, i)
 	}
 	e.unreadTokens += a.unreadTokens
@@ -98,6 +98,7 @@
 	a.unreadTokens = max(w.MissingTokens-w.FetchedTokens, 0)
 	a.e.heldTokens += a.heldTokens
 	a.e.history.add(1, c.now)
+	c.view.ownChange++
 }
 
 // Endpoint returns the endpoint's directory entry as it was when the attempt began.
@@ -189,6 +190,9 @@
 	if a.controlled {
 		a.e.heldTokens -= a.heldTokens
 		a.e.history.add(-1, now)
+		if v := a.d.views[a.q.Service]; v != nil && a.e.view == v {
+			v.ownChange--
+		}
 	}
 	a.answered()
 	if v == Refused {
--- a/core/dispatch/capacity.go
+++ b/core/dispatch/capacity.go
@@ -13,20 +13,25 @@
 	switch {
 	case c.engine || c.brittle:
 		return slots
-	case c.expectation != nil:
+	case c.view != nil:
 		return c.timelyCapacity(e, slots)
 	}
 	return slots * queueFactor
 }
 
-// timelyCapacity returns how many requests a plain endpoint may be given so that the last of them is answered within its latency
-// target.
+// timelyCapacity returns how many requests a plain endpoint may be given so that the last of them waits for no more than a share of
+// its latency target.
 func (c *scoring) timelyCapacity(e *endpoint, slots int) int {
+	return int(float64(slots) * c.timelyFactor(e.slowdown(c.now)))
+}
+
+// timelyFactor returns how many times its slots a plain endpoint may be given.
+func (c *scoring) timelyFactor(slowdown float64) float64 {
 	if c.q.LatencyTarget <= 0 {
-		return slots * queueFactor
+		return queueFactor
 	}
-	turns := 1 + maxWaitShare*float64(c.q.LatencyTarget)/(float64(c.d.plainTime(c.q.Service))*e.slowdown(c.now))
-	return int(float64(slots) * min(max(turns, 1), maxPlainFactor))
+	turns := 1 + maxWaitShare*float64(c.q.LatencyTarget)/(float64(c.d.plainTime(c.q.Service))*slowdown)
+	return min(max(turns, 1), maxPlainFactor)
 }
 
 // maxWaitMs is the longest backlog of prompts, in milliseconds of reading, with which an engine is given another one:
@@ -41,9 +46,9 @@
 	return capacity > 0 && c.confirmedLoad(e) >= float64(capacity) || c.waitMs(e) > maxWaitMs
 }
 
-// full reports whether the endpoint cannot take the request now.
+// full reports whether an endpoint of the pool cannot take the request now.
 func (c *scoring) full(e *endpoint) bool {
-	if c.expectation != nil {
+	if c.view != nil {
 		return !c.feasible(c.index(e))
 	}
 	return c.saturated(e)
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -48,6 +48,10 @@
 	overload    OverloadControl
 	// speedReportedAt has the services whose endpoints report the speed of their VM, and when an answer last did.
 	speedReportedAt map[string]time.Time
+	// views are what decisions share while overload control is active, by service, and holders finds the endpoints that hold a
+	// prompt part.
+	views   map[string]*poolView
+	holders holderIndex
 }
 
 // New returns a dispatcher for a router of the failure domain.
@@ -89,6 +93,7 @@
 		pools[entry.Service] = append(pools[entry.Service], e)
 	}
 	d.retainDeparted(byID, now)
+	d.holders.drop(func(e *endpoint) bool { return byID[e.entry.ID] == e })
 	d.withdrawals.Add(1)
 	d.byID, d.pools = byID, pools
 	d.byShortHash = map[uint32]*endpoint{}
@@ -218,6 +223,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := d.scoring(q, d.pools[q.Service], now)
+	if c.view != nil {
+		c.compare(c.pool)
+	}
 	return slices.ContainsFunc(c.pool, func(e *endpoint) bool {
 		return !slices.Contains(q.Tried, e.entry.ID) && c.mayContinue(e) && !e.replaced && !e.breaker.isOpen(now) && !c.full(e) && !c.coldLimitReached(e) &&
 			!c.brittleLimitReached(c.index(e)) && !e.pause.limited()
--- a/core/dispatch/endpoint.go
+++ b/core/dispatch/endpoint.go
@@ -47,6 +47,8 @@
 	// pause is nil if the endpoint has never asked for one.
 	pause *pause
 	cold  warmup
+	// view is the newest view of its service that the endpoint is in.
+	view *poolView
 	// newest is the newest load that the endpoint reported to any router.
 	newest endpointState
 	// history holds this router's recent requests at the endpoint while overload control is active, heldTokens is the number of
--- a/core/dispatch/exchange.go
+++ b/core/dispatch/exchange.go
@@ -86,6 +86,7 @@
 		}
 		_, cache, _ := d.serviceCapacity(e.entry.Service)
 		e.cache.Read(r.Parts, cache)
+		d.indexParts(e, r.Parts)
 	}
 }
 
@@ -103,6 +104,14 @@
 	}
 	_, cache, _ := d.serviceCapacity(q.Service)
 	e.cache.Read(q.Prompt, cache)
+	d.indexParts(e, q.Prompt)
+}
+
+// indexParts records that the endpoint was sent the parts, while overload control may be active for a service.
+func (d *Dispatcher) indexParts(e *endpoint, parts prompt.Chain) {
+	if d.overload.Always || !d.overload.Never && len(d.speedReportedAt) > 0 {
+		d.holders.add(e, parts)
+	}
 }
 
 // sharedParts returns all parts but the last, which belongs to the request alone.
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -48,17 +48,15 @@
 // number that any router saw counts, and summed over ninety endpoints they made a quarter of the capacity look taken
 // that was not.
 func (c *scoring) occupancy() (taken, capacity float64) {
-	for i, e := range c.pool {
+	if c.view != nil {
+		return c.expectedOccupancy()
+	}
+	for _, e := range c.pool {
 		if e.replaced {
 			continue
 		}
-		capacity += float64(c.capacity(e))
-		if c.expectation != nil {
-			// An endpoint that reports more than it can have takes no more than its own part.
-			taken += min(c.loads[i], float64(c.capacity(e)))
-			continue
-		}
 		taken += e.trackedLoad(c.now)
+		capacity += float64(c.capacity(e))
 	}
 	return taken, capacity
 }
--- a/core/dispatch/share.go
+++ b/core/dispatch/share.go
@@ -53,5 +53,5 @@
 	for i := range m.levels {
 		perSecond += arrivalRate(float64(m.levels[i].others.Came))
 	}
-	return 1 + unheardFactor*perSecond*window.Seconds()/float64(max(len(c.pool), 1)), true
+	return 1 + unheardFactor*perSecond*window.Seconds()/float64(max(c.size, 1)), true
 }
