--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -87,7 +87,7 @@
 	}
 	d.demand(q.Service).began(q.Rank)
 	a := &Attempt{d: d, e: e, entry: e.entry, q: q, began: now, missingTokens: missingTokens, unreadTokens: missingTokens, fetchSource: fetchSource, withdrawals: d.withdrawals.Load()}
-	if c.expectation != nil {
+	if c.view != nil {
 		a.expect(c, i)
 	}
 	e.unreadTokens += a.unreadTokens
@@ -109,6 +109,7 @@
 	a.controlled, a.expected, a.slowdown = true, c.expectation.estimates[i], w.Slowdown
 	a.unreadTokens = max(w.MissingTokens-w.FetchedTokens, 0)
 	a.e.history.add(1, c.now)
+	c.view.ownChange++
 }
 
 // Endpoint returns the endpoint's directory entry as it was when the attempt began.
@@ -196,6 +197,9 @@
 	a.e.running--
 	if a.controlled {
 		a.e.history.add(-1, now)
+		if v := a.d.views[a.q.Service]; v != nil && a.e.view == v {
+			v.ownChange--
+		}
 	}
 	a.releaseTokens()
 	a.d.demand(a.q.Service).ended(a.q.Rank, v, now.Sub(a.began), now)
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -49,6 +49,9 @@
 // number that any router saw counts, and summed over ninety endpoints they made a quarter of the capacity look taken
 // that was not.
 func (c *scoring) occupancy() (taken, capacity float64) {
+	if c.view != nil {
+		return c.expectedOccupancy()
+	}
 	for _, e := range c.pool {
 		if e.replaced {
 			continue
