io/entry, core/dispatch: a handler without a dispatcher, and estimates for attempts made in tests

Cause: tests of one part build handlers and attempts in ways that another part did not expect.

Change: a handler asks for events of capacity only if it has a dispatcher; the test's attempts have estimates.

--- a/core/dispatch/endpointstate_test.go
+++ b/core/dispatch/endpointstate_test.go
@@ -46,7 +46,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	q.Service = d.byID[id].entry.Service
-	return d.begin(d.scoring(q, d.pools[q.Service], now), d.byID[id])
+	c := d.scoring(q, d.pools[q.Service], now)
+	if c.view != nil {
+		c.compare(c.pool)
+	}
+	return d.begin(c, d.byID[id])
 }
 
 // engineRun is how an engine works and what it reports.
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -142,7 +142,9 @@
 	}
 	h := &Handler{Config: c, began: time.Now()}
 	h.SetWaitLimits(c.MaxWait, c.MaxWaiting)
-	c.Dispatcher.SetOnCapacity(h.waiters.onCapacity)
+	if c.Dispatcher != nil {
+		c.Dispatcher.SetOnCapacity(h.waiters.onCapacity)
+	}
 	return h
 }
 
