io/hub: routers share their state while overload control is active

Cause: the sums of core/fleetstate need reports from the other routers.

Change: the call Hub.FleetState, on the connection that the hub already has, at the interval that the dispatcher asks for. Hubs pass on the sum of the routers below them. Totals count from a hub's second reply on and only if they cover the fleet; a hub that does not take the call is asked again after 10 s. Messages that exist keep their bytes, and nothing is sent while overload control is inactive. Metric savoryfall_fleet_state_age_seconds, log lines fleetStateStale and fleetStateFresh.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -18,6 +18,8 @@
 	EndpointUsable          Name = "endpointUsable"
 	EntryColdUnreadable     Name = "entryColdUnreadable"
 	EntryUnreadable         Name = "entryUnreadable"
+	FleetStateFresh         Name = "fleetStateFresh"
+	FleetStateStale         Name = "fleetStateStale"
 	HubFollowed             Name = "hubFollowed"
 	HubLost                 Name = "hubLost"
 	LinesDropped            Name = "linesDropped"
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -183,8 +183,10 @@
 	Self Name = "self"
 	// Reads tells whether this router reads the store continuously.
 	Reads Name = "reads"
-	// Routers is the number of known routers.
+	// Routers is the number of known routers, or of those whose reports are in the totals of the fleet.
 	Routers Name = "routers"
+	// StateAgeMs is the age of the totals of the fleet, or for how long overload control has been active without any.
+	StateAgeMs Name = "stateAgeMs"
 )
 
 // Fields of the process.
--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -29,6 +29,13 @@
 	vm.metricSet.NewGauge("savoryfall_cores", func() float64 { return float64(runtime.GOMAXPROCS(0)) })
 	vm.metricSet.NewGauge("savoryfall_routers", func() float64 { return float64(vm.routers.Load()) })
 	vm.registerDispatchGauges()
+	vm.metricSet.NewGauge("savoryfall_fleet_state_age_seconds", func() float64 {
+		age, ok := vm.hub.FleetStateAge(time.Now())
+		if !ok {
+			return -1
+		}
+		return age.Seconds()
+	})
 	vm.metricSet.NewGauge("savoryfall_open_requests", func() float64 { return float64(vm.handler.ActiveRequests()) })
 	vm.metricSet.NewGauge("savoryfall_connections_made", func() float64 { return float64(vm.handler.Pool.ConnectionsOpened()) })
 	vm.metricSet.NewGauge("savoryfall_stream_origins", func() float64 { return float64(vm.origins.Records()) })
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -207,7 +207,7 @@
 		ListenAddress: vm.settings.PeerAddress(),
 		Members:       &vm.members, Split: vm.tunnels.Split, Register: vm.origins.Register, Configuration: configurationFollower, CurrentRecord: vm.configTracker.Record,
 		OtherRecords: vm.drainTracker.Records, Registry: registryFollower, Endpoints: vm.endpoints,
-		Loads: vm.dispatcher, Parts: &vm.quarantine, RouterList: hub.NewRouterList(storeClient.Topic(store.RoutersTopic)), Bootstrap: vm.settings.Bootstrap(), Meter: meter,
+		Loads: vm.dispatcher, Parts: &vm.quarantine, FleetState: vm.dispatcher, RouterList: hub.NewRouterList(storeClient.Topic(store.RoutersTopic)), Bootstrap: vm.settings.Bootstrap(), Meter: meter,
 		Logger: vm.logger, Clock: bootclock.Now, StaleAfter: staleAfter, OnRoutersChanged: vm.setRouters,
 	})
 	if err != nil {
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -84,7 +84,9 @@
 	Endpoints    Endpoints
 	Loads        Loads
 	// Parts defaults to an empty table.
-	Parts      Parts
+	Parts Parts
+	// FleetState may be nil, for a router that takes no part in the exchange of states.
+	FleetState FleetState
 	RouterList RouterList
 	// Bootstrap says that the whole fleet is starting for the first time, so the router list must still be empty.
 	Bootstrap bool
@@ -112,6 +114,7 @@
 	ledger           fleetload.VersionedTotals
 	readers          readrotation.Rotation
 	compressionCache compressionCache
+	states           fleetStates
 	epoch            int64
 	cancel           context.CancelFunc
 	goroutines       background.Group
@@ -197,6 +200,9 @@
 		a.goroutines.Go(func() { a.fetchParts(ctx) })
 	}
 	a.goroutines.Go(func() { a.recheckFailed(ctx) })
+	if a.FleetState != nil {
+		a.goroutines.Go(func() { a.shareState(ctx) })
+	}
 	return nil
 }
 
--- a/io/hub/epoch_test.go
+++ b/io/hub/epoch_test.go
@@ -33,7 +33,7 @@
 func (n *fakeEndpoints) Changes() *fleetload.ChangeLog       { return &n.changes }
 func (*fakeEndpoints) ApplyChanges([]fleetload.Change, bool) {}
 
-func newTestHub(t *testing.T, name string) (s *Service, changes *fleetload.ChangeLog) {
+func newTestHub(t testing.TB, name string) (s *Service, changes *fleetload.ChangeLog) {
 	t.Helper()
 	n := &fakeEndpoints{}
 	a, err := New(Config{
--- a/io/hub/fleetharness_test.go
+++ b/io/hub/fleetharness_test.go
@@ -33,6 +33,8 @@
 	store   *fakeStore
 	net     *network
 	routers []*simRouter
+	// newState returns the state of a router that starts. It is nil if the routers do not share their states.
+	newState func() *fakeState
 }
 
 // simRouter is one router: an agent with the readers of its two topics.
@@ -51,6 +53,7 @@
 	work      fakeLoads
 	parts     quarantine.Table
 	meter     *metrics.Set
+	state     *fakeState
 }
 
 const (
@@ -64,8 +67,11 @@
 
 // newFleet starts n routers within 0.3 s, the first largeVMCount of them on large VMs, and waits until they have
 // found each other.
-func newFleet(t *testing.T, n int) *fleet {
-	f := &fleet{t: t, began: time.Now(), store: newFakeStore(), net: newNetwork()}
+func newFleet(t *testing.T, n int) *fleet { return newFleetWithStates(t, n, nil) }
+
+// newFleetWithStates starts a fleet whose routers share the states that newState returns.
+func newFleetWithStates(t *testing.T, n int, newState func() *fakeState) *fleet {
+	f := &fleet{t: t, began: time.Now(), store: newFakeStore(), net: newNetwork(), newState: newState}
 	f.store.put(configurationTopic, "config", "1")
 	for e := range endpointCount {
 		f.putEndpoint(e, false)
@@ -104,13 +110,18 @@
 	r.configuration = follow.New(f.store.forRouter(m.Name, configurationTopic), follow.Sinks{r.drainTracker, &r.configurationSink}, configured, log.NewNopLogger())
 	r.endpoints = registry.New(entryDecoder{}, func([]directory.Entry) {}, log.NewNopLogger())
 	r.registry = follow.New(f.store.forRouter(m.Name, registryTopic), r.endpoints, entered, log.NewNopLogger())
-	var err error
-	r.agent, err = hub.New(hub.Config{
+	config := hub.Config{
 		Self: m, ListenAddress: m.Address, Members: &members.List{}, Configuration: r.configuration, CurrentRecord: r.configurationSink.record, OtherRecords: r.drainTracker.Records,
 		Registry: r.registry, Endpoints: r.endpoints, Loads: &r.work, Parts: &r.parts, RouterList: hub.NewRouterList(f.store.forRouter(m.Name, routersTopic)),
 		Bootstrap: bootstrap, Network: f.net.forRouter(m.Address), Meter: traffic.New(r.meter), Logger: log.NewNopLogger(),
 		Clock: f.clock, StaleAfter: propagationBound * 3 / 4, OnRoutersChanged: func(routers []uint64) { r.parts.SetFleet(coldlimit.New(members.Hash(m.Name), routers)) },
-	})
+	}
+	if f.newState != nil {
+		r.state = f.newState()
+		config.FleetState = r.state
+	}
+	var err error
+	r.agent, err = hub.New(config)
 	assert.NilError(f.t, err)
 	r.parts.OnChange = func(_, _ []quarantine.Status) { r.agent.NotifyParts() }
 	ctx := context.Background()
