--- a/core/retryschedule/schedule.go
+++ b/core/retryschedule/schedule.go
@@ -134,7 +134,7 @@
 // Promised returns how many promises this router has made.
 func (s *Schedule) Promised() uint64 { return s.promised }
 
-// Own returns this router's promises for the other routers.
+// Own returns this router's promises for the other routers. It is called once for each report.
 func (s *Schedule) Own(now time.Time) (list []fleetstate.PromisedRetries) {
 	s.reportedAt = now
 	for c, p := range s.classes {
