--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -15,16 +15,13 @@
 	maxReportAge = time.Second
 	// maxReportedFactor bounds a reported load, in slots: endpoints queue a few more requests than they have slots.
 	maxReportedFactor = 2.0
-	// waitingWeight is the weight of a request that waits for a slot in the sum of the taken ones: some endpoints have requests that
-	// wait while others have slots to spare, and counted in full these would stay free.
-	waitingWeight = 0.5
 	// readingTerm is the time in which most of the prompts that other routers reported as unread have been read.
 	readingTerm = 200 * time.Millisecond
 	// maxWaitShare is the largest share of the latency target for which a request may be expected to wait for a slot. What waits
 	// at an endpoint can be neither reordered nor refused any more, and the wait is the least certain part of an estimate.
 	maxWaitShare = 0.25
 	// maxPlainFactor is how many times its slots a plain endpoint may be given, however patient the callers are.
-	maxPlainFactor = 4.0
+	maxPlainFactor = queueFactor
 )
 
 const (
@@ -99,10 +96,7 @@
 		if !e.replaced {
 			slots := float64(c.slotsOf(e))
 			v.slots += slots
-			v.taken += c.loads[i]
-			if c.engine {
-				v.taken -= (1 - waitingWeight) * max(c.loads[i]-slots, 0)
-			}
+			v.taken += float64(e.running) + c.othersTaking(e)
 			if c.loads[i] < slots {
 				free++
 			}
@@ -317,21 +311,32 @@
 }
 
 // feasible reports whether an endpoint of the pool is expected to serve the request in time and has memory for it.
+//
+// What a plain endpoint holds for other routers has ended many times since they reported it. Admission limits the calls of a plain service, and
+// only what this router knows for certain counts for one endpoint: when a late report said that all were full, all routers refused every call
+// until the next one, whatever the share of its account.
 func (c *scoring) feasible(i int) bool {
 	w, e := c.expectation.works[i], c.expectation.estimates[i]
-	if !w.HasMemory() {
+	switch {
+	case !w.HasMemory(), c.brittle && w.SlotWait() > 0:
 		return false
-	}
-	if c.q.LatencyTarget <= 0 && c.q.TimeLeft <= 0 {
+	case !c.engine, c.q.LatencyTarget <= 0 && c.q.TimeLeft <= 0:
 		return !c.saturated(c.pool[i])
+	case c.idle(w):
+		return true
 	}
-	if c.brittle && w.SlotWait() > 0 {
+	most := time.Duration(maxWaitShare * float64(c.q.LatencyTarget))
+	if most > 0 && w.SlotWait() > most {
 		return false
 	}
-	if target := c.q.LatencyTarget; target > 0 && float64(w.SlotWait()) > maxWaitShare*float64(target) {
-		return false
-	}
-	return e.Within(c.q.LatencyTarget, c.q.TimeLeft)
+	// A request that is late by itself, for its long prompt, is served late. It is refused for the load that it would meet.
+	inTime := e.Within(c.q.LatencyTarget, 0) || w.SlotWait()+w.ReadingDelay() <= most
+	return inTime && e.Within(0, c.q.TimeLeft)
+}
+
+// idle reports whether so little is at the endpoint that nothing is gained by refusing the request.
+func (c *scoring) idle(w completion.Work) bool {
+	return w.Running < unreservedShare*float64(w.Slots) && inMs(w.ReadingDelay()) <= maxWaitMs
 }
 
 // expectedCost returns the cost of an endpoint of the pool: the expected time to the first event, and what the request costs
