--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -96,7 +96,7 @@
 		if !e.replaced {
 			slots := float64(c.slotsOf(e))
 			v.slots += slots
-			v.taken += float64(e.running) + c.othersTaking(e)
+			v.taken += c.taking(e, c.loads[i], slots)
 			if c.loads[i] < slots {
 				free++
 			}
@@ -112,6 +112,18 @@
 	c.meanWithDraining = sum / float64(max(len(c.pool)+len(c.draining), 1))
 }
 
+// waitingWeight is the weight of a request that waits for a slot in the sum of the taken ones: some engines have requests that wait
+// while others have slots to spare, and counted in full these would stay free.
+const waitingWeight = 0.5
+
+// taking returns how many requests an endpoint counts for in the sum of the taken slots. load is the expected number of its requests.
+func (c *scoring) taking(e *endpoint, load, slots float64) float64 {
+	if !c.engine {
+		return float64(e.running) + c.othersTaking(e)
+	}
+	return load - (1-waitingWeight)*max(load-slots, 0)
+}
+
 // expectedOccupancy returns how many requests the service holds and how many it can, as of the view.
 func (c *scoring) expectedOccupancy() (taken, capacity float64) {
 	perSlot := 1.0
