--- a/core/latencylimit/limit.go
+++ b/core/latencylimit/limit.go
@@ -36,14 +36,11 @@
 	minInterval = 250 * time.Millisecond
 	// riseTime and fallTime are the time constants of approach. They are longer than the age of sums and latencies, as
 	// the factor oscillates otherwise; excess costs more than idle slots, so the fall is faster.
-	riseTime = time.Second
-	fallTime = 500 * time.Millisecond
-	// increase is how far the factor aims above the usage while it grows, as a part of the high bound.
-	increase = 0.08
-	// nearLimit is the part of the factor from which the service counts as limited by it.
-	nearLimit = 0.85
-	// headroom is the ratio of the factor to the usage of a service that is not limited by it.
-	headroom = 1.25
+	riseTime = 1500 * time.Millisecond
+	fallTime = 750 * time.Millisecond
+	// increase is how far the factor aims above the usage, as a part of the high bound. A service that uses less of its
+	// factor is not limited by it, and the factor does not grow.
+	increase = 0.15
 	// waitingTolerance is how much may wait, in slots, because requests arrive unevenly at the endpoints.
 	waitingTolerance = 0.02
 	// targetShare is where the mean latency is kept between that at ease and the target. The rest is for answers that
@@ -53,6 +50,9 @@
 	easeTolerance = 1.5
 	// leastGradient bounds how far one step aims below the usage.
 	leastGradient = 0.5
+	// leastLatencyGradient bounds it by latency alone while no more waits than is allowed: the latency is then that of
+	// requests before, or of slow work, which fewer requests speed up little.
+	leastLatencyGradient = 0.8
 
 	// maxSlots, maxRunning, maxWaiting and maxLatency bound what is believed of a sample; running and waiting requests
 	// are relative to the slots.
@@ -130,19 +130,20 @@
 		gradient = aim / s.Latency.Seconds()
 	}
 	if excess > waitingTolerance || gradient < 1 || s.Refused > waitingTolerance {
+		if excess <= waitingTolerance {
+			gradient = max(gradient, leastLatencyGradient)
+		}
 		decrease := max(min(gradient, 1-max(excess, 0), 1-s.Refused), leastGradient)
 		return min(max(usage, start), max(1+allowed, start)) * decrease
 	}
-	if usage < nearLimit*l.factor {
-		return max(start, usage*headroom)
-	}
-	grown := usage + increase*high
+	// The increase ends gradually as more waits, so that the goal does not jump between growth and decrease.
+	grown := usage + increase*high*(1-min(max(excess, 0)/waitingTolerance, 1))
 	switch {
 	case s.Latency <= 0 || aim <= 0:
 		// Without a latency to judge by, nothing justifies requests beyond the slots.
 		grown = min(grown, 1)
 	case usage > 1:
-		grown = min(grown, usage*gradient)
+		grown = min(grown, usage*gradient, max(1+allowed, usage))
 	}
 	return max(start, grown)
 }
--- a/core/latencylimit/limit_test.go
+++ b/core/latencylimit/limit_test.go
@@ -89,6 +89,40 @@
 	assert.Assert(t, l.Factor(now) < 2.5, "%.3f", l.Factor(now))
 }
 
+// Guards against a limit that keeps sending what endpoints refuse.
+func TestRefusalsLowerTheFactor(t *testing.T) {
+	s := latencylimit.Sample{Slots: 100, Running: 100, Waiting: 100, Latency: 2 * second, AtEase: second, Target: 5 * second}
+	kept, lowered := plain(), plain()
+	now := observe(kept, s, start, 10*second)
+	s.Refused = 0.3
+	observe(lowered, s, start, 10*second)
+	assert.Assert(t, lowered.Factor(now) < 0.75*kept.Factor(now), "%.3f, %.3f", lowered.Factor(now), kept.Factor(now))
+}
+
+// Guards against queues at endpoints of which no latency is known.
+func TestUnknownLatencyAllowsTheSlots(t *testing.T) {
+	for _, s := range []latencylimit.Sample{
+		{Slots: 100, Running: 100},
+		{Slots: 100, Running: 100, AtEase: second, Target: 4 * second},
+		{Slots: 100, Running: 100, Latency: second},
+	} {
+		l := plain()
+		near(t, l.Factor(observe(l, s, start, 20*second)), 1, 0)
+	}
+}
+
+// Guards against a first sample after silence that counts for the whole silence.
+func TestSampleAfterSilenceIsOneStep(t *testing.T) {
+	calm := latencylimit.Sample{Slots: 100, Running: 40, Latency: second, AtEase: second, Target: 4 * second}
+	full := latencylimit.Sample{Slots: 100, Running: 100, Waiting: 200, Latency: 2 * second, AtEase: second, Target: 4 * second}
+	var late, first latencylimit.Limit
+	now := observe(&late, calm, start, 10*second).Add(time.Minute)
+	late.Observe(full, now)
+	first.Observe(full, now)
+	near(t, late.Factor(now), first.Factor(now), 1e-9)
+	assert.Assert(t, late.Factor(now) > 0.6, "%.3f", late.Factor(now))
+}
+
 // Guards against a router that trusts old figures, and one that needs long to find back.
 func TestStaleSamplesMakeItCareful(t *testing.T) {
 	full := latencylimit.Sample{Slots: 100, Running: 98, Latency: second, AtEase: second, Target: 4 * second}
