dispatch, entry: expected times of a refusal, and the error of the estimate

A refusal as infeasible names the best expected first and last event, the target and the time left; the expected and actual time to the first event are counted by service.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -114,6 +114,10 @@
 // MissingTokens returns how many tokens of the prompt the endpoint is estimated not to have cached.
 func (a *Attempt) MissingTokens() int { return a.missingTokens }
 
+// Expected returns when the endpoint was expected to send its first and last event, measured from the choice. ok is false if
+// overload control was not active.
+func (a *Attempt) Expected() (e completion.Estimate, ok bool) { return a.expected, a.controlled }
+
 // RecordFirstBytes records the first bytes of the answer, and the load that the answer reported.
 func (a *Attempt) RecordFirstBytes(l Load, now time.Time) {
 	a.d.mu.Lock()
--- a/core/dispatch/candidates.go
+++ b/core/dispatch/candidates.go
@@ -6,9 +6,9 @@
 	// maxHolders is how many endpoints that hold a part of the prompt are compared, and leastCandidates and randomCandidates how
 	// many of those that are expected to begin first, and of all. Each router compares other ones, and few: the more are compared with
 	// the same reports, the more routers choose the endpoint that these show as the best.
-	maxHolders       = 6
-	leastCandidates  = 1
-	randomCandidates = 1
+	maxHolders       = 3
+	leastCandidates  = 2
+	randomCandidates = 2
 	// moreCandidates is how many are compared in place of the whole pool by a request that is kept from the least loaded endpoints.
 	moreCandidates = 4
 )
@@ -19,8 +19,13 @@
 	add := func(e *endpoint) { list = c.appendCandidate(list, e) }
 	add(c.home)
 	if c.engine {
-		for _, e := range c.d.holders.lookUp(c.q.Prompt) {
-			add(e)
+		holders := c.d.holders.lookUp(c.q.Prompt)
+		first := 0
+		if len(holders) > maxHolders {
+			first = c.d.randomIndex(len(holders))
+		}
+		for i := range min(len(holders), maxHolders) {
+			add(holders[(first+i)%len(holders)])
 		}
 	}
 	for range leastCandidates {
--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -25,6 +25,9 @@
 	// maxWaitShare is the largest share of the latency target for which a request may be expected to wait for a slot. What waits
 	// at an endpoint can be neither reordered nor refused any more, and the wait is the least certain part of an estimate.
 	maxWaitShare = 0.25
+	// maxWaitTurns is for how many times as long as requests hold a slot one may wait for one, however patient its caller is: engines
+	// queue only a few more requests than they have slots.
+	maxWaitTurns = 0.5
 	// maxPlainFactor is how many times its slots a plain endpoint may be given, however patient the callers are.
 	maxPlainFactor = 4.0
 )
@@ -318,6 +321,30 @@
 	}
 }
 
+// BestEstimate returns when the first and last event are expected from the endpoint that would answer the request first, of those
+// that are compared for it. ok is false if overload control is not active for the service or there is no endpoint.
+func (d *Dispatcher) BestEstimate(q Query, now time.Time) (best completion.Estimate, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.scoring(q, d.pools[q.Service], now)
+	if c.view == nil {
+		return best, false
+	}
+	if len(q.Prompt) > 0 {
+		c.home = c.view.home(q.Prompt.RoutingKey())
+	}
+	if len(c.pool) > smallPool {
+		c.pool = c.candidates()
+	}
+	c.compare(c.pool)
+	for _, e := range c.expectation.estimates {
+		if !ok || e.First < best.First {
+			best, ok = e, true
+		}
+	}
+	return best, ok
+}
+
 // feasible reports whether an endpoint of the pool is expected to serve the request in time and has memory for it.
 func (c *scoring) feasible(i int) bool {
 	w, e := c.expectation.works[i], c.expectation.estimates[i]
@@ -330,7 +357,11 @@
 	if c.brittle && w.SlotWait() > 0 {
 		return false
 	}
-	if target := c.q.LatencyTarget; target > 0 && float64(w.SlotWait()) > maxWaitShare*float64(target) {
+	wait := float64(w.SlotWait())
+	if target := c.q.LatencyTarget; target > 0 && wait > maxWaitShare*float64(target) {
+		return false
+	}
+	if c.engine && wait > maxWaitTurns*float64(w.HoldTime) || !c.engine && c.loads[i] >= float64(c.capacity(c.pool[i])) {
 		return false
 	}
 	return e.Within(c.q.LatencyTarget, c.q.TimeLeft)
--- a/core/dispatch/holders.go
+++ b/core/dispatch/holders.go
@@ -10,6 +10,9 @@
 // have cached.
 const maxIndexedParts = 16384
 
+// maxIndexedHolders is how many endpoints the index holds for a part. A prompt that many ask for is held by tens.
+const maxIndexedHolders = 32
+
 // holderIndex finds the endpoints that were sent a prompt part. Whether they still have it cached is up to their caches. Parts that
 // are not used for long are dropped, like those in a prefixcache.Cache. The zero value is empty.
 type holderIndex struct {
@@ -23,7 +26,7 @@
 		if slices.Contains(list, e) {
 			continue
 		}
-		if len(list) >= maxHolders {
+		if len(list) >= maxIndexedHolders {
 			list = slices.Delete(list, 0, 1)
 		}
 		x.recent[p.ID] = append(list, e)
--- a/core/dispatch/scoring.go
+++ b/core/dispatch/scoring.go
@@ -216,6 +216,9 @@
 	// users' bound of twice the mean and three requests, because the loads are estimates that lag.
 	loadBoundFactor = 1.7
 	loadBoundSlack  = 3.0
+	// expectedBoundFactor is loadBoundFactor while overload control is active. A prompt part that is fetched costs little then, and
+	// more of the load is that of prompts which many ask for.
+	expectedBoundFactor = 1.5
 	// minHeadroomShare is the share of the headroom between the mean and the bound that every prompt may use. The
 	// limit of each prompt differs, so that prompts leave a filling endpoint one after the other: when all left and
 	// came back at the same load, an endpoint just below it was sent twice its bound before any router saw it fill.
@@ -226,7 +229,11 @@
 // to the mean of all running endpoints. While many of them are draining, it is close to the mean of the pool or below
 // it, and a bound below that mean gains nothing.
 func (c *scoring) overBound(i int) bool {
-	headroom := max(loadBoundFactor*c.meanWithDraining, c.meanLoad) + loadBoundSlack - c.meanLoad
+	factor := loadBoundFactor
+	if c.view != nil {
+		factor = expectedBoundFactor
+	}
+	headroom := max(factor*c.meanWithDraining, c.meanLoad) + loadBoundSlack - c.meanLoad
 	if c.engine && len(c.q.Prompt) > 0 {
 		headroom *= minHeadroomShare + (1-minHeadroomShare)*unitFraction(hashmix.Mix(c.q.Prompt.RoutingKey())^c.pool[i].hash)
 	}
--- a/core/dispatch/view.go
+++ b/core/dispatch/view.go
@@ -46,6 +46,8 @@
 	v := d.view(q.Service, listed, now)
 	c := v.scoring
 	c.view, c.q, c.now, c.pool = v, q, now, v.pool
+	c.meanLoad += float64(v.ownChange) / float64(max(len(v.pool), 1))
+	c.meanWithDraining += float64(v.ownChange) / float64(max(len(v.pool)+len(c.draining), 1))
 	if q.Origin != nil {
 		accepting, _ := d.split(listed, now)
 		c.pool = q.withContinuing(v.pool, accepting)
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -105,6 +105,13 @@
 	Taken Name = "taken"
 	// Places is the number of slots and queue positions.
 	Places Name = "places"
+	// ExpectedFirstMs and ExpectedLastMs are when the first and last event were expected from the endpoint that would have answered
+	// first.
+	ExpectedFirstMs Name = "expectedFirstMs"
+	ExpectedLastMs  Name = "expectedLastMs"
+	// TargetMs is the latency target, LeftMs is how long the client still waited when the endpoint was chosen.
+	TargetMs Name = "targetMs"
+	LeftMs   Name = "leftMs"
 	// LoadsAgeMs is the age of the load data of the other routers.
 	LoadsAgeMs Name = "loadsAgeMs"
 )
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"savoryfall/core/completion"
 	"savoryfall/core/dispatch"
 	"savoryfall/core/event"
 	"savoryfall/core/field"
@@ -42,6 +43,9 @@
 	a.RecordFirstBytes(dispatch.Load{
 		Running: a.reply.Running, Waiting: a.reply.Waiting, Slots: a.reply.Slots, Slowdown: a.reply.Slowdown, Known: a.reply.HasLoad,
 	}, now)
+	if expected, ok := a.Expected(); ok && !a.reply.NotExecuted {
+		x.handler.Metrics.recordEstimate(x.service, expected.First, now.Sub(a.Began()))
+	}
 	x.recordAlive(a, now)
 }
 
@@ -70,6 +74,7 @@
 	case reason == dispatch.ReasonAllFull:
 		return nil, request.NotRun(request.Full, x.retryAfterFull())
 	case reason == dispatch.ReasonInfeasible:
+		x.recordInfeasible(q)
 		return nil, request.NotRun(request.Infeasible, x.retryAfterFull())
 	case reason == dispatch.ReasonReserved:
 		return nil, request.NotRun(request.Reserved, x.retryAfterFull())
@@ -81,6 +86,27 @@
 	return nil, request.NotRun(request.NoEndpoint, retryLater)
 }
 
+// infeasible is a request that no endpoint was expected to serve in time.
+type infeasible struct {
+	expected         completion.Estimate
+	target, timeLeft time.Duration
+}
+
+// recordInfeasible counts the request and keeps what was expected for the log.
+func (x *exchange) recordInfeasible(q dispatch.Query) {
+	x.handler.Metrics.recordInfeasible(x.service)
+	expected, _ := x.handler.Dispatcher.BestEstimate(q, time.Now())
+	x.infeasible = &infeasible{expected: expected, target: q.LatencyTarget, timeLeft: q.TimeLeft}
+}
+
+// logFields returns what was expected and what was asked.
+func (i *infeasible) logFields() []any {
+	return []any{
+		field.ExpectedFirstMs, i.expected.First.Milliseconds(), field.ExpectedLastMs, i.expected.Last.Milliseconds(),
+		field.TargetMs, i.target.Milliseconds(), field.LeftMs, i.timeLeft.Milliseconds(),
+	}
+}
+
 // retryAfterFull returns how long the client should wait before it retries a request to a service that is at capacity.
 func (x *exchange) retryAfterFull() time.Duration {
 	now := time.Now()
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -59,6 +59,8 @@
 	trial bool
 	// quarantined is the prompt part that the request was refused for.
 	quarantined quarantine.Status
+	// infeasible is set if no endpoint was expected to serve the request in time.
+	infeasible *infeasible
 	// lostConnection is set if an attempt has ended without the complete response.
 	lostConnection bool
 }
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -36,6 +36,18 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`savoryfall_attempt_seconds{service=%q}`, service)).Update(took.Seconds())
 }
 
+// recordInfeasible counts a choice for which no endpoint of the service was expected to serve the request in time.
+func (m *Metrics) recordInfeasible(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_infeasible_total{service=%q}`, service)).Inc()
+}
+
+// recordEstimate records the expected and the actual time to the first event of an attempt at the service.
+func (m *Metrics) recordEstimate(service string, expected, actual time.Duration) {
+	m.set.GetOrCreateFloatCounter(fmt.Sprintf(`savoryfall_expected_first_event_seconds_total{service=%q}`, service)).Add(expected.Seconds())
+	m.set.GetOrCreateFloatCounter(fmt.Sprintf(`savoryfall_actual_first_event_seconds_total{service=%q}`, service)).Add(actual.Seconds())
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`savoryfall_first_event_estimate_error_seconds{service=%q}`, service)).Update((expected - actual).Abs().Seconds())
+}
+
 // recordBroken counts an answer that has broken off or was given up, by what became of the endpoint's process.
 func (m *Metrics) recordBroken(service string, s process.State) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_answers_broken_total{service=%q,state=%q}`, service, s)).Inc()
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -91,9 +91,12 @@
 		field.Endpoints, x.endpoints(), field.Software, strings.Join(x.software, ","), field.Version, x.version(), field.ReadAgeMs, age.Milliseconds(),
 		field.Ms, time.Since(x.began).Milliseconds(),
 	}
-	if p.Reason == request.Full || p.Reason == request.Reserved {
+	if p.Reason == request.Full || p.Reason == request.Reserved || p.Reason == request.Infeasible {
 		line = append(line, x.occupancyFields()...)
 	}
+	if p.Reason == request.Infeasible && x.infeasible != nil {
+		line = append(line, x.infeasible.logFields()...)
+	}
 	if p.Reason == request.Unreachable && x.handler.Connections != nil {
 		line = append(line, x.handler.Connections.LogFields(x.service)...)
 	}
