--- a/core/dispatch/expected_test.go
+++ b/core/dispatch/expected_test.go
@@ -611,3 +611,29 @@
 		})
 	}
 }
+
+// Guards against calls that all routers send to the endpoint which late reports show as free, and against less urgent calls that take
+// the place of urgent ones.
+func TestSurgeOfCallsIsSpreadByExpectedTime(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSurge(t, seed, 81, plain, 4, 6)
+			for _, d := range s.routers {
+				d.SetOverloadControl(controlled)
+			}
+			request := func() (dispatch.Query, time.Duration) {
+				q, work := s.call()
+				q.LatencyTarget, q.TimeLeft = 120*time.Millisecond, time.Second
+				return q, work
+			}
+			s.generate(280, 1, 3*time.Second, request)
+			s.generate(980, 8, 5*time.Second, request)
+			t.Logf("beyond the bound %v of %v, let in %v of %v", s.beyondBound, s.arrivals, s.admitted, s.asked)
+			assert.Assert(t, s.worstShare() <= 0.03, "%.3f", s.worstShare())
+			assert.Assert(t, s.admitted[0] > s.asked[0]*95/100, "%v of %v", s.admitted, s.asked)
+			assert.Assert(t, total(s.admitted) > total(s.asked)*80/100, "%v of %v", s.admitted, s.asked)
+		})
+	}
+}
