--- a/core/field/field.go
+++ b/core/field/field.go
@@ -107,6 +107,13 @@
 	Places Name = "places"
 	// WaitedMs is how long the request waited in this router for a place at an endpoint.
 	WaitedMs Name = "waitedMs"
+	// ExpectedFirstMs and ExpectedLastMs are when the first and last event were expected from the endpoint that would have answered
+	// first.
+	ExpectedFirstMs Name = "expectedFirstMs"
+	ExpectedLastMs  Name = "expectedLastMs"
+	// TargetMs is the latency target, LeftMs is how long the client still waited when the endpoint was chosen.
+	TargetMs Name = "targetMs"
+	LeftMs   Name = "leftMs"
 	// LoadsAgeMs is the age of the load data of the other routers.
 	LoadsAgeMs Name = "loadsAgeMs"
 	// AccountDemand is how many requests a second the account sends to the service at this rank, by all routers.
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -61,6 +61,8 @@
 	quarantined quarantine.Status
 	// memory is what is held of the request's body, nil if it does not count.
 	memory *bytebudget.Account
+	// infeasible is set if no endpoint was expected to serve the request in time.
+	infeasible *infeasible
 	// lostConnection is set if an attempt has ended without the complete response.
 	lostConnection bool
 	// hasWaited is set if the request has waited for a place, and waited is for how long.
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -98,6 +98,9 @@
 		line = append(line, x.shareFields()...)
 		x.logOverShare()
 	}
+	if p.Reason == request.Infeasible && x.infeasible != nil {
+		line = append(line, x.infeasible.logFields()...)
+	}
 	if p.Reason == request.Unreachable && x.handler.Connections != nil {
 		line = append(line, x.handler.Connections.LogFields(x.service)...)
 	}
