--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -24,7 +24,7 @@
 	// queue only a few more requests than they have slots.
 	maxWaitTurns = 0.5
 	// maxPlainFactor is how many times its slots a plain endpoint may be given, however patient the callers are.
-	maxPlainFactor = queueFactor
+	maxPlainFactor = 4.0
 )
 
 const (
@@ -359,10 +359,13 @@
 	switch {
 	case !w.HasMemory(), c.brittle && w.SlotWait() > 0:
 		return false
-	case !c.engine, c.q.LatencyTarget <= 0 && c.q.TimeLeft <= 0:
+	case c.q.LatencyTarget <= 0 && c.q.TimeLeft <= 0:
 		return !c.saturated(c.pool[i])
+	case !c.engine:
+		w.Running, w.LoadError = c.confirmedLoad(c.pool[i]), 0
+		return !c.saturated(c.pool[i]) && w.Estimate().Within(c.q.LatencyTarget, c.q.TimeLeft)
 	case c.idle(w):
-		return true
+		return e.Within(0, c.q.TimeLeft)
 	}
 	most := time.Duration(maxWaitShare * float64(c.q.LatencyTarget))
 	if most > 0 && w.SlotWait() > most {
--- a/core/dispatch/servicetimes.go
+++ b/core/dispatch/servicetimes.go
@@ -9,7 +9,7 @@
 	// defaultEventTime is the time between two events of a stream until one is learned.
 	defaultEventTime = 30 * time.Millisecond
 	// defaultPlainTime is the time of a plain answer until one is learned.
-	defaultPlainTime = defaultLatencyMs * time.Millisecond
+	defaultPlainTime = 30 * time.Millisecond
 )
 
 // eventTime returns the time between two events of a stream of the service at ease: at an endpoint of usual speed with free slots. It
