--- a/core/dispatch/candidates.go
+++ b/core/dispatch/candidates.go
@@ -6,7 +6,7 @@
 	// maxHolders is how many endpoints that hold a part of the prompt are compared, and leastCandidates and randomCandidates how
 	// many of those that are expected to begin first, and of all. Each router compares other ones, and few: the more are compared with
 	// the same reports, the more routers choose the endpoint that these show as the best.
-	maxHolders       = 3
+	maxHolders       = 6
 	leastCandidates  = 2
 	randomCandidates = 2
 	// moreCandidates is how many are compared in place of the whole pool by a request that is kept from the least loaded endpoints.
--- a/core/dispatch/scoring.go
+++ b/core/dispatch/scoring.go
@@ -216,9 +216,9 @@
 	// users' bound of twice the mean and three requests, because the loads are estimates that lag.
 	loadBoundFactor = 1.7
 	loadBoundSlack  = 3.0
-	// expectedBoundFactor is loadBoundFactor while overload control is active. A prompt part that is fetched costs little then, and
-	// more of the load is that of prompts which many ask for.
-	expectedBoundFactor = 1.5
+	// expectedBoundFactor is loadBoundFactor while overload control is active: fewer endpoints are compared, so that more routers with the
+	// same reports choose the same one, and a prompt part that is fetched costs little.
+	expectedBoundFactor = 1.3
 	// minHeadroomShare is the share of the headroom between the mean and the bound that every prompt may use. The
 	// limit of each prompt differs, so that prompts leave a filling endpoint one after the other: when all left and
 	// came back at the same load, an endpoint just below it was sent twice its bound before any router saw it fill.
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -105,13 +105,14 @@
 	Taken Name = "taken"
 	// Places is the number of slots and queue positions.
 	Places Name = "places"
-	// ExpectedFirstMs and ExpectedLastMs are when the first and last event were expected from the endpoint that would have answered
-	// first.
+	// ExpectedFirstMs is when the first event was expected from the endpoint that would have answered first.
 	ExpectedFirstMs Name = "expectedFirstMs"
-	ExpectedLastMs  Name = "expectedLastMs"
-	// TargetMs is the latency target, LeftMs is how long the client still waited when the endpoint was chosen.
+	// ExpectedLastMs is when its last event was expected.
+	ExpectedLastMs Name = "expectedLastMs"
+	// TargetMs is the latency target of the request.
 	TargetMs Name = "targetMs"
-	LeftMs   Name = "leftMs"
+	// LeftMs is how long the client still waited when an endpoint was to be chosen.
+	LeftMs Name = "leftMs"
 	// LoadsAgeMs is the age of the load data of the other routers.
 	LoadsAgeMs Name = "loadsAgeMs"
 )
