--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -50,6 +50,8 @@
 	overload    OverloadControl
 	shares      accountshare.Shares
 	retries     retries
+	// limits follow the latency of the services for which overload control is active.
+	limits map[string]*serviceLimit
 	// speedReportedAt has the services whose endpoints report the speed of their VM, and when an answer last did.
 	speedReportedAt map[string]time.Time
 	// times has what the work of each service takes.
--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -99,7 +99,7 @@
 		if !e.replaced {
 			slots := float64(c.slotsOf(e))
 			v.slots += slots
-			v.taken += c.taking(e, c.loads[i], slots)
+			v.taken += c.taking(e, c.loads[i])
 			if c.loads[i] < slots {
 				free++
 			}
@@ -115,26 +115,24 @@
 	c.meanWithDraining = sum / float64(max(len(c.pool)+len(c.draining), 1))
 }
 
-// waitingWeight is the weight of a request that waits for a slot in the sum of the taken ones: some engines have requests that wait
-// while others have slots to spare, and counted in full these would stay free.
-const waitingWeight = 0.5
-
 // taking returns how many requests an endpoint counts for in the sum of the taken slots. load is the expected number of its requests.
-func (c *scoring) taking(e *endpoint, load, slots float64) float64 {
+func (c *scoring) taking(e *endpoint, load float64) float64 {
 	if !c.engine {
 		return float64(e.running) + c.othersTaking(e)
 	}
-	return load - (1-waitingWeight)*max(load-slots, 0)
+	return load
 }
 
-// expectedOccupancy returns how many requests the service holds and how many it can, as of the view.
+// expectedOccupancy returns how many requests the service holds and how many it may hold, as of the view.
 func (c *scoring) expectedOccupancy() (taken, capacity float64) {
-	perSlot := 1.0
-	if !c.engine && !c.brittle {
-		perSlot = c.timelyFactor(c.expectation.meanSlowdown)
+	factor := c.d.serviceLimit(c.q.Service).factor(c.engine, c.now)
+	if !c.engine {
+		factor = min(factor, c.timelyFactor(c.expectation.meanSlowdown))
+	}
+	if c.brittle {
+		factor = min(factor, 1)
 	}
-	capacity = c.view.slots * perSlot
-	return c.view.taken + float64(c.view.ownChange), capacity
+	return c.view.taken + float64(c.view.ownChange), c.view.slots * factor
 }
 
 // compare makes the endpoints the pool and computes their loads and estimates.
