--- a/core/field/field.go
+++ b/core/field/field.go
@@ -107,8 +107,6 @@
 	Places Name = "places"
 	// WaitedMs is how long the request waited in this router for a place at an endpoint.
 	WaitedMs Name = "waitedMs"
-	// ExpectedFirstMs and ExpectedLastMs are when the first and last event were expected from the endpoint that would have answered
-	// first.
 	// ExpectedFirstMs is when the first event was expected from the endpoint that would have answered first.
 	ExpectedFirstMs Name = "expectedFirstMs"
 	// ExpectedLastMs is when its last event was expected.
