core/dispatch, core/settings: placement and limit of overload control are settings

Change: overloadControl.placement (load, expectedTime) and overloadControl.limit (slots, latency). Plain endpoints are feasible by what is certain; engines below half of their slots are not refused for the latency target.

--- a/core/dispatch/decisioncost_test.go
+++ b/core/dispatch/decisioncost_test.go
@@ -19,7 +19,7 @@
 		for _, n := range []int{10, 100, 2500} {
 			b.Run(fmt.Sprintf("control=%v/%d", control, n), func(b *testing.B) {
 				d, entries := newDispatcher(n)
-				d.SetOverloadControl(dispatch.OverloadControl{Always: control, Never: !control})
+				d.SetOverloadControl(dispatch.OverloadControl{Always: control, ExpectedTime: control, Never: !control})
 				var w fleetload.Workload
 				var s fleetstate.Totals
 				for i, e := range entries {
--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -125,11 +125,8 @@
 
 // expectedOccupancy returns how many requests the service holds and how many it may hold, as of the view.
 func (c *scoring) expectedOccupancy() (taken, capacity float64) {
-	factor := 1.0
-	switch {
-	case c.engine:
-		factor = c.d.serviceLimit(c.q.Service).factor(true, c.now)
-	case !c.brittle:
+	factor := c.limitFactor()
+	if !c.engine && !c.brittle {
 		factor = c.timelyFactor(c.expectation.meanSlowdown)
 	}
 	return c.view.taken + float64(c.view.ownChange), c.view.slots * factor
--- a/core/dispatch/estimate_test.go
+++ b/core/dispatch/estimate_test.go
@@ -15,7 +15,7 @@
 // newControlled returns a dispatcher with overload control.
 func newControlled(n int) *dispatch.Dispatcher {
 	d, _ := newDispatcher(n)
-	d.SetOverloadControl(dispatch.OverloadControl{Always: true})
+	d.SetOverloadControl(dispatch.OverloadControl{Always: true, ExpectedTime: true})
 	return d
 }
 
--- a/core/dispatch/expected_test.go
+++ b/core/dispatch/expected_test.go
@@ -456,7 +456,7 @@
 	return o.results
 }
 
-var controlled = dispatch.OverloadControl{Always: true}
+var controlled = dispatch.OverloadControl{Always: true, ExpectedTime: true}
 
 // Guards against goodput that falls as more is asked, requests that are admitted and then end by their deadline, and large or
 // urgent requests that fare worse than others, while a third of the engines are twice as slow.
@@ -527,7 +527,7 @@
 	t.Parallel()
 	results := map[bool]overloadResults{}
 	for _, control := range []bool{true, false} {
-		o := newOverload(1, dispatch.OverloadControl{Always: control, Never: !control}, byRouter)
+		o := newOverload(1, dispatch.OverloadControl{Always: control, ExpectedTime: control, Never: !control}, byRouter)
 		o.disturb = func() {
 			o.lose(overloadEngines / 3)
 		}
--- a/core/dispatch/overload.go
+++ b/core/dispatch/overload.go
@@ -7,6 +7,9 @@
 type OverloadControl struct {
 	// Always activates overload control for all services, Never for none.
 	Always, Never bool
+	// ExpectedTime places requests by the expected time to their first and last event in place of the load, and LatencyLimit has
+	// the limit of a service follow its latency in place of a fixed factor of the slots.
+	ExpectedTime, LatencyLimit bool
 	// ReportTerm is how long the reports of other routers count.
 	ReportTerm time.Duration
 	// Accounts is how many client accounts a hub names for each service.
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -59,7 +59,7 @@
 		taken += float64(e.running) + c.othersTaking(e)
 		capacity += float64(c.capacity(e))
 	}
-	return taken, capacity
+	return taken, capacity * c.limitFactor()
 }
 
 // othersTaking returns how many requests other routers hold at the endpoint. Without reports of theirs, what its last answer implied counts
--- a/core/dispatch/scoring.go
+++ b/core/dispatch/scoring.go
@@ -59,7 +59,7 @@
 }
 
 func (d *Dispatcher) scoring(q Query, pool []*endpoint, now time.Time) *scoring {
-	if d.overloadControl(q.Service, now) {
+	if d.overload.ExpectedTime && d.overloadControl(q.Service, now) {
 		return d.expectedScoring(q, pool, now)
 	}
 	accepting, withdrawn := d.split(pool, now)
--- a/core/dispatch/servicelatency.go
+++ b/core/dispatch/servicelatency.go
@@ -9,10 +9,10 @@
 )
 
 // Bounds of the limit that follows latency, as factors of the slots. What waits at an engine can be neither reordered nor refused any
-// more, so none is let in beyond the slots; calls of a plain service are short, and some may wait.
+// more, so none is let in beyond the slots.
 const (
-	minEngineFactor, maxEngineFactor = 0.5, 1.0
-	minPlainFactor                   = 1.0
+	minLimitFactor = 0.5
+	maxLimitFactor = 1.0
 )
 
 // latencyHalfLife is the half-life of answers and their times: as long as that of the demand of accounts.
@@ -26,8 +26,6 @@
 	ownAt time.Time
 	// sampled is set once endpoints have reported their load: those that never do have no limit but a fixed factor.
 	sampled bool
-	// target is the shortest latency target of the requests since the last sample, 0 if none was stated.
-	target time.Duration
 }
 
 func (l *serviceLimit) decayTo(now time.Time) {
@@ -45,12 +43,7 @@
 			d.limits = map[string]*serviceLimit{}
 		}
 		l = &serviceLimit{own: fleetstate.ServiceLatency{Service: serviceHash(service)}}
-		_, _, engine := d.serviceCapacity(service)
-		if engine {
-			l.limit.SetBounds(minEngineFactor, maxEngineFactor)
-		} else {
-			l.limit.SetBounds(minPlainFactor, maxPlainFactor)
-		}
+		l.limit.SetBounds(minLimitFactor, maxLimitFactor)
 		d.limits[service] = l
 	}
 	l.limit.SetTerm(d.overload.reportTerm())
@@ -59,21 +52,18 @@
 
 // recordLatency records the time to the first event of a stream, or to the whole plain answer.
 func (a *Attempt) recordLatency(took time.Duration, now time.Time) {
-	if !a.controlled {
+	if !a.d.overload.LatencyLimit || !a.d.overloadControl(a.q.Service, now) {
 		return
 	}
 	l := a.d.serviceLimit(a.q.Service)
 	l.decayTo(now)
 	l.own.Answers++
 	l.own.TotalMs += float32(inMs(took))
-	if t := a.q.LatencyTarget; t > 0 && (l.target == 0 || t < l.target) {
-		l.target = t
-	}
 }
 
 // recordFull records that an endpoint refused the request.
 func (a *Attempt) recordFull(now time.Time) {
-	if !a.controlled {
+	if !a.d.overload.LatencyLimit || !a.d.overloadControl(a.q.Service, now) {
 		return
 	}
 	l := a.d.serviceLimit(a.q.Service)
@@ -81,23 +71,27 @@
 	l.own.Refusals++
 }
 
-// factor returns up to which factor of its slots the service is kept full.
-func (l *serviceLimit) factor(engine bool, now time.Time) float64 {
-	switch {
-	case l.sampled:
-		return l.limit.Factor(now)
-	case engine:
-		return maxEngineFactor
+// limitFactor returns the part of the slots that the service is kept full to. It is below 1 only for engines whose limit follows latency.
+func (c *scoring) limitFactor() float64 {
+	if !c.engine || !c.d.overload.LatencyLimit || !c.controlled() {
+		return 1
+	}
+	return c.d.serviceLimit(c.q.Service).factor(c.now)
+}
+
+// factor returns the part of the slots that the service is kept full to, 1 if its endpoints never report their load.
+func (l *serviceLimit) factor(now time.Time) float64 {
+	if !l.sampled {
+		return 1
 	}
-	return queueFactor
+	return l.limit.Factor(now)
 }
 
-// LimitFactor returns up to which factor of its slots the service is kept full while overload control is active.
+// LimitFactor returns the part of its slots that an engine service is kept full to.
 func (d *Dispatcher) LimitFactor(service string, now time.Time) float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	_, _, engine := d.serviceCapacity(service)
-	return d.serviceLimit(service).factor(engine, now)
+	return d.scoring(Query{Service: service}, d.pools[service], now).limitFactor()
 }
 
 func (d *Dispatcher) ownLatencies(now time.Time) (list []fleetstate.ServiceLatency) {
@@ -112,23 +106,19 @@
 
 func (d *Dispatcher) setLatencies(total, _ []fleetstate.ServiceLatency, now time.Time) {
 	for service, pool := range d.pools {
-		if !d.overloadControl(service, now) {
+		_, _, engine := d.serviceCapacity(service)
+		if !engine || !d.overload.LatencyLimit || !d.overloadControl(service, now) {
 			continue
 		}
 		l := d.serviceLimit(service)
 		s := d.sample(service, pool, now)
 		for _, t := range total {
-			if t.Service == serviceHash(service) && t.Answers > 0 {
-				s.Latency = time.Duration(t.TotalMs / t.Answers * float32(time.Millisecond))
+			// The time to the first event of a stream is mostly that of reading the prompt, which fewer requests do not shorten. So what
+			// waits and what is refused decide.
+			if t.Service == serviceHash(service) && t.Answers+t.Refusals > 0 {
 				s.Refused = float64(t.Refusals / (t.Answers + t.Refusals))
 			}
 		}
-		if _, _, engine := d.serviceCapacity(service); engine {
-			// The time to the first event is mostly that of reading the prompt, which fewer requests do not shorten.
-			s.Latency = 0
-		} else {
-			s.AtEase, s.Target = d.plainTime(service), l.target
-		}
 		if s.Slots > 0 {
 			l.sampled = true
 			l.limit.Observe(s, now)
--- a/core/settings/entry_test.go
+++ b/core/settings/entry_test.go
@@ -34,6 +34,8 @@
 	assert.Equal(t, s.Retries().Window(), 10*time.Second)
 	assert.Equal(t, s.StoreAddress(), "10.200.1.7:8223")
 	assert.Equal(t, s.OverloadControl().Mode(), settings.OverloadAuto)
+	assert.Equal(t, s.OverloadControl().Placement(), settings.PlaceByLoad)
+	assert.Equal(t, s.OverloadControl().Limit(), settings.LimitBySlots)
 	assert.Equal(t, s.OverloadControl().MaxWait(), 250*time.Millisecond)
 	assert.Equal(t, len(s.Terms()), 0)
 }
@@ -43,7 +45,7 @@
 	for name, text := range map[string]string{
 		"entryMisspelt":   validEntry + "[retries]\nration = 0.5\n",
 		"entryOutOfRange": validEntry + "[retries]\nratio = -1\nwindow = \"1ms\"\n[keys]\nwithdrawnWithin = \"ms\"\n",
-		"entryOverload":   validEntry + "[overloadControl]\nmode = \"always\"\nmaxWait = \"6s\"\nmaxWaiting = -1\nreportTerm = \"1ms\"\naccounts = 0\nslowReaderShare = 0.95\nconnectionBytes = 1\n",
+		"entryOverload":   validEntry + "[overloadControl]\nmode = \"always\"\nplacement = \"random\"\nlimit = \"none\"\nmaxWait = \"6s\"\nmaxWaiting = -1\nreportTerm = \"1ms\"\naccounts = 0\nslowReaderShare = 0.95\nconnectionBytes = 1\n",
 		"entryMissing":    "[vm]\nname = \"entry-1\"\ncores = \"many\"\n[store]\naddress = \"store:80\"\n",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/settings/overloadcontrol.go
+++ b/core/settings/overloadcontrol.go
@@ -16,9 +16,30 @@
 	OverloadOff  OverloadMode = "off"
 )
 
+// Placement is how overload control chooses endpoints.
+type Placement string
+
+// The placements: by the number of requests at each endpoint, as without overload control, or by the expected time to the first and
+// the last event.
+const (
+	PlaceByLoad         Placement = "load"
+	PlaceByExpectedTime Placement = "expectedTime"
+)
+
+// CapacityLimit is how full overload control keeps endpoints.
+type CapacityLimit string
+
+// The limits: a fixed factor of the slots, or one that follows latency.
+const (
+	LimitBySlots   CapacityLimit = "slots"
+	LimitByLatency CapacityLimit = "latency"
+)
+
 // OverloadControl holds the section overloadControl.
 type OverloadControl struct {
 	mode            OverloadMode
+	placement       Placement
+	limit           CapacityLimit
 	maxWait         time.Duration
 	maxWaiting      int64
 	reportTerm      time.Duration
@@ -29,6 +50,8 @@
 
 func readOverloadControl(t *tomldoc.Table) (c OverloadControl) {
 	c.mode = OverloadMode(t.Choice("mode", string(OverloadAuto), string(OverloadAuto), string(OverloadOn), string(OverloadOff)))
+	c.placement = Placement(t.Choice("placement", string(PlaceByLoad), string(PlaceByLoad), string(PlaceByExpectedTime)))
+	c.limit = CapacityLimit(t.Choice("limit", string(LimitBySlots), string(LimitBySlots), string(LimitByLatency)))
 	c.maxWait = t.Duration("maxWait", 250*time.Millisecond, 0, 5*time.Second)
 	c.maxWaiting = t.Int("maxWaiting", 256, 0, 1<<16)
 	c.reportTerm = t.Duration("reportTerm", 2*time.Second, 200*time.Millisecond, time.Minute)
@@ -41,6 +64,12 @@
 // Mode returns when overload control is active.
 func (c OverloadControl) Mode() OverloadMode { return c.mode }
 
+// Placement returns how endpoints are chosen.
+func (c OverloadControl) Placement() Placement { return c.placement }
+
+// Limit returns how full endpoints are kept.
+func (c OverloadControl) Limit() CapacityLimit { return c.limit }
+
 // MaxWait returns how long a request may wait in this router for capacity at an endpoint.
 func (c OverloadControl) MaxWait() time.Duration { return c.maxWait }
 
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -160,6 +160,7 @@
 	return dispatch.OverloadControl{
 		Always: c.Mode() == settings.OverloadOn || c.Mode() == settings.OverloadAuto && terms.Terms(cfg.Terms()).MemoryPressure(),
 		Never:  c.Mode() == settings.OverloadOff, ReportTerm: c.ReportTerm(), Accounts: c.Accounts(),
+		ExpectedTime: c.Placement() == settings.PlaceByExpectedTime, LatencyLimit: c.Limit() == settings.LimitByLatency,
 	}
 }
 
