--- a/core/settings/entry_test.go
+++ b/core/settings/entry_test.go
@@ -36,7 +36,7 @@
 	assert.Equal(t, s.OverloadControl().Mode(), settings.OverloadAuto)
 	assert.Equal(t, s.OverloadControl().Placement(), settings.PlaceByLoad)
 	assert.Equal(t, s.OverloadControl().Limit(), settings.LimitBySlots)
-	assert.Equal(t, s.OverloadControl().MaxWait(), 250*time.Millisecond)
+	assert.Equal(t, s.OverloadControl().MaxWait(), 100*time.Millisecond)
 	assert.Equal(t, len(s.Terms()), 0)
 }
 
--- a/core/settings/overloadcontrol.go
+++ b/core/settings/overloadcontrol.go
@@ -52,7 +52,7 @@
 	c.mode = OverloadMode(t.Choice("mode", string(OverloadAuto), string(OverloadAuto), string(OverloadOn), string(OverloadOff)))
 	c.placement = Placement(t.Choice("placement", string(PlaceByLoad), string(PlaceByLoad), string(PlaceByExpectedTime)))
 	c.limit = CapacityLimit(t.Choice("limit", string(LimitBySlots), string(LimitBySlots), string(LimitByLatency)))
-	c.maxWait = t.Duration("maxWait", 250*time.Millisecond, 0, 5*time.Second)
+	c.maxWait = t.Duration("maxWait", 100*time.Millisecond, 0, 5*time.Second)
 	c.maxWaiting = t.Int("maxWaiting", 256, 0, 1<<16)
 	c.reportTerm = t.Duration("reportTerm", 2*time.Second, 200*time.Millisecond, time.Minute)
 	c.accounts = t.Int("accounts", 32, 1, 1024)
--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -132,6 +132,7 @@
 		if vm.dispatcher.OverloadControl(name, now) {
 			waiting, oldest := vm.handler.Waiting(name)
 			metrics.WriteGaugeUint64(w, fmt.Sprintf("savoryfall_waiting{service=%q}", name), uint64(waiting))
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf("savoryfall_limit_factor{service=%q}", name), vm.dispatcher.LimitFactor(name, now))
 			metrics.WriteGaugeFloat64(w, fmt.Sprintf("savoryfall_waiting_oldest_seconds{service=%q}", name), oldest.Seconds())
 		}
 	}
