core/dispatch: answers of streams count beside refusals in the limit that follows latency

Cause: only plain answers were recorded, but the limit covers engines only. A single refusal looked like a service that refuses everything, and halved the limit. It concerns overloadControl.limit = "latency", which is off by default.

Change: one function records how an attempt was answered, for all kinds of requests, in place of two.

Measured: the new test failed before (0 answers of 9). core/dispatch without the race detector and the linter: passed.

--- a/core/dispatch/attempt.go
+++ b/core/dispatch/attempt.go
@@ -223,8 +223,8 @@
 	if v == Refused {
 		a.e.pause.shrink()
 		a.e.refusedAt = now
-		a.recordFull(now)
 	}
+	a.recordAnswer(v, took, now)
 	a.release(v, now)
 	a.finishReading()
 	if v == Abandoned || v == Withdrawn {
@@ -237,7 +237,6 @@
 	if v == Served && len(a.q.Prompt) == 0 {
 		a.e.latency.add(float64(took)/float64(time.Millisecond), now)
 		a.observeAnswer(took, now)
-		a.recordLatency(took, now)
 	}
 	return took, true
 }
--- a/core/dispatch/servicelatency.go
+++ b/core/dispatch/servicelatency.go
@@ -50,25 +50,19 @@
 	return l
 }
 
-// recordLatency records the time to the first event of a stream, or to the whole plain answer.
-func (a *Attempt) recordLatency(took time.Duration, now time.Time) {
-	if !a.d.overload.LatencyLimit || !a.d.overloadControl(a.q.Service, now) {
+// recordAnswer records that the endpoint has answered the request, or has refused it.
+func (a *Attempt) recordAnswer(v Verdict, took time.Duration, now time.Time) {
+	if v != Served && v != Refused || !a.d.overload.LatencyLimit || !a.d.overloadControl(a.q.Service, now) {
 		return
 	}
 	l := a.d.serviceLimit(a.q.Service)
 	l.decayTo(now)
-	l.own.Answers++
-	l.own.TotalMs += float32(inMs(took))
-}
-
-// recordFull records that an endpoint refused the request.
-func (a *Attempt) recordFull(now time.Time) {
-	if !a.d.overload.LatencyLimit || !a.d.overloadControl(a.q.Service, now) {
+	if v == Refused {
+		l.own.Refusals++
 		return
 	}
-	l := a.d.serviceLimit(a.q.Service)
-	l.decayTo(now)
-	l.own.Refusals++
+	l.own.Answers++
+	l.own.TotalMs += float32(inMs(took))
 }
 
 // limitFactor returns the part of the slots that the service is kept full to. It is below 1 only for engines whose limit follows latency.
--- a/core/dispatch/servicelatency_test.go
+++ b/core/dispatch/servicelatency_test.go
@@ -51,3 +51,20 @@
 	d.SetOverloadControl(dispatch.OverloadControl{Always: true})
 	assert.Equal(t, d.LimitFactor(models, now), 1.0)
 }
+
+// Guards against a limit that takes a single refusal for a service that refuses everything, because answers of streams are not counted.
+func TestAnswersOfStreamsCountBesideRefusals(t *testing.T) {
+	d := newLimited()
+	for i := range 10 {
+		a := choose(t, d, dispatch.Query{Service: models, Prompt: document(uint64(i), uint64(i))}, start)
+		verdict := dispatch.Served
+		if i == 0 {
+			verdict = dispatch.Refused
+		}
+		a.End(verdict, start)
+	}
+	latencies := d.OwnState(start).Latencies
+	assert.Equal(t, len(latencies), 1)
+	assert.Equal(t, latencies[0].Answers, float32(9))
+	assert.Equal(t, latencies[0].Refusals, float32(1))
+}
