--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -28,6 +29,8 @@
 	router *router
 	http   *http.Client
 	used   bool
+	// mu is held by who uses the client, where several may.
+	mu sync.Mutex
 }
 
 func newClient(r *router) *client {
@@ -61,9 +64,9 @@
 		_, err = io.Copy(io.Discard, resp.Body)
 		_ = resp.Body.Close()
 	}
-	s.took, s.err = time.Since(s.at), err
+	s.took, s.err, c.used = time.Since(s.at), err, err == nil
 	if err == nil {
-		s.status, c.used = resp.StatusCode, true
+		s.status = resp.StatusCode
 	}
 	return s
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -34,7 +34,7 @@
 	record := flag.String("record", "record.txt", "the file for what was sent, answered and run")
 	keep := flag.String("keep", "", "a folder for settings and logs that is kept; a temporary one if empty")
 	flag.Parse()
-	cases := map[string]func(r *rig) int{"withdrawn": withdrawn}
+	cases := map[string]func(r *rig) int{"withdrawn": withdrawn, "bodies": bodies, "extra": extra}
 	playCase, known := cases[*name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", *name)
