--- a/review/rig/routers.go
+++ b/review/rig/routers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,14 +26,30 @@
 	link *link
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// The ports of routers are taken from below those that systems give to outgoing channels.
+const (
+	firstPort = 12000
+	ports     = 18000
+)
+
+var taken = map[int]bool{}
+
+// freeAddress returns a loopback address that nobody listens on.
 func freeAddress() (address string, err error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		port := firstPort + rand.IntN(ports)
+		if taken[port] {
+			continue
+		}
+		taken[port] = true
+		address = fmt.Sprintf("127.0.0.1:%d", port)
+		var l net.Listener
+		l, err = net.Listen("tcp4", address)
+		if err == nil {
+			return address, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // newRouter writes the settings of a router as deploy/settings.toml lays them out, with the figures of a small site.
