--- a/io/hub/agent_test.go
+++ b/io/hub/agent_test.go
@@ -21,6 +21,7 @@
 	"savoryfall/core/fleetload"
 	"savoryfall/core/members"
 	"savoryfall/io/hub"
+	"savoryfall/io/hub/hubtest/fakeloads"
 	"savoryfall/io/traffic"
 )
 
@@ -115,34 +116,6 @@
 	return e.usable[id]
 }
 
-// fakeLoads reports one request running at one endpoint.
-type fakeLoads struct {
-	mu    sync.Mutex
-	total int
-}
-
-func (l *fakeLoads) OwnWorkload(time.Time) fleetload.Workload {
-	return fleetload.Workload{Loads: []fleetload.Load{{Endpoint: 7, Running: 1}}}
-}
-
-func (l *fakeLoads) TakeReads() []fleetload.PrefixRead  { return nil }
-func (l *fakeLoads) RecordReads([]fleetload.PrefixRead) {}
-
-func (l *fakeLoads) SetFleetWorkload(total, _ fleetload.Workload, _ time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.total = 0
-	for _, t := range total.Loads {
-		l.total += t.Running
-	}
-}
-
-func (l *fakeLoads) running() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.total
-}
-
 // fakeRouterTopic is the store topic of the router list, kept in memory.
 type fakeRouterTopic struct {
 	mu     sync.Mutex
@@ -172,7 +145,7 @@
 	configuration fakeTopic
 	registry      fakeTopic
 	fakeRegistry  fakeRegistry
-	fakeLoads     fakeLoads
+	fakeLoads     fakeloads.Loads
 	record        *compactedlog.Record
 }
 
@@ -230,7 +203,7 @@
 	})
 	waitFor(t, "the hub is followed", func() bool { return small.agent.HubName() == "big" && big.agent.HubName() == "big" })
 	waitFor(t, "what the hub knows", func() bool {
-		return small.fakeRegistry.has("x") && small.fakeLoads.running() == 2 && big.fakeLoads.running() == 2 && small.configuration.gotRecords() == 1
+		return small.fakeRegistry.has("x") && small.fakeLoads.Running() == 2 && big.fakeLoads.Running() == 2 && small.configuration.gotRecords() == 1
 	})
 	big.fakeRegistry.changes.Add(fleetload.Change{Entry: directory.Entry{ID: "x"}})
 	big.agent.NotifyNews()
@@ -256,7 +229,7 @@
 			readUpTo(3, 0)(r)
 			r.configuration.wants, r.configuration.failing = true, c.failing
 		})
-		waitFor(t, "the hub has answered", func() bool { return small.fakeLoads.running() == 2 })
+		waitFor(t, "the hub has answered", func() bool { return small.fakeLoads.Running() == 2 })
 		assert.Equal(t, small.configuration.gotRecords() == 1, c.snapshotSent, "%d bytes", c.size)
 	}
 }
@@ -270,7 +243,7 @@
 	big := startRouter(t, l, "big", 4, readUpTo(5, 7*time.Second))
 	big.fakeRegistry.changes.Add(fleetload.Change{Entry: directory.Entry{ID: "left"}, Usable: true})
 	small := startRouter(t, l, "small", 1, readUpTo(9, 100*time.Millisecond))
-	waitFor(t, "the hub was asked", func() bool { return big.fakeLoads.running() == 2 })
+	waitFor(t, "the hub was asked", func() bool { return big.fakeLoads.Running() == 2 })
 	waitFor(t, "the hub is given up", func() bool { return small.agent.HubName() == "small" })
 	assert.Assert(t, !small.fakeRegistry.has("left"))
 }
--- a/io/hub/parts_test.go
+++ b/io/hub/hubtest/crashes/crashes_test.go
@@ -1,9 +1,8 @@
-package hub_test
+package crashes_test
 
 import (
 	"bytes"
 	"fmt"
-	"os"
 	"regexp"
 	"strconv"
 	"testing"
@@ -15,8 +14,17 @@
 	"savoryfall/core/members"
 	"savoryfall/core/prompt"
 	"savoryfall/core/quarantine"
+	"savoryfall/io/hub/hubtest"
+	"savoryfall/platform/evacuation"
 )
 
+// fleet is a simulated fleet with what these tests do to it.
+type fleet struct{ *hubtest.Fleet }
+
+func TestMain(m *testing.M) { hubtest.Main(m) }
+
+func newFleet(t *testing.T, n int) *fleet { return &fleet{hubtest.New(t, n, evacuation.Decoder{})} }
+
 // crashing is a request with a part that crashes endpoints.
 func crashing(own uint64) quarantine.Subject {
 	return quarantine.Subject{Service: "s", Account: "a", Prompt: prompt.Chain{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 100}, {ID: own, Tokens: 10}}}
@@ -29,22 +37,22 @@
 	return quarantine.Subject{Service: "s", Account: "b", Request: uint64(1000 + i)}
 }
 
-// crashThree has the router report three crashes.
-func (f *fleet) crashThree(r *simRouter) {
+// crashThree has a router report three crashes.
+func crashThree(parts *quarantine.Table) {
 	for i := range 3 {
 		now := time.Now()
 		c := quarantine.Crash{Process: quarantine.Process{Born: int64(i)}, Sent: now.Add(-50 * time.Millisecond), At: now}
-		r.parts.Crashed(crashing(uint64(10+i)), c, now)
+		parts.Crashed(crashing(uint64(10+i)), c, now)
 		c.Process.Born += 100
-		r.parts.Crashed(repeated, c, now)
+		parts.Crashed(repeated, c, now)
 		time.Sleep(150 * time.Millisecond)
 	}
 }
 
 // refusing returns how many routers refuse the request.
 func (f *fleet) refusing(s quarantine.Subject) (n int) {
-	for _, r := range f.routers {
-		if r.parts.Decide(s, time.Now()).Refused {
+	for _, r := range f.Routers() {
+		if r.Parts().Decide(s, time.Now()).Refused {
 			n++
 		}
 	}
@@ -54,9 +62,9 @@
 // peerBytes returns the bytes that all routers have sent to each other.
 func (f *fleet) peerBytes() (sum int) {
 	sent := regexp.MustCompile(`savoryfall_control_bytes_total\{kind="peer",direction="sent"\} (\d+)`)
-	for _, r := range f.routers {
+	for _, r := range f.Routers() {
 		var b bytes.Buffer
-		r.meter.WritePrometheus(&b)
+		r.Meter().WritePrometheus(&b)
 		if m := sent.FindStringSubmatch(b.String()); m != nil {
 			n, _ := strconv.Atoi(m[1])
 			sum += n
@@ -65,20 +73,11 @@
 	return sum
 }
 
-// intFromEnv returns the integer value of an environment variable, or the fallback if it has none.
-func intFromEnv(name string, fallback int) int {
-	n, err := strconv.Atoi(os.Getenv(name))
-	if err != nil {
-		return fallback
-	}
-	return n
-}
-
 // checkKnownToAll has three routers report one crash each, and checks that soon all routers refuse the request.
-func checkKnownToAll(t *testing.T, routers int, s quarantine.Subject, pause time.Duration, report func(f *fleet, r *simRouter, i int, c quarantine.Crash)) {
+func checkKnownToAll(t *testing.T, routers int, s quarantine.Subject, pause time.Duration, report func(f *fleet, parts *quarantine.Table, i int, c quarantine.Crash)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, routers)
-		defer f.stop()
+		defer f.Stop()
 		before := f.peerBytes()
 		time.Sleep(time.Second)
 		usual := f.peerBytes() - before
@@ -86,7 +85,7 @@
 		for i := range 3 {
 			now := time.Now()
 			c := quarantine.Crash{Process: quarantine.Process{Born: int64(i)}, Sent: now.Add(-50 * time.Millisecond), At: now}
-			report(f, f.routers[(routers-1)*i/2], i, c)
+			report(f, f.Routers()[(routers-1)*i/2].Parts(), i, c)
 			time.Sleep(pause)
 		}
 		began := time.Now()
@@ -103,10 +102,10 @@
 
 // Guards against routers each of which waits until it has seen enough crashes itself. HUB_ROUTERS sets the size of the large fleet.
 func TestCrashesAreKnownToAllRouters(t *testing.T) {
-	for _, routers := range []int{6, intFromEnv("HUB_ROUTERS", 100)} {
+	for _, routers := range []int{6, hubtest.LargeFleet(100)} {
 		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
-			checkKnownToAll(t, routers, crashing(9), 150*time.Millisecond, func(_ *fleet, r *simRouter, i int, c quarantine.Crash) {
-				r.parts.Crashed(crashing(uint64(10+i)), c, c.At)
+			checkKnownToAll(t, routers, crashing(9), 150*time.Millisecond, func(_ *fleet, parts *quarantine.Table, i int, c quarantine.Crash) {
+				parts.Crashed(crashing(uint64(10+i)), c, c.At)
 			})
 		})
 	}
@@ -114,12 +113,12 @@
 
 // Guards against a request that its client sends to one router after the other, each of which knows of a few crashes only.
 func TestRepeatedRequestIsKnownToAllRouters(t *testing.T) {
-	for _, routers := range []int{6, intFromEnv("HUB_ROUTERS", 100)} {
+	for _, routers := range []int{6, hubtest.LargeFleet(100)} {
 		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
-			checkKnownToAll(t, routers, repeated, 50*time.Millisecond, func(f *fleet, r *simRouter, i int, c quarantine.Crash) {
-				r.parts.Crashed(repeated, c, c.At)
+			checkKnownToAll(t, routers, repeated, 50*time.Millisecond, func(f *fleet, parts *quarantine.Table, i int, c quarantine.Crash) {
+				parts.Crashed(repeated, c, c.At)
 				for j := range victims {
-					f.routers[(i*victims+j)%routers].parts.Crashed(beside(i*victims+j), c, c.At)
+					f.Routers()[(i*victims+j)%routers].Parts().Crashed(beside(i*victims+j), c, c.At)
 				}
 			})
 		})
@@ -133,14 +132,14 @@
 func TestCrashesOutliveTheHub(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 12)
-		defer f.stop()
-		f.crashThree(f.routers[5])
-		root := f.routers[5].agent.HubName()
-		f.kill(true, func(m members.Member) bool { return m.Name == root })
-		f.start(members.Member{Name: "new", Address: "10.0.9.9:1", FailureDomain: "domain0", Bears: 1}, false)
+		defer f.Stop()
+		crashThree(f.Routers()[5].Parts())
+		root := f.Routers()[5].HubName()
+		f.Kill(true, func(m members.Member) bool { return m.Name == root })
+		f.Start(members.Member{Name: "new", Address: "10.0.9.9:1", FailureDomain: "domain0", Bears: 1}, false)
 		time.Sleep(2 * time.Second)
-		assert.Equal(t, f.refusing(crashing(9)), len(f.routers))
-		assert.Equal(t, f.refusing(repeated), len(f.routers))
+		assert.Equal(t, f.refusing(crashing(9)), len(f.Routers()))
+		assert.Equal(t, f.refusing(repeated), len(f.Routers()))
 	})
 }
 
@@ -148,16 +147,16 @@
 func TestStartingRootLearnsOfCrashes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 12)
-		defer f.stop()
-		f.crashThree(f.routers[5])
-		name := f.routers[5].agent.HubName()
-		root := f.kill(false, func(m members.Member) bool { return m.Name == name })[0]
+		defer f.Stop()
+		crashThree(f.Routers()[5].Parts())
+		name := f.Routers()[5].HubName()
+		root := f.Kill(false, func(m members.Member) bool { return m.Name == name })[0]
 		time.Sleep(time.Second)
-		f.start(root, false)
-		started := f.routers[len(f.routers)-1]
+		f.Start(root, false)
+		started := f.Routers()[len(f.Routers())-1]
 		time.Sleep(50 * time.Millisecond)
-		assert.Assert(t, started.parts.Decide(crashing(9), time.Now()).Refused)
-		assert.Assert(t, started.parts.Decide(repeated, time.Now()).Refused)
+		assert.Assert(t, started.Parts().Decide(crashing(9), time.Now()).Refused)
+		assert.Assert(t, started.Parts().Decide(repeated, time.Now()).Refused)
 		time.Sleep(time.Second)
 	})
 }
--- /dev/null
+++ b/io/hub/hubtest/crashes/doc.go
@@ -0,0 +1,2 @@
+// Package crashes tests what fleets know of requests that crash endpoints.
+package crashes
--- /dev/null
+++ b/io/hub/hubtest/drain/doc.go
@@ -0,0 +1,2 @@
+// Package drain tests drained failure domains.
+package drain
--- /dev/null
+++ b/io/hub/hubtest/drainloss/doc.go
@@ -0,0 +1,2 @@
+// Package drainloss tests drained failure domains while routers are lost.
+package drainloss
--- /dev/null
+++ b/io/hub/hubtest/drainoutage/doc.go
@@ -0,0 +1,2 @@
+// Package drainoutage tests drained failure domains while the store refuses calls.
+package drainoutage
--- /dev/null
+++ b/io/hub/hubtest/fakeloads/doc.go
@@ -0,0 +1,2 @@
+// Package fakeloads provides the load of a router in tests.
+package fakeloads
--- a/io/hub/fakenetwork_test.go
+++ b/io/hub/hubtest/fakenetwork/network.go
@@ -1,4 +1,4 @@
-package hub_test
+package fakenetwork
 
 import (
 	"context"
@@ -6,32 +6,34 @@
 	"net"
 	"sync"
 	"time"
-
-	"savoryfall/io/hub"
 )
 
-// network is an in-memory network between routers.
-type network struct {
+// Network is an in-memory network between routers.
+type Network struct {
 	mu       sync.Mutex
 	ports    map[string]*port
 	silent   map[string]bool
 	isolated map[string]bool
 }
 
-func newNetwork() *network { return &network{ports: map[string]*port{}, silent: map[string]bool{}} }
+// New returns a network without routers.
+func New() *Network { return &Network{ports: map[string]*port{}, silent: map[string]bool{}} }
 
-func (w *network) forRouter(address string) hub.Network { return &networkView{w, address} }
+// ForRouter returns the network as seen from the router at the address.
+func (w *Network) ForRouter(address string) *view { return &view{w, address} }
 
-func (w *network) setSilent(address string, silent bool) {
+// SetSilent sets whether dialling the address times out.
+func (w *Network) SetSilent(address string, silent bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.silent[address] = silent
 }
 
-func (w *network) restore(address string) { w.setSilent(address, false) }
+// Restore lets the address be dialled again.
+func (w *Network) Restore(address string) { w.SetSilent(address, false) }
 
-// isolate cuts the given addresses off from all others, existing connections included.
-func (w *network) isolate(inside map[string]bool) {
+// Isolate cuts the given addresses off from all others, existing connections included.
+func (w *Network) Isolate(inside map[string]bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.isolated = inside
@@ -44,7 +46,8 @@
 	}
 }
 
-func (w *network) freeze(address string) {
+// Freeze holds back everything that comes from the address, on connections that stay open.
+func (w *Network) Freeze(address string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.silent[address] = true
@@ -53,7 +56,8 @@
 	}
 }
 
-func (w *network) unfreeze(address string) {
+// Unfreeze lets through what Freeze held back.
+func (w *Network) Unfreeze(address string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.silent[address] = false
@@ -62,23 +66,25 @@
 	}
 }
 
-// networkView is the network as seen from one router.
-type networkView struct {
-	*network
+// view is the network as seen from one router.
+type view struct {
+	*Network
 	address string
 }
 
-func (w *networkView) Listen(address string) (l net.Listener, err error) {
+// Listen accepts connections to the address.
+func (w *view) Listen(address string) (l net.Listener, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p := &port{network: w.network, address: address, accepted: make(chan net.Conn), closed: make(chan struct{}), conns: map[*pausableConn]bool{}}
+	p := &port{Network: w.Network, address: address, accepted: make(chan net.Conn), closed: make(chan struct{}), conns: map[*pausableConn]bool{}}
 	w.ports[address] = p
 	return p, nil
 }
 
 var errUnreachable = errors.New("unreachable")
 
-func (w *networkView) Dial(ctx context.Context, address string) (c net.Conn, err error) {
+// Dial connects to the router at the address.
+func (w *view) Dial(ctx context.Context, address string) (c net.Conn, err error) {
 	w.mu.Lock()
 	p, silent := w.ports[address], w.silent[address] || w.isolated[address] != w.isolated[w.address]
 	w.mu.Unlock()
@@ -107,7 +113,7 @@
 
 // port is the listener of one router.
 type port struct {
-	*network
+	*Network
 	address  string
 	accepted chan net.Conn
 	once     sync.Once
--- a/io/hub/fakestore_test.go
+++ b/io/hub/hubtest/fakestore/store.go
@@ -1,4 +1,4 @@
-package hub_test
+package fakestore
 
 import (
 	"context"
@@ -12,14 +12,15 @@
 	"savoryfall/core/compactedlog"
 )
 
+// The topics of a fleet.
 const (
-	configurationTopic = "configuration"
-	registryTopic      = "registry"
-	routersTopic       = "routers"
+	ConfigurationTopic = "configuration"
+	RegistryTopic      = "registry"
+	RoutersTopic       = "routers"
 )
 
-// fakeStore is an in-memory store that counts the calls of all routers.
-type fakeStore struct {
+// Store is an in-memory store that counts the calls of all routers.
+type Store struct {
 	mu          sync.Mutex
 	topics      map[string][]compactedlog.Record
 	firstOffset map[string]int64
@@ -33,11 +34,13 @@
 	newsCh   chan struct{}
 }
 
-func newFakeStore() *fakeStore {
-	return &fakeStore{topics: map[string][]compactedlog.Record{}, firstOffset: map[string]int64{}, seen: map[string]*atomic.Int64{}, newsCh: make(chan struct{})}
+// New returns an empty store.
+func New() *Store {
+	return &Store{topics: map[string][]compactedlog.Record{}, firstOffset: map[string]int64{}, seen: map[string]*atomic.Int64{}, newsCh: make(chan struct{})}
 }
 
-func (s *fakeStore) put(topic, key, value string) {
+// Put writes the value of a key, or removes the key if the value is empty.
+func (s *Store) Put(topic, key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.topics[topic] = append(s.topics[topic], compactedlog.Record{
@@ -47,15 +50,15 @@
 	s.newsCh = make(chan struct{})
 }
 
-// count returns the number of records of a topic.
-func (s *fakeStore) count(topic string) int {
+// Count returns the number of records of a topic.
+func (s *Store) Count(topic string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.topics[topic])
 }
 
-// keys returns the keys of a topic.
-func (s *fakeStore) keys(topic string) []string {
+// Keys returns the keys of a topic.
+func (s *Store) Keys(topic string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	byKey := map[string]bool{}
@@ -65,19 +68,20 @@
 	return slices.Sorted(maps.Keys(byKey))
 }
 
-func (s *fakeStore) refuse(refused func(router string) bool) {
+// Refuse makes the store refuse the calls of the routers for which refused returns true, or of none if it is nil.
+func (s *Store) Refuse(refused func(router string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refused = refused
 }
 
-// restore replaces the store's contents by a copy that lacks the last records of each topic, and writes the newest record
+// Restore replaces the store's contents by a copy that lacks the last records of each topic, and writes the newest record
 // of each key among them again, as the operator and the endpoints do.
-func (s *fakeStore) restore(lost map[string]int) { s.rewrite(s.loseRecords(lost)) }
+func (s *Store) Restore(lost map[string]int) { s.Rewrite(s.LoseRecords(lost)) }
 
-// loseRecords replaces the store's contents by a copy that lacks the last records of each topic. It returns the newest
+// LoseRecords replaces the store's contents by a copy that lacks the last records of each topic. It returns the newest
 // value of each key among them, by topic.
-func (s *fakeStore) loseRecords(lost map[string]int) (newest map[string]map[string]string) {
+func (s *Store) LoseRecords(lost map[string]int) (newest map[string]map[string]string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.generation++
@@ -93,16 +97,17 @@
 	return newest
 }
 
-func (s *fakeStore) rewrite(newest map[string]map[string]string) {
+// Rewrite writes the values that LoseRecords returned.
+func (s *Store) Rewrite(newest map[string]map[string]string) {
 	for topic, values := range newest {
 		for _, key := range slices.Sorted(maps.Keys(values)) {
-			s.put(topic, key, values[key])
+			s.Put(topic, key, values[key])
 		}
 	}
 }
 
-// compact drops the history: only the newest record of each key can still be read.
-func (s *fakeStore) compact() {
+// Compact drops the history: only the newest record of each key can still be read.
+func (s *Store) Compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for topic, records := range s.topics {
@@ -110,7 +115,8 @@
 	}
 }
 
-func (s *fakeStore) takeCalls() (calls int) {
+// TakeCalls returns the number of calls since it was called last.
+func (s *Store) TakeCalls() (calls int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	calls, s.calls = s.calls, 0
@@ -118,34 +124,37 @@
 }
 
 // recordRead records that a read sent at that time was answered.
-func (s *fakeStore) recordRead(sent time.Time) {
+func (s *Store) recordRead(sent time.Time) {
 	if sent.After(s.lastSent) {
 		s.lastSent = sent
 	}
 }
 
-func (s *fakeStore) lastRead(began time.Time) time.Duration {
+// LastRead returns when the last read that was answered had been sent, by the clock of a fleet that began at the given time.
+func (s *Store) LastRead(began time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return time.Hour + s.lastSent.Sub(began)
 }
 
-func (s *fakeStore) forRouter(router, topic string) *storeTopic {
+// ForRouter returns a topic of the store as seen from one router.
+func (s *Store) ForRouter(router, name string) *topic {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.seen[router] == nil {
 		s.seen[router] = &atomic.Int64{}
 	}
-	return &storeTopic{fakeStore: s, router: router, name: topic, seen: s.seen[router]}
+	return &topic{Store: s, router: router, name: name, seen: s.seen[router]}
 }
 
-type storeTopic struct {
-	*fakeStore
+type topic struct {
+	*Store
 	router, name string
 	seen         *atomic.Int64
 }
 
-func (s *storeTopic) Generation() int64 { return s.seen.Load() }
+// Generation returns the highest generation that was answered to the router.
+func (s *topic) Generation() int64 { return s.seen.Load() }
 
 var errRefused = errors.New("503")
 
@@ -153,7 +162,7 @@
 const storeLatency = 4 * time.Millisecond
 
 // call counts a call, and returns after the store's latency or when the context ends.
-func (s *storeTopic) call(ctx context.Context) (err error) {
+func (s *topic) call(ctx context.Context) (err error) {
 	s.mu.Lock()
 	s.calls++
 	refused := s.refused != nil && s.refused(s.router)
@@ -169,7 +178,8 @@
 	return nil
 }
 
-func (s *storeTopic) Newest(ctx context.Context) (p compactedlog.Page, err error) {
+// Newest returns the newest record of each key.
+func (s *topic) Newest(ctx context.Context) (p compactedlog.Page, err error) {
 	sent := time.Now()
 	err = s.call(ctx)
 	if err != nil {
@@ -193,7 +203,8 @@
 	return p, nil
 }
 
-func (s *storeTopic) Since(ctx context.Context, from int64, wait time.Duration) (p compactedlog.Page, err error) {
+// Since returns the records from an offset on, and waits for one if there are none.
+func (s *topic) Since(ctx context.Context, from int64, wait time.Duration) (p compactedlog.Page, err error) {
 	sent := time.Now()
 	err = s.call(ctx)
 	for err == nil {
@@ -223,10 +234,11 @@
 	return p, err
 }
 
-func (s *storeTopic) Put(ctx context.Context, key string, value []byte) (err error) {
+// Put writes the value of a key.
+func (s *topic) Put(ctx context.Context, key string, value []byte) (err error) {
 	err = s.call(ctx)
 	if err == nil {
-		s.put(s.name, key, string(value))
+		s.Store.Put(s.name, key, string(value))
 	}
 	return err
 }
--- a/io/hub/fleetharness_test.go
+++ b/io/hub/hubtest/fleet.go
@@ -1,4 +1,4 @@
-package hub_test
+package hubtest
 
 import (
 	"context"
@@ -20,105 +20,137 @@
 	"savoryfall/io/draining"
 	"savoryfall/io/follow"
 	"savoryfall/io/hub"
+	"savoryfall/io/hub/hubtest/fakeloads"
+	"savoryfall/io/hub/hubtest/fakenetwork"
+	"savoryfall/io/hub/hubtest/fakestore"
 	"savoryfall/io/registry"
 	"savoryfall/io/traffic"
-	"savoryfall/platform/evacuation"
 )
 
-// fleet is a simulation of hundreds of routers in one process, with a network and a store that tests can make fail.
+// Fleet is a simulation of hundreds of routers in one process, with a network and a store that tests can make fail.
 // It runs on the fake clock of testing/synctest.
-type fleet struct {
+type Fleet struct {
 	t       *testing.T
 	began   time.Time
-	store   *fakeStore
-	net     *network
-	routers []*simRouter
+	store   *fakestore.Store
+	net     *fakenetwork.Network
+	routers []*router
+	drains  draining.Decoder
 	// newState returns the state of a router that starts. It is nil if the routers do not share their states.
-	newState func() *fakeState
+	newState func(name string) hub.FleetState
 }
 
-// simRouter is one router: an agent with the readers of its two topics.
-type simRouter struct {
+// router is one router: an agent with the readers of its two topics.
+type router struct {
 	self              members.Member
 	agent             *hub.Agent
 	configuration     *follow.Follower
 	registry          *follow.Follower
 	endpoints         *registry.Tracker
 	configurationSink configurationSink
-	drainTracker      *draining.Tracker
+	drains            *draining.Tracker
 	mu                sync.Mutex
 	domains           []string
 	// drainedAt is when domains changed last.
 	drainedAt time.Time
-	work      fakeLoads
+	work      fakeloads.Loads
 	parts     quarantine.Table
 	meter     *metrics.Set
-	state     *fakeState
 }
 
 const (
-	domainCount      = 6
-	endpointCount    = 40
-	propagationBound = 4 * time.Second
-	largeVMCount     = 3 * domainCount
+	// EndpointCount is the number of endpoints in the registry of a fleet.
+	EndpointCount = 40
+	// PropagationBound is the time within which a change is known to all routers after hubs are lost.
+	PropagationBound = 4 * time.Second
+
+	domainCount = 6
+	largeVMs    = 3 * domainCount
 )
 
-func (f *fleet) clock() time.Duration { return time.Hour + time.Since(f.began) }
+// Store returns the store of the fleet.
+func (f *Fleet) Store() *fakestore.Store { return f.store }
+
+// Net returns the network between the routers.
+func (f *Fleet) Net() *fakenetwork.Network { return f.net }
+
+// Routers returns the routers that run.
+func (f *Fleet) Routers() []*router { return f.routers }
+
+// Self returns the router's entry in the router list.
+func (r *router) Self() members.Member { return r.self }
+
+// HubName returns the name of the router that this one follows, its own if none.
+func (r *router) HubName() string { return r.agent.HubName() }
+
+// Loads returns what the router knows of the load of the fleet.
+func (r *router) Loads() *fakeloads.Loads { return &r.work }
 
-// newFleet starts n routers within 0.3 s, the first largeVMCount of them on large VMs, and waits until they have
-// found each other.
-func newFleet(t *testing.T, n int) *fleet { return newFleetWithStates(t, n, nil) }
+// Parts returns what the router knows of requests that crash endpoints.
+func (r *router) Parts() *quarantine.Table { return &r.parts }
 
-// newFleetWithStates starts a fleet whose routers share the states that newState returns.
-func newFleetWithStates(t *testing.T, n int, newState func() *fakeState) *fleet {
-	f := &fleet{t: t, began: time.Now(), store: newFakeStore(), net: newNetwork(), newState: newState}
-	f.store.put(configurationTopic, "config", "1")
-	for e := range endpointCount {
-		f.putEndpoint(e, false)
+// Meter returns the metrics of the router.
+func (r *router) Meter() *metrics.Set { return r.meter }
+
+// Clock returns the time since boot of all routers.
+func (f *Fleet) Clock() time.Duration { return time.Hour + time.Since(f.began) }
+
+// New starts n routers within 0.3 s, the first largeVMs of them on large VMs, and waits until they have
+// found each other. The decoder reads the records that drain failure domains.
+func New(t *testing.T, n int, drains draining.Decoder) *Fleet {
+	return NewWithStates(t, n, drains, nil)
+}
+
+// NewWithStates starts a fleet whose routers share the states that newState returns.
+func NewWithStates(t *testing.T, n int, drains draining.Decoder, newState func(name string) hub.FleetState) *Fleet {
+	f := &Fleet{t: t, began: time.Now(), store: fakestore.New(), net: fakenetwork.New(), drains: drains, newState: newState}
+	f.store.Put(fakestore.ConfigurationTopic, "config", "1")
+	for e := range EndpointCount {
+		f.PutEndpoint(e, false)
 	}
 	for i := range n {
 		m := members.Member{
 			Name: fmt.Sprint("vm", i), Address: fmt.Sprintf("10.0.%d.%d:1", i/250, i%250), FailureDomain: fmt.Sprint("domain", i%domainCount),
 			Bears: members.VM{Cores: 0.2, MemoryMB: 184, LinkMbps: 20}.FollowerCapacity(),
 		}
-		if i < largeVMCount {
+		if i < largeVMs {
 			m.Bears = members.VM{Cores: 0.8, MemoryMB: 536, LinkMbps: 200}.FollowerCapacity()
 		}
-		f.start(m, true)
+		f.Start(m, true)
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(3 * time.Second)
 	return f
 }
 
-// putEndpoint writes the registry entry of an endpoint.
-func (f *fleet) putEndpoint(e int, leaving bool) {
+// PutEndpoint writes the registry entry of an endpoint.
+func (f *Fleet) PutEndpoint(e int, leaving bool) {
 	entry := directory.Entry{ID: fmt.Sprint("e", e), Born: 1, Service: "s", Address: fmt.Sprint("10.9.0.", e), Leaving: leaving}
 	data, err := json.Marshal(entry)
 	assert.NilError(f.t, err)
-	f.store.put(registryTopic, entry.ID, string(data))
+	f.store.Put(fakestore.RegistryTopic, entry.ID, string(data))
 }
 
-func (f *fleet) start(m members.Member, bootstrap bool) {
+// Start starts a router.
+func (f *Fleet) Start(m members.Member, bootstrap bool) {
 	m.Started = time.Now().UnixNano()
-	r := &simRouter{self: m, meter: metrics.NewSet()}
-	options := follow.Options{Grace: 400 * time.Millisecond, MaxAge: propagationBound * 3 / 4, StartupWait: 1200 * time.Millisecond, Clock: f.clock}
+	r := &router{self: m, meter: metrics.NewSet()}
+	options := follow.Options{Grace: 400 * time.Millisecond, MaxAge: PropagationBound * 3 / 4, StartupWait: 1200 * time.Millisecond, Clock: f.Clock}
 	configured, entered := options, options
 	configured.Name, configured.PollWait, configured.MinInterval = "configuration", 500*time.Millisecond, 50*time.Millisecond
 	entered.Name, entered.MinInterval = "registry", 600*time.Millisecond
-	r.drainTracker = draining.New(evacuation.Decoder{}, r, log.NewNopLogger())
-	r.configuration = follow.New(f.store.forRouter(m.Name, configurationTopic), follow.Sinks{r.drainTracker, &r.configurationSink}, configured, log.NewNopLogger())
+	r.drains = draining.New(f.drains, r, log.NewNopLogger())
+	r.configuration = follow.New(f.store.ForRouter(m.Name, fakestore.ConfigurationTopic), follow.Sinks{r.drains, &r.configurationSink}, configured, log.NewNopLogger())
 	r.endpoints = registry.New(entryDecoder{}, func([]directory.Entry) {}, log.NewNopLogger())
-	r.registry = follow.New(f.store.forRouter(m.Name, registryTopic), r.endpoints, entered, log.NewNopLogger())
+	r.registry = follow.New(f.store.ForRouter(m.Name, fakestore.RegistryTopic), r.endpoints, entered, log.NewNopLogger())
 	config := hub.Config{
-		Self: m, ListenAddress: m.Address, Members: &members.List{}, Configuration: r.configuration, CurrentRecord: r.configurationSink.record, OtherRecords: r.drainTracker.Records,
-		Registry: r.registry, Endpoints: r.endpoints, Loads: &r.work, Parts: &r.parts, RouterList: hub.NewRouterList(f.store.forRouter(m.Name, routersTopic)),
-		Bootstrap: bootstrap, Network: f.net.forRouter(m.Address), Meter: traffic.New(r.meter), Logger: log.NewNopLogger(),
-		Clock: f.clock, StaleAfter: propagationBound * 3 / 4, OnRoutersChanged: func(routers []uint64) { r.parts.SetFleet(coldlimit.New(members.Hash(m.Name), routers)) },
+		Self: m, ListenAddress: m.Address, Members: &members.List{}, Configuration: r.configuration, CurrentRecord: r.configurationSink.record, OtherRecords: r.drains.Records,
+		Registry: r.registry, Endpoints: r.endpoints, Loads: &r.work, Parts: &r.parts, RouterList: hub.NewRouterList(f.store.ForRouter(m.Name, fakestore.RoutersTopic)),
+		Bootstrap: bootstrap, Network: f.net.ForRouter(m.Address), Meter: traffic.New(r.meter), Logger: log.NewNopLogger(),
+		Clock: f.Clock, StaleAfter: PropagationBound * 3 / 4, OnRoutersChanged: func(routers []uint64) { r.parts.SetFleet(coldlimit.New(members.Hash(m.Name), routers)) },
 	}
 	if f.newState != nil {
-		r.state = f.newState()
-		config.FleetState = r.state
+		config.FleetState = f.newState(m.Name)
 	}
 	var err error
 	r.agent, err = hub.New(config)
@@ -131,8 +163,8 @@
 	f.routers = append(f.routers, r)
 }
 
-// kill stops routers without notice to the others. If silent, dialling them times out instead of failing at once.
-func (f *fleet) kill(silent bool, shouldKill func(m members.Member) bool) (dead []members.Member) {
+// Kill stops routers without notice to the others. If silent, dialling them times out instead of failing at once.
+func (f *Fleet) Kill(silent bool, shouldKill func(m members.Member) bool) (dead []members.Member) {
 	kept := f.routers[:0:0]
 	var ending sync.WaitGroup
 	for _, r := range f.routers {
@@ -141,7 +173,7 @@
 			continue
 		}
 		dead = append(dead, r.self)
-		f.net.setSilent(r.self.Address, silent)
+		f.net.SetSilent(r.self.Address, silent)
 		ending.Go(r.stop)
 	}
 	ending.Wait()
@@ -150,59 +182,62 @@
 }
 
 // SetDrained records which failure domains are drained, and since when.
-func (r *simRouter) SetDrained(domains []string, now time.Time) {
+func (r *router) SetDrained(domains []string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.domains, r.drainedAt = domains, now
 }
 
-func (r *simRouter) CountInDomain(string) int { return 0 }
+// CountInDomain returns 0: the simulation does not count endpoints by failure domain.
+func (r *router) CountInDomain(string) int { return 0 }
 
-// drainedDomains returns the failure domains that the router has drained, and since when.
-func (r *simRouter) drainedDomains() (domains []string, since time.Time) {
+// DrainedDomains returns the failure domains that the router has drained, and since when.
+func (r *router) DrainedDomains() (domains []string, since time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.domains, r.drainedAt
 }
 
-func (r *simRouter) stop() {
+func (r *router) stop() {
 	ctx := context.Background()
 	_ = r.agent.Stop(ctx)
 	_ = r.configuration.Stop(ctx)
 	_ = r.registry.Stop(ctx)
 }
 
-func (f *fleet) stop() {
-	f.kill(false, func(members.Member) bool { return true })
+// Stop stops all routers.
+func (f *Fleet) Stop() {
+	f.Kill(false, func(members.Member) bool { return true })
 	// Let reports end that hubs still hold.
 	time.Sleep(time.Second)
 }
 
-// refuseMost lets the store refuse the large VMs, the root among them, and two thirds of all others.
-func (f *fleet) refuseMost() {
-	f.store.refuse(func(router string) bool {
+// RefuseMost lets the store refuse the large VMs, the root among them, and two thirds of all others.
+func (f *Fleet) RefuseMost() {
+	f.store.Refuse(func(router string) bool {
 		n := 0
 		_, _ = fmt.Sscanf(router, "vm%d", &n)
-		return n < largeVMCount || n%3 > 0
+		return n < largeVMs || n%3 > 0
 	})
 }
 
-// assertKnown checks that every router has the newest configuration version and the number of usable endpoints, from
+// AssertKnown checks that every router has the newest configuration version and the number of usable endpoints, from
 // reads no older than the age.
-func (f *fleet) assertKnown(version string, usable int, age time.Duration) {
+func (f *Fleet) AssertKnown(version string, usable int, age time.Duration) {
 	f.t.Helper()
 	for _, r := range f.routers {
 		assert.Equal(f.t, r.configurationSink.version(), version, r.self.Name)
-		assert.Equal(f.t, r.usable(), usable, r.self.Name)
+		assert.Equal(f.t, r.Usable(), usable, r.self.Name)
 		for _, topic := range []*follow.Follower{r.configuration, r.registry} {
 			_, sent, ok := topic.Position()
 			assert.Assert(f.t, ok, r.self.Name)
-			assert.Assert(f.t, f.clock()-sent <= age, "%s knows what is %v old", r.self.Name, f.clock()-sent)
+			assert.Assert(f.t, f.Clock()-sent <= age, "%s knows what is %v old", r.self.Name, f.Clock()-sent)
 		}
 	}
 }
 
-func (r *simRouter) usable() (n int) {
+// Usable returns the number of endpoints that the router may use.
+func (r *router) Usable() (n int) {
 	changes, _ := r.endpoints.Changes().Since(0)
 	for _, c := range changes {
 		if c.Usable {
@@ -212,9 +247,9 @@
 	return n
 }
 
-// topology returns the number of roots, the number of levels below them, and the number of followers of the busiest
+// Topology returns the number of roots, the number of levels below them, and the number of followers of the busiest
 // hub.
-func (f *fleet) topology() (roots, levels, mostFollowers int) {
+func (f *Fleet) Topology() (roots, levels, mostFollowers int) {
 	f.t.Helper()
 	hubs, followers := map[string]string{}, map[string]int{}
 	for _, r := range f.routers {
@@ -238,10 +273,10 @@
 	return roots, levels, mostFollowers
 }
 
-// assertNotFresherThanStore checks that no router dates its data later than the last read that the store answered.
-func (f *fleet) assertNotFresherThanStore() {
+// AssertNotFresherThanStore checks that no router dates its data later than the last read that the store answered.
+func (f *Fleet) AssertNotFresherThanStore() {
 	f.t.Helper()
-	last := f.store.lastRead(f.began)
+	last := f.store.LastRead(f.began)
 	for _, r := range f.routers {
 		_, sent, _ := r.registry.Position()
 		assert.Assert(f.t, sent <= last, "%s: read sent at %v, the last was at %v", r.self.Name, sent, last)
@@ -251,6 +286,7 @@
 // entryDecoder decodes the entries that putEndpoint writes.
 type entryDecoder struct{}
 
+// Decode decodes an entry.
 func (entryDecoder) Decode(r compactedlog.Record) (e directory.Entry, err error) {
 	return e, json.Unmarshal(r.Value, &e)
 }
@@ -261,8 +297,10 @@
 	newest *compactedlog.Record
 }
 
+// Replace applies the newest record of every key.
 func (c *configurationSink) Replace(records []compactedlog.Record) { c.Apply(records) }
 
+// Apply keeps the configuration if it is newer.
 func (c *configurationSink) Apply(records []compactedlog.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -281,9 +319,14 @@
 	return n
 }
 
+// Read does nothing.
 func (c *configurationSink) Read(time.Duration) {}
-func (c *configurationSink) Failed(error)       {}
-func (c *configurationSink) Restored()          {}
+
+// Failed does nothing.
+func (c *configurationSink) Failed(error) {}
+
+// Restored does nothing.
+func (c *configurationSink) Restored() {}
 
 func (c *configurationSink) record() *compactedlog.Record {
 	c.mu.Lock()
--- /dev/null
+++ b/io/hub/hubtest/fleetstart/doc.go
@@ -0,0 +1,2 @@
+// Package fleetstart tests starts and restarts of fleets.
+package fleetstart
--- /dev/null
+++ b/io/hub/hubtest/hubloss/doc.go
@@ -0,0 +1,2 @@
+// Package hubloss tests fleets that lose their hubs.
+package hubloss
--- /dev/null
+++ b/io/hub/hubtest/outage/doc.go
@@ -0,0 +1,2 @@
+// Package outage tests fleets whose store refuses calls.
+package outage
--- /dev/null
+++ b/io/hub/hubtest/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package hubtest
+
+const raceDetector = true
--- /dev/null
+++ b/io/hub/hubtest/restore/doc.go
@@ -0,0 +1,2 @@
+// Package restore tests fleets whose store comes back from an older copy.
+package restore
--- a/io/hub/restore_test.go
+++ b/io/hub/hubtest/restore/restore_test.go
@@ -1,4 +1,4 @@
-package hub_test
+package restore_test
 
 import (
 	"fmt"
@@ -9,23 +9,33 @@
 	"gotest.tools/v3/assert"
 
 	"savoryfall/core/members"
+	"savoryfall/io/hub/hubtest"
+	"savoryfall/io/hub/hubtest/fakestore"
+	"savoryfall/platform/evacuation"
 )
 
+// fleet is a simulated fleet with what these tests do to it.
+type fleet struct{ *hubtest.Fleet }
+
+func TestMain(m *testing.M) { hubtest.Main(m) }
+
+func newFleet(t *testing.T, n int) *fleet { return &fleet{hubtest.New(t, n, evacuation.Decoder{})} }
+
 // storeOutage is how long the store is away before it comes back from a copy.
 const storeOutage = 2700 * time.Millisecond
 
 // restore makes the store unavailable for a while, and then brings it back without the last records of the topics.
 func (f *fleet) restore(lost map[string]int) {
-	f.store.refuse(func(string) bool { return true })
+	f.Store().Refuse(func(string) bool { return true })
 	time.Sleep(storeOutage)
-	f.store.restore(lost)
-	f.store.refuse(nil)
+	f.Store().Restore(lost)
+	f.Store().Refuse(nil)
 }
 
 // putConfigurations writes the versions, one every interval.
 func (f *fleet) putConfigurations(first, last int, interval time.Duration) {
 	for v := first; v <= last; v++ {
-		f.store.put(configurationTopic, "config", fmt.Sprint(v))
+		f.Store().Put(fakestore.ConfigurationTopic, "config", fmt.Sprint(v))
 		time.Sleep(interval)
 	}
 }
@@ -35,16 +45,16 @@
 	for _, n := range []int{6, 40} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(t, n)
-			defer f.stop()
+			defer f.Stop()
 			f.putConfigurations(2, 9, 200*time.Millisecond)
 			time.Sleep(time.Second)
-			f.assertKnown("9", endpointCount, 2*time.Second)
-			f.restore(map[string]int{configurationTopic: 5})
+			f.AssertKnown("9", hubtest.EndpointCount, 2*time.Second)
+			f.restore(map[string]int{fakestore.ConfigurationTopic: 5})
 			time.Sleep(2 * time.Second)
 			for v := 10; v <= 14; v++ {
-				f.store.put(configurationTopic, "config", fmt.Sprint(v))
+				f.Store().Put(fakestore.ConfigurationTopic, "config", fmt.Sprint(v))
 				time.Sleep(1500 * time.Millisecond)
-				f.assertKnown(fmt.Sprint(v), endpointCount, 2*time.Second)
+				f.AssertKnown(fmt.Sprint(v), hubtest.EndpointCount, 2*time.Second)
 			}
 		})
 	}
@@ -54,25 +64,25 @@
 func TestRecordsAtOffsetsGivenOutAgainAreRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6)
-		defer f.stop()
+		defer f.Stop()
 		f.putConfigurations(2, 9, 200*time.Millisecond)
-		f.putEndpoint(0, true)
+		f.PutEndpoint(0, true)
 		time.Sleep(time.Second)
-		f.store.refuse(func(string) bool { return true })
+		f.Store().Refuse(func(string) bool { return true })
 		time.Sleep(storeOutage)
-		f.store.restore(map[string]int{configurationTopic: 3, registryTopic: 1})
+		f.Store().Restore(map[string]int{fakestore.ConfigurationTopic: 3, fakestore.RegistryTopic: 1})
 		f.putConfigurations(10, 11, 0)
 		for e := 1; e <= 3; e++ {
-			f.putEndpoint(e, true)
+			f.PutEndpoint(e, true)
 		}
 		// The log is longer again than the routers know it, and what they have not read lies before their offset.
 		for range 4 {
-			f.store.put(configurationTopic, "other", "x")
-			f.putEndpoint(4, false)
+			f.Store().Put(fakestore.ConfigurationTopic, "other", "x")
+			f.PutEndpoint(4, false)
 		}
-		f.store.refuse(nil)
+		f.Store().Refuse(nil)
 		time.Sleep(2 * time.Second)
-		f.assertKnown("11", endpointCount-4, 2*time.Second)
+		f.AssertKnown("11", hubtest.EndpointCount-4, 2*time.Second)
 	})
 }
 
@@ -80,17 +90,17 @@
 func TestEndpointsThatLeaveAfterRestoreAreKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 6)
-		defer f.stop()
-		f.putEndpoint(0, true)
-		f.putEndpoint(1, true)
+		defer f.Stop()
+		f.PutEndpoint(0, true)
+		f.PutEndpoint(1, true)
 		time.Sleep(time.Second)
-		f.assertKnown("1", endpointCount-2, 2*time.Second)
-		f.restore(map[string]int{registryTopic: 2})
+		f.AssertKnown("1", hubtest.EndpointCount-2, 2*time.Second)
+		f.restore(map[string]int{fakestore.RegistryTopic: 2})
 		time.Sleep(2 * time.Second)
-		f.assertKnown("1", endpointCount-2, 2*time.Second)
-		f.putEndpoint(2, true)
+		f.AssertKnown("1", hubtest.EndpointCount-2, 2*time.Second)
+		f.PutEndpoint(2, true)
 		time.Sleep(2 * time.Second)
-		f.assertKnown("1", endpointCount-3, 2*time.Second)
+		f.AssertKnown("1", hubtest.EndpointCount-3, 2*time.Second)
 	})
 }
 
@@ -99,31 +109,31 @@
 func TestRecordsMissingInRestoredStoreAreKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 12)
-		defer f.stop()
+		defer f.Stop()
 		f.putConfigurations(2, 3, 0)
-		f.store.put(configurationTopic, evacuateB, "{}")
-		f.putEndpoint(endpointCount, false)
-		f.putEndpoint(0, true)
+		f.Store().Put(fakestore.ConfigurationTopic, hubtest.EvacuateB, "{}")
+		f.PutEndpoint(hubtest.EndpointCount, false)
+		f.PutEndpoint(0, true)
 		time.Sleep(2 * time.Second)
-		f.assertKnown("3", endpointCount, 2*time.Second)
-		newest := f.store.loseRecords(map[string]int{configurationTopic: 2, registryTopic: 2})
+		f.AssertKnown("3", hubtest.EndpointCount, 2*time.Second)
+		newest := f.Store().LoseRecords(map[string]int{fakestore.ConfigurationTopic: 2, fakestore.RegistryTopic: 2})
 		for range 3 {
 			time.Sleep(500 * time.Millisecond)
-			f.store.put(configurationTopic, "other", "x")
-			for _, r := range f.routers {
-				domains, _ := r.drainedDomains()
+			f.Store().Put(fakestore.ConfigurationTopic, "other", "x")
+			for _, r := range f.Routers() {
+				domains, _ := r.DrainedDomains()
 				assert.DeepEqual(t, domains, []string{"domain1"})
 			}
-			f.assertKnown("3", endpointCount, 2*time.Second)
+			f.AssertKnown("3", hubtest.EndpointCount, 2*time.Second)
 		}
-		f.store.rewrite(newest)
+		f.Store().Rewrite(newest)
 		for range 10 {
 			time.Sleep(time.Second)
-			for _, r := range f.routers {
-				domains, _ := r.drainedDomains()
+			for _, r := range f.Routers() {
+				domains, _ := r.DrainedDomains()
 				assert.DeepEqual(t, domains, []string{"domain1"})
 			}
-			f.assertKnown("3", endpointCount, 2*time.Second)
+			f.AssertKnown("3", hubtest.EndpointCount, 2*time.Second)
 		}
 	})
 }
@@ -132,17 +142,17 @@
 func TestRouterListIsWrittenAgainAfterRestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 12)
-		defer f.stop()
+		defer f.Stop()
 		time.Sleep(3 * time.Second)
-		assert.Equal(t, f.store.count(routersTopic), 12)
+		assert.Equal(t, f.Store().Count(fakestore.RoutersTopic), 12)
 		for range 2 {
-			f.store.loseRecords(map[string]int{routersTopic: 5})
+			f.Store().LoseRecords(map[string]int{fakestore.RoutersTopic: 5})
 			time.Sleep(4 * time.Second)
-			names := f.store.keys(routersTopic)
+			names := f.Store().Keys(fakestore.RoutersTopic)
 			assert.Equal(t, len(names), 12, "%v", names)
 		}
 		time.Sleep(30 * time.Second)
-		assert.Equal(t, f.store.count(routersTopic), 12, "each entry is written once")
+		assert.Equal(t, f.Store().Count(fakestore.RoutersTopic), 12, "each entry is written once")
 	})
 }
 
@@ -150,30 +160,30 @@
 func TestRestoreBesideRestartsAndCompaction(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 12)
-		defer f.stop()
+		defer f.Stop()
 		f.putConfigurations(2, 9, 200*time.Millisecond)
-		f.putEndpoint(0, true)
+		f.PutEndpoint(0, true)
 		time.Sleep(time.Second)
 		for round := range 3 {
 			version := 10 + 10*round
-			f.store.refuse(func(string) bool { return true })
+			f.Store().Refuse(func(string) bool { return true })
 			time.Sleep(500 * time.Millisecond)
-			dead := f.kill(round%2 > 0, func(m members.Member) bool { return m.Bears > 100 || m.Name[len(m.Name)-1]%2 == 0 })
+			dead := f.Kill(round%2 > 0, func(m members.Member) bool { return m.Bears > 100 || m.Name[len(m.Name)-1]%2 == 0 })
 			time.Sleep(time.Second)
-			f.store.restore(map[string]int{configurationTopic: 4, registryTopic: 1, routersTopic: 2})
+			f.Store().Restore(map[string]int{fakestore.ConfigurationTopic: 4, fakestore.RegistryTopic: 1, fakestore.RoutersTopic: 2})
 			for _, m := range dead {
-				f.net.setSilent(m.Address, false)
-				f.start(m, false)
+				f.Net().SetSilent(m.Address, false)
+				f.Start(m, false)
 			}
-			f.store.refuse(nil)
-			f.store.compact()
-			f.store.put(configurationTopic, "config", fmt.Sprint(version))
-			time.Sleep(propagationBound)
-			f.assertKnown(fmt.Sprint(version), endpointCount-1, 2*time.Second)
+			f.Store().Refuse(nil)
+			f.Store().Compact()
+			f.Store().Put(fakestore.ConfigurationTopic, "config", fmt.Sprint(version))
+			time.Sleep(hubtest.PropagationBound)
+			f.AssertKnown(fmt.Sprint(version), hubtest.EndpointCount-1, 2*time.Second)
 			f.putConfigurations(version+1, version+4, time.Second)
 			time.Sleep(time.Second)
-			f.assertKnown(fmt.Sprint(version+4), endpointCount-1, 2*time.Second)
-			assert.Equal(t, len(f.store.keys(routersTopic)), 12)
+			f.AssertKnown(fmt.Sprint(version+4), hubtest.EndpointCount-1, 2*time.Second)
+			assert.Equal(t, len(f.Store().Keys(fakestore.RoutersTopic)), 12)
 		}
 	})
 }
--- a/io/hub/fleetstatefleet_test.go
+++ b/io/hub/hubtest/state/state_test.go
@@ -1,4 +1,4 @@
-package hub_test
+package state_test
 
 import (
 	"bytes"
@@ -11,12 +11,18 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
 	"savoryfall/core/fleetstate"
 	"savoryfall/core/members"
+	"savoryfall/io/hub"
+	"savoryfall/io/hub/hubtest"
+	"savoryfall/platform/evacuation"
 )
 
+func TestMain(m *testing.M) { hubtest.Main(m) }
+
 // busyState is the state of a router under load, of which all figures change from one report to the next.
 type busyState struct {
 	mu        sync.Mutex
@@ -29,8 +35,6 @@
 	asked    int
 }
 
-type fakeState = busyState
-
 const (
 	// heldPerEndpoint are the tokens that each router holds at each endpoint.
 	heldPerEndpoint = 1000
@@ -92,42 +96,51 @@
 	return s.totals, s.setAt, s.asked
 }
 
+// stateFleet is a simulated fleet whose routers share their states.
+type stateFleet struct {
+	*hubtest.Fleet
+	t *testing.T
+	// states are the states of the routers by name.
+	states map[string]*busyState
+}
+
 // newStateFleet starts n routers for a number of endpoints, without load.
-func newStateFleet(t *testing.T, n, endpoints int) *fleet {
-	seed := uint64(0)
-	return newFleetWithStates(t, n, func() *fakeState {
-		seed++
-		return &busyState{random: rand.New(rand.NewPCG(seed, 1)), endpoints: endpoints}
+func newStateFleet(t *testing.T, n, endpoints int) *stateFleet {
+	f := &stateFleet{t: t, states: map[string]*busyState{}}
+	f.Fleet = hubtest.NewWithStates(t, n, evacuation.Decoder{}, func(name string) hub.FleetState {
+		f.states[name] = &busyState{random: rand.New(rand.NewPCG(uint64(len(f.states)+1), 1)), endpoints: endpoints}
+		return f.states[name]
 	})
+	return f
 }
 
-func (f *fleet) setStateInterval(interval time.Duration) {
-	for _, r := range f.routers {
-		r.state.setInterval(interval)
+func (f *stateFleet) setStateInterval(interval time.Duration) {
+	for _, r := range f.Routers() {
+		f.states[r.Self().Name].setInterval(interval)
 	}
 }
 
 // assertStates checks that each router has totals of at most the given age, of that many routers.
-func (f *fleet) assertStates(routers int, age time.Duration) {
+func (f *stateFleet) assertStates(routers int, age time.Duration) {
 	f.t.Helper()
-	for _, r := range f.routers {
-		t, at, _ := r.state.newest()
-		assert.Assert(f.t, time.Since(at) <= age, "%s has totals of %v ago", r.self.Name, time.Since(at))
-		assert.Equal(f.t, t.Routers, routers, r.self.Name)
+	for _, r := range f.Routers() {
+		t, at, _ := f.states[r.Self().Name].newest()
+		assert.Assert(f.t, time.Since(at) <= age, "%s has totals of %v ago", r.Self().Name, time.Since(at))
+		assert.Equal(f.t, t.Routers, routers, r.Self().Name)
 		for _, e := range t.Endpoints {
-			assert.Equal(f.t, e.HeldTokens, routers*heldPerEndpoint, r.self.Name)
+			assert.Equal(f.t, e.HeldTokens, routers*heldPerEndpoint, r.Self().Name)
 		}
-		assert.Equal(f.t, len(t.Endpoints), r.state.endpoints)
+		assert.Equal(f.t, len(t.Endpoints), f.states[r.Self().Name].endpoints)
 	}
 }
 
-var controlBytes = regexp.MustCompile(`savoryfall_control_bytes_total\{kind="peer",direction="\w+"\} (\d+)`)
+var peerBytes = regexp.MustCompile(`savoryfall_control_bytes_total\{kind="peer",direction="\w+"\} (\d+)`)
 
-// controlBytes returns the bytes that the router has sent to others and received from them.
-func (r *simRouter) controlBytes() (sum int) {
+// controlBytes returns the bytes that a router has sent to others and received from them, by its metrics.
+func controlBytes(meter *metrics.Set) (sum int) {
 	var b bytes.Buffer
-	r.meter.WritePrometheus(&b)
-	for _, m := range controlBytes.FindAllStringSubmatch(b.String(), -1) {
+	meter.WritePrometheus(&b)
+	for _, m := range peerBytes.FindAllStringSubmatch(b.String(), -1) {
 		n, _ := strconv.Atoi(m[1])
 		sum += n
 	}
@@ -135,17 +148,17 @@
 }
 
 // bytesPerSecond returns the bytes per second of the busiest hub and of the mean router that is no hub, for the given time.
-func (f *fleet) bytesPerSecond(d time.Duration) (hub, others int) {
+func (f *stateFleet) bytesPerSecond(d time.Duration) (hub, others int) {
 	isHub, before := map[string]bool{}, map[string]int{}
-	for _, r := range f.routers {
-		isHub[r.agent.HubName()] = true
-		before[r.self.Name] = r.controlBytes()
+	for _, r := range f.Routers() {
+		isHub[r.HubName()] = true
+		before[r.Self().Name] = controlBytes(r.Meter())
 	}
 	time.Sleep(d)
 	n := 0
-	for _, r := range f.routers {
-		perSecond := int(float64(r.controlBytes()-before[r.self.Name]) / d.Seconds())
-		if isHub[r.self.Name] {
+	for _, r := range f.Routers() {
+		perSecond := int(float64(controlBytes(r.Meter())-before[r.Self().Name]) / d.Seconds())
+		if isHub[r.Self().Name] {
 			hub = max(hub, perSecond)
 		} else {
 			others += perSecond
@@ -159,14 +172,14 @@
 // nothing to report, and against reports that grow with the fleet. HUB_ROUTERS sets the size of the large fleet, which has eight
 // endpoints for ten routers.
 func TestFleetStateReachesAllRouters(t *testing.T) {
-	for _, routers := range []int{6, intFromEnv("HUB_ROUTERS", 76)} {
+	for _, routers := range []int{6, hubtest.LargeFleet(76)} {
 		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newStateFleet(t, routers, max(routers*8/10, 6))
-				defer f.stop()
+				defer f.Stop()
 				hubIdle, othersIdle := f.bytesPerSecond(2 * time.Second)
-				for _, r := range f.routers {
-					_, _, asked := r.state.newest()
+				for _, r := range f.Routers() {
+					_, _, asked := f.states[r.Self().Name].newest()
 					assert.Equal(t, asked, 0)
 				}
 				for _, load := range []struct {
@@ -183,9 +196,9 @@
 				}
 				f.setStateInterval(0)
 				time.Sleep(4 * time.Second)
-				_, _, before := f.routers[0].state.newest()
+				_, _, before := f.states[f.Routers()[0].Self().Name].newest()
 				hub, _ := f.bytesPerSecond(2 * time.Second)
-				_, _, after := f.routers[0].state.newest()
+				_, _, after := f.states[f.Routers()[0].Self().Name].newest()
 				assert.Equal(t, after, before)
 				// A report more or less in the period is within the bound.
 				assert.Assert(t, hub < hubIdle*5/4+500, "%d bytes/s, before the load %d", hub, hubIdle)
@@ -199,24 +212,24 @@
 func TestFleetStateFollowsTheFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newStateFleet(t, 24, 4)
-		defer f.stop()
+		defer f.Stop()
 		const interval = 400 * time.Millisecond
 		f.setStateInterval(interval)
 		time.Sleep(2 * time.Second)
 		f.assertStates(24, time.Second)
 
-		f.start(members.Member{Name: "new", Address: "10.0.9.9:1", FailureDomain: "domain0", Bears: 1}, false)
+		f.Start(members.Member{Name: "new", Address: "10.0.9.9:1", FailureDomain: "domain0", Bears: 1}, false)
 		f.setStateInterval(interval)
 		time.Sleep(3 * time.Second)
 		f.assertStates(25, time.Second)
 
-		hub := f.routers[20].agent.HubName()
-		f.kill(true, func(m members.Member) bool { return m.Name == hub })
+		hub := f.Routers()[20].HubName()
+		f.Kill(true, func(m members.Member) bool { return m.Name == hub })
 		time.Sleep(4 * time.Second)
 		f.assertStates(24, time.Second)
 
 		i := 0
-		f.kill(false, func(members.Member) bool { i++; return i%2 == 0 })
+		f.Kill(false, func(members.Member) bool { i++; return i%2 == 0 })
 		time.Sleep(4 * time.Second)
 		f.assertStates(12, time.Second)
 	})
