io/follow, platform/store: a part of the log does not renew the lease

Such a router had been cut off from the store, and refused; when the cut ended it served at once with an old configuration.

Cause: the store answers a read with at most 1,024 KB of records and states the end of the log before them. The client skipped that end and took the last record for it, so that the first of several answers counted as a read that had found nothing newer and renewed the lease, here and at the routers that this one reads for. Evidence: the store's record beside the router's lines; the position that the router confirmed lies before the end in the same answer.

Change: a page carries the end of the log as its answer states it. One that reaches it confirms the time at which its read was sent. One that does not moves the position and confirms nothing; the end that it states is kept with the time at which it was sent, which is confirmed once the position has reached that end: all that existed then is known. So a log that grows as fast as it is read is confirmed with the delay of its backlog, and never for newer. If the rest is longer than what an answer brings, the newest record of each key is read instead, which is whole.

The stand-ins answered with all there was.

--- a/core/compactedlog/record.go
+++ b/core/compactedlog/record.go
@@ -34,10 +34,13 @@
 // Position returns where the record was read.
 func (r Record) Position() Position { return Position{Generation: r.Generation, Offset: r.Offset} }
 
-// Page is the result of one read: the records, and the offset to continue from.
+// Page is the result of one read: the records, and the offset to continue from. The store limits the size of an answer, so
+// the log may already hold more records.
 type Page struct {
 	Records []Record
 	Next    int64
+	// LogEnd is the offset at which the log ended when the read was answered.
+	LogEnd int64
 	// Generation is that of the log when the read was answered, 0 if unknown.
 	Generation int64
 }
@@ -45,6 +48,15 @@
 // End returns the position to continue from.
 func (p Page) End() Position { return Position{Generation: p.Generation, Offset: p.Next} }
 
+// Complete reports whether the page reaches the end of the log. Only then does the read show that nothing newer existed
+// when it was sent.
+func (p Page) Complete() bool { return p.Next >= p.LogEnd }
+
+// StatedEnd returns the position of the end of the log, as the answer states it.
+func (p Page) StatedEnd() Position {
+	return Position{Generation: p.Generation, Offset: max(p.Next, p.LogEnd)}
+}
+
 // TrimmedError reports that the records from offset Requested on are no longer kept. The newest value of each key can
 // still be read.
 type TrimmedError struct{ Requested, First int64 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -54,4 +54,6 @@
 	StoreLost               Name = "storeLost"
 	StoreRegained           Name = "storeRegained"
 	StoreRestored           Name = "storeRestored"
+	TopicBehind             Name = "topicBehind"
+	TopicCaughtUp           Name = "topicCaughtUp"
 )
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -171,13 +171,15 @@
 	Offset Name = "offset"
 	// Want is the offset that was expected next.
 	Want Name = "want"
+	// End is the offset at which the log ends, as an answer of the store states it.
+	End Name = "end"
 	// First is the first offset that the store still keeps.
 	First Name = "first"
 	// Generation is the generation of the store's log, which rises when the store comes back from an older copy.
 	Generation Name = "generation"
 	// Failures is the number of failed reads.
 	Failures Name = "failures"
-	// AfterMs is how long the store was unavailable.
+	// AfterMs is how long the store was unavailable, or this router behind the end of the log.
 	AfterMs Name = "afterMs"
 	// From is the version that was in force before.
 	From Name = "from"
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -196,13 +197,9 @@
 		Name: "registry", MinInterval: registryMinInterval, MaxAge: staleAfter, StartupWait: startupWait, Clock: bootclock.Now,
 	}, vm.logger)
 	vm.manager.Register("registry", registryFollower)
-	vm.metricSet.NewGauge("savoryfall_registry_age_seconds", func() float64 {
-		_, confirmedAt, known := registryFollower.Position()
-		if !known {
-			return -1
-		}
-		return (bootclock.Now() - confirmedAt).Seconds()
-	})
+	vm.metricSet.NewGauge("savoryfall_registry_age_seconds", func() float64 { return topicAge(registryFollower) })
+	vm.addTopicGauges("configuration", configurationFollower)
+	vm.addTopicGauges("registry", registryFollower)
 	vm.metricSet.NewGauge("savoryfall_store_generation", func() float64 {
 		end, _, _ := registryFollower.Position()
 		return float64(end.Generation)
@@ -228,6 +225,32 @@
 	return nil
 }
 
+// addTopicGauges adds the gauges of how far behind the end of a topic this router is, and how old its newest complete read.
+func (vm *entryVM) addTopicGauges(topic string, f *follow.Follower) {
+	gauge := func(name string, value func() float64) {
+		vm.metricSet.NewGauge(fmt.Sprintf("%s{topic=%q}", name, topic), value)
+	}
+	gauge("savoryfall_topic_age_seconds", func() float64 { return topicAge(f) })
+	gauge("savoryfall_topic_behind_records", func() float64 {
+		records, _ := f.Lag()
+		return float64(records)
+	})
+	gauge("savoryfall_topic_behind_seconds", func() float64 {
+		_, d := f.Lag()
+		return d.Seconds()
+	})
+}
+
+// topicAge returns the time in seconds since the read was sent that last showed that nothing newer existed, -1 before the
+// first.
+func topicAge(f *follow.Follower) float64 {
+	_, confirmedAt, known := f.Position()
+	if !known {
+		return -1
+	}
+	return (bootclock.Now() - confirmedAt).Seconds()
+}
+
 // storeTransport returns a transport that detects dead connections by TCP keepalive and counts the bytes.
 func storeTransport(m *traffic.Meter) *http.Transport {
 	d := &net.Dialer{Timeout: storeDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
--- a/io/command/entryvm_test.go
+++ b/io/command/entryvm_test.go
@@ -231,7 +231,7 @@
 	for _, kind := range []string{"log", "peer"} {
 		assert.Assert(t, regexp.MustCompile(`savoryfall_control_calls_total\{kind="`+kind+`"\} [1-9]`).MatchString(body), body)
 	}
-	boundedLabels := []string{"", "kind", "status", "outcome", "reason", "service", "verdict", "way", "result", "state", "by", "direction", "vmrange"}
+	boundedLabels := []string{"", "kind", "topic", "status", "outcome", "reason", "service", "verdict", "way", "result", "state", "by", "direction", "vmrange"}
 	sample := regexp.MustCompile(`(?m)^(savoryfall_\w+?)(?:_bucket|_sum|_count)?(?:\{(.*)\})? \S+$`)
 	rows := regexp.MustCompile("(?m)^\\| `savoryfall_.*$")
 	documented := strings.Join(rows.FindAllString(string(page), -1), "\n")
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -71,13 +71,11 @@
 
 	mu sync.Mutex
 	// position is up to where the topic is known.
-	position compactedlog.Position
-	synced   bool
-	behind   bool
-	leader   bool
-	// behindSince is the clock time at which this router learned of newer records.
-	behindSince time.Duration
+	position    compactedlog.Position
+	synced      bool
+	leader      bool
 	confirmedAt time.Duration
+	backlog     backlog
 	// hubAnsweredAt is when the hub last answered. startupDeadline is when a starting router without data stops
 	// waiting for it.
 	hubAnsweredAt   time.Duration
@@ -187,7 +185,7 @@
 			continue
 		}
 		f.recordSuccess()
-		background.Sleep(ctx, f.options.MinInterval-time.Since(began), f.wake)
+		background.Sleep(ctx, f.pauseAfterRead()-time.Since(began), f.wake)
 	}
 }
 
@@ -202,24 +200,25 @@
 	if !f.synced {
 		return f.startupDeadline - now
 	}
-	if f.outdated(f.position) {
+	if f.outdated(f.position) || f.backlog.pending {
 		return 0
 	}
-	if f.behind {
-		return f.behindSince + f.options.Grace - now
+	if f.behind() {
+		return f.backlog.since + f.options.Grace - now
 	}
 	return max(f.confirmedAt, f.hubAnsweredAt) + f.options.MaxAge - now
 }
 
 // readOnce makes one read. If records have been trimmed unread, or the log is of another generation, it starts over from
-// the newest value of each key.
+// the newest value of each key. It also reads these if the log has grown by more than the next answer can hold.
 func (f *Follower) readOnce(ctx context.Context) (err error) {
 	sent := f.options.Clock()
 	f.mu.Lock()
 	from, synced := f.position, f.synced && !f.outdated(f.position)
+	skip := synced && f.backlog.skip
 	f.mu.Unlock()
 	var p compactedlog.Page
-	if synced {
+	if synced && !skip {
 		p, err = f.readSince(ctx, from.Offset)
 	} else {
 		p, err = f.readNewest(ctx)
@@ -232,6 +231,7 @@
 		_ = f.logger.Log(field.Event, event.RecordsTrimmed, field.Topic, f.options.Name, field.Want, trimmed.Requested, field.First, trimmed.First)
 		f.mu.Lock()
 		f.synced = false
+		f.dropBacklog(compactedlog.Position{})
 		f.mu.Unlock()
 		if synced {
 			return f.readOnce(ctx)
@@ -244,16 +244,19 @@
 	if synced && p.Generation > from.Generation {
 		return f.readOnce(ctx)
 	}
-	return f.applyPage(p, from, synced, sent)
+	return f.applyPage(p, from, synced && !skip, sent)
 }
 
 // errOutdated is returned for a page of an earlier generation: it was answered before the log came back from an older
 // copy, and shows nothing. If all pages are, the store's generation has gone back, which it must not.
 var errOutdated = errors.New("the store answered with an earlier generation of its log")
 
+// errLogShrank is returned for the newest records of a log that ends before the position that this router has reached.
+var errLogShrank = errors.New("the log ends before the records that were read of it")
+
 // applyPage passes a page to the sink, unless this router has received newer records during the read: older
-// records would undo them.
-func (f *Follower) applyPage(p compactedlog.Page, from compactedlog.Position, synced bool, sent time.Duration) (err error) {
+// records would undo them. continued says that the page continues from the position before.
+func (f *Follower) applyPage(p compactedlog.Page, from compactedlog.Position, continued bool, sent time.Duration) (err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.outdated(p.End()) {
@@ -262,14 +265,19 @@
 	if f.synced && f.position != from {
 		return nil
 	}
+	if f.synced && p.End().Before(f.position) {
+		// The next read continues from the position, which the store then refuses.
+		f.backlog.skip = false
+		return errLogShrank
+	}
 	f.recordRestore(p.End())
-	if synced {
+	if continued {
 		f.sink.Apply(p.Records)
 	} else {
 		f.sink.Replace(p.Records)
 	}
 	f.moveTo(p.End())
-	f.confirmRead(sent)
+	f.recordPage(p, from, sent)
 	return nil
 }
 
@@ -343,7 +351,7 @@
 func (f *Follower) Behind() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.behind || !f.synced
+	return f.behind() || !f.synced
 }
 
 // Failing returns whether this router's own reads fail.
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -28,12 +29,22 @@
 	generation, seen int64
 	// answer, if set, changes each page before it is returned.
 	answer func(p *compactedlog.Page)
+	// limit is how many records an answer holds, and latency how long a read takes.
+	limit   int
+	latency time.Duration
+	// addedAt is when the records were added.
+	addedAt []time.Time
 }
 
+// answerLimit is small so that tests read the log in parts.
+const answerLimit = 2
+
 // grace is how long the followers wait to receive newer records.
 const grace = 400 * time.Millisecond
 
-func newFakeTopic() *fakeTopic { return &fakeTopic{appended: make(chan struct{})} }
+func newFakeTopic() *fakeTopic {
+	return &fakeTopic{appended: make(chan struct{}), limit: answerLimit}
+}
 
 // at returns the position of an offset in a log that was never restored.
 func at(offset int64) compactedlog.Position { return compactedlog.Position{Offset: offset} }
@@ -61,10 +72,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.records = append(t.records, compactedlog.Record{Key: key, Offset: int64(len(t.records))})
+	t.addedAt = append(t.addedAt, time.Now())
 	close(t.appended)
 	t.appended = make(chan struct{})
 }
 
+// addedBefore returns how many records had been added by the given time.
+func (t *fakeTopic) addedBefore(at time.Time) (n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for n < len(t.addedAt) && t.addedAt[n].Before(at) {
+		n++
+	}
+	return n
+}
+
 func (t *fakeTopic) setFailure(fail error, hang bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -82,15 +104,23 @@
 	t.mu.Lock()
 	t.newestReads++
 	t.mu.Unlock()
-	return t.Since(ctx, 0, 0)
+	return t.read(ctx, 0, 0, math.MaxInt)
 }
 
 func (t *fakeTopic) Since(ctx context.Context, from int64, wait time.Duration) (p compactedlog.Page, err error) {
+	t.mu.Lock()
+	limit := t.limit
+	t.mu.Unlock()
+	return t.read(ctx, from, wait, limit)
+}
+
+func (t *fakeTopic) read(ctx context.Context, from int64, wait time.Duration, limit int) (p compactedlog.Page, err error) {
 	t.mu.Lock()
 	t.reads++
-	fail, hang, appended := t.fail, t.hang, t.appended
+	fail, hang, appended, latency := t.fail, t.hang, t.appended, t.latency
 	end := int64(len(t.records))
 	t.mu.Unlock()
+	time.Sleep(latency)
 	if hang {
 		<-ctx.Done()
 		return p, ctx.Err()
@@ -112,8 +142,10 @@
 	if t.generation > 0 && from > int64(len(t.records)) {
 		return p, compactedlog.TrimmedError{Requested: from}
 	}
-	from = min(from, int64(len(t.records)))
-	p = compactedlog.Page{Records: t.records[from:], Next: int64(len(t.records)), Generation: t.generation}
+	end = int64(len(t.records))
+	from = min(from, end)
+	next := from + min(end-from, int64(limit))
+	p = compactedlog.Page{Records: t.records[from:next], Next: next, LogEnd: end, Generation: t.generation}
 	if t.answer != nil {
 		t.answer(&p)
 	}
--- a/io/follow/position.go
+++ b/io/follow/position.go
@@ -22,10 +22,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.synced || f.position.Before(end) {
-		if !f.behind {
-			f.behindSince = f.options.Clock()
-		}
-		f.behind = true
+		f.recordEnd(end)
 		f.signal()
 		return
 	}
@@ -69,10 +66,14 @@
 		f.position = end
 	}
 	f.synced = true
+	if sent, ok := f.backlog.reached(f.position); ok {
+		f.confirmRead(sent)
+	}
+	f.logCaughtUp()
 }
 
+// confirmRead records that nothing newer than the position existed when a read was sent, by this router or another.
 func (f *Follower) confirmRead(sent time.Duration) {
-	f.behind = false
 	f.confirmedAt = max(f.confirmedAt, sent)
 	f.sink.Read(sent)
 }
--- a/io/hub/hubtest/fakestore/store.go
+++ b/io/hub/hubtest/fakestore/store.go
@@ -123,7 +123,7 @@
 	return calls
 }
 
-// recordRead records that a read sent at that time was answered.
+// recordRead records that a read sent at that time was answered up to the end of the log.
 func (s *Store) recordRead(sent time.Time) {
 	if sent.After(s.lastSent) {
 		s.lastSent = sent
@@ -158,6 +158,9 @@
 
 var errRefused = errors.New("503")
 
+// readSize is how many records an answer holds. It is small so that routers read the log in parts.
+const readSize = 3
+
 // storeLatency is the time that the store takes to answer a call.
 const storeLatency = 4 * time.Millisecond
 
@@ -200,6 +203,7 @@
 		}
 	}
 	p.Next, p.Generation = int64(len(s.topics[s.name])), s.generation
+	p.LogEnd = p.Next
 	return p, nil
 }
 
@@ -210,15 +214,19 @@
 	for err == nil {
 		s.mu.Lock()
 		records, firstOffset, newsCh, generation := s.topics[s.name], s.firstOffset[s.name], s.newsCh, s.generation
-		s.recordRead(sent)
+		end := int64(len(records))
+		next := min(from+readSize, end)
+		if next == end {
+			s.recordRead(sent)
+		}
 		s.mu.Unlock()
 		s.seen.Store(generation)
-		if from < firstOffset && from < int64(len(records)) || from > int64(len(records)) {
+		if from < firstOffset && from < end || from > end {
 			return p, compactedlog.TrimmedError{Requested: from, First: firstOffset}
 		}
 		left := wait - time.Since(sent)
-		if int64(len(records)) > from || left <= 0 {
-			p = compactedlog.Page{Records: slices.Clone(records[from:]), Next: int64(len(records)), Generation: generation}
+		if end > from || left <= 0 {
+			p = compactedlog.Page{Records: slices.Clone(records[from:next]), Next: next, LogEnd: end, Generation: generation}
 			for i := range p.Records {
 				p.Records[i].Generation = generation
 			}
