platform/store, io/command: answers of the store are bounded

Cause: an answer of the store was read up to 32 MB, what lay beyond was cut off without an error and taken for whole, and its head could have 10 MB. A router has 284 MB, and reads up to three topics at once.

--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -263,9 +263,12 @@
 		}
 		return m.CountBytes(traffic.KindLog, c), nil
 	}
-	return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, DisableCompression: true}
+	return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxStoreHeaderBytes}
 }
 
+// maxStoreHeaderBytes bounds the head of an answer of the store, which has a few short lines.
+const maxStoreHeaderBytes = 16 << 10
+
 // storeDialTimeout bounds connecting to the store, which normally takes a few milliseconds.
 const storeDialTimeout = 500 * time.Millisecond
 
