io/http1, io/entry: answers of endpoints without end are bounded

Cause: the head of a response was read by net/textproto, which takes a line of any length and any number of lines, also for interim answers, refusals and answers to other requests. A body was read up to 16 MB whatever length it stated, the body of another request's answer until the deadline, and nothing bounded what all answers hold together.

Change: a head may have 32 KB (an endpoint repeats an id of a client, whose head may have 16 KB, and adds its own), and all heads together 8 MB beyond their read buffers. A body that states more than the limit is not read; a body of another request's answer is read up to 1 MB, that of a refusal up to 64 KB. Bodies and events that are not complete hold up to an eighth of the memory together, beyond 16 KB each, which are always held, so that answers of a usual size arrive meanwhile. The connection is closed at once. What the endpoint did counts as a broken answer for its breaker, the retry limit and the request, which may have run; an answer of less than 1 MB for which there is no memory counts for nothing.

--- a/core/sse/splitter.go
+++ b/core/sse/splitter.go
@@ -47,6 +47,9 @@
 // HasPartialEvent reports whether the buffer holds part of an incomplete event.
 func (s *Splitter) HasPartialEvent() bool { return len(s.buf) > 0 }
 
+// Buffered returns the number of bytes of the incomplete event.
+func (s *Splitter) Buffered() int { return len(s.buf) }
+
 // eventLength returns the length of the first event including its blank line, or -1 if the event is incomplete.
 func eventLength(p []byte) int {
 	n := -1
--- /dev/null
+++ b/io/command/noracelimit_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package command_test
+
+const memoryFactor = 1
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -68,6 +68,8 @@
 	// hasWaited is set if the request has waited for a place, and waited is for how long.
 	hasWaited bool
 	waited    time.Duration
+	// answer is what is held of the last answer that is not a stream.
+	answer heldAnswer
 }
 
 // serve processes the request: it decodes it, checks whether it may be served, reads the body, and forwards it to
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -95,6 +95,8 @@
 	Quarantine *quarantine.Table
 	// Dial opens a connection of its own to the address of an endpoint. It defaults to http1.DialTCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Answers is the budget of the bytes that are held of endpoints' answers before they are passed on. It may be nil.
+	Answers *bytebudget.Budget
 	// Memory is the budget of the bytes that are held for slow readers. It may be nil. ConnectionBytes returns how many of them
 	// may be held for one, and is set if Memory is.
 	Memory          *bytebudget.Budget
--- a/io/entry/memory.go
+++ b/io/entry/memory.go
@@ -89,6 +89,7 @@
 	if x.memory != nil {
 		x.memory.Close()
 	}
+	x.answer.close()
 }
 
 // recordSlowReader counts a stream that was read ahead, and logs one that was paused for want of memory.
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -65,10 +65,9 @@
 	if a.reply.NotExecuted {
 		return nil, x.refusedByEndpoint(a)
 	}
-	body, err := a.response.ReadAll(maxResponseBytes)
+	body, err := x.readAnswer(a)
 	if err != nil {
-		x.finishAttempt(a, dispatch.Broken)
-		return nil, x.unknownOutcome(dispatch.Broken)
+		return nil, x.answerNotRead(a, err, x.answer.counted)
 	}
 	if !x.fromEndpoint(a) {
 		x.finishAttempt(a, dispatch.Broken)
@@ -89,7 +88,7 @@
 		// The address now belongs to another instance. The endpoint list will show that later.
 		x.handler.Dispatcher.MarkReplaced(a.Endpoint().ID)
 	}
-	_, _ = a.response.ReadAll(maxResponseBytes)
+	a.response.Discard()
 	x.finishAttempt(a, dispatch.Refused)
 	return request.NotRun(request.Refused, x.retryAfterPause())
 }
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -25,6 +25,8 @@
 	buf     []byte
 	// ahead reads the current response, nil if responses are not read ahead.
 	ahead *readAhead
+	// partial is what is held of an event that is not complete.
+	partial heldAnswer
 }
 
 // forwardStream handles a request whose response is a stream of events.
@@ -74,9 +76,12 @@
 // forwardNonStream handles a response that is not a stream.
 func (s *relay) forwardNonStream(a *attempt) (done bool, p *request.Problem) {
 	x := s.x
-	body, err := a.response.ReadAll(maxResponseBytes)
+	body, err := x.readAnswer(a)
+	if err != nil {
+		return false, x.answerNotRead(a, err, x.answer.counted)
+	}
 	response := &plainResponse{status: a.response.Status, header: a.response.Header, body: body}
-	if err != nil || !x.fromEndpoint(a) {
+	if !x.fromEndpoint(a) {
 		x.finishAttempt(a, dispatch.Broken)
 		return false, request.Unknown(request.Broken)
 	}
@@ -115,7 +120,9 @@
 // forwardEvents forwards complete events until the stream ends or fails.
 func (s *relay) forwardEvents(a *attempt) (done bool, p *request.Problem) {
 	var split sse.Splitter
+	s.partial = s.x.holdPart()
 	err := s.readAhead(a, &split)
+	s.partial.close()
 	if errors.Is(err, io.EOF) {
 		return s.finish(a, &split)
 	}
@@ -148,6 +155,9 @@
 		if n > 0 && !s.writeEvents(a, split, s.buf[:n]) {
 			return errNotForwardable
 		}
+		if !s.partial.hold(int64(split.Buffered())) {
+			return errNoMemory
+		}
 		if err != nil {
 			return err
 		}
@@ -164,6 +174,9 @@
 		s.x.finishAttempt(a, dispatch.Abandoned)
 		return false, s.x.unknownOutcome(v)
 	}
+	if errors.Is(err, errNoMemory) {
+		return false, s.x.answerNotRead(a, err, s.partial.counted)
+	}
 	s.x.finishAttempt(a, v)
 	return false, s.x.unknownOutcome(v)
 }
--- a/io/http1/check.go
+++ b/io/http1/check.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodGet})
+	resp, err := c.readHead(http.MethodGet)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/io/http1/exchange.go
+++ b/io/http1/exchange.go
@@ -73,8 +73,14 @@
 // errUnmatched is returned if too many responses on a connection belonged to other requests.
 var errUnmatched = errors.New("responses on the connection belong to other requests")
 
-// maxUnmatched is the number of responses to other requests that are skipped before the connection is closed.
-const maxUnmatched = 2
+const (
+	// maxUnmatched is the number of responses to other requests that are skipped before the connection is closed.
+	maxUnmatched = 2
+	// maxUnmatchedBytes is the size of the body up to which such a response is skipped.
+	maxUnmatchedBytes = 1 << 20
+	// maxDiscardBytes is the size up to which the body of a response is read only to keep the connection.
+	maxDiscardBytes = 64 << 10
+)
 
 // Do sends the request once and returns when the header of the response has arrived. An error is always an
 // *AttemptError.
@@ -171,7 +177,7 @@
 // one of them twice. They are read completely and dropped.
 func readResponse(c *conn, r Request) (resp *http.Response, err error) {
 	for range maxUnmatched + 1 {
-		resp, err = http.ReadResponse(c.r, &http.Request{Method: r.Method})
+		resp, err = c.readHead(r.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -181,13 +187,16 @@
 		if r.Matches(resp.Header) {
 			return resp, nil
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || resp.ContentLength > maxUnmatchedBytes {
 			return nil, errUnmatched
 		}
-		_, err = io.Copy(io.Discard, resp.Body)
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxUnmatchedBytes+1))
 		if err != nil {
 			return nil, err
 		}
+		if n > maxUnmatchedBytes {
+			return nil, errUnmatched
+		}
 	}
 	return nil, errUnmatched
 }
@@ -205,13 +214,76 @@
 	return n, err
 }
 
-// ReadAll reads the whole body. It fails if the body is larger than limit bytes.
-func (r *Response) ReadAll(limit int64) (body []byte, err error) {
-	body, err = io.ReadAll(io.LimitReader(r, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, fmt.Errorf("response is larger than %d bytes", limit)
+// ErrTooLarge is returned for a body that is larger than it may be.
+var ErrTooLarge = errors.New("the body of the response is too large")
+
+// ReadAll reads the whole body. It fails if the body is larger than limit bytes, without reading it if its length is stated, or
+// if reserve refuses more bytes to be held. reserve may be nil.
+func (r *Response) ReadAll(limit int64, reserve func(n int64) error) (body []byte, err error) {
+	length := r.bodyLength()
+	if length > limit {
+		return nil, ErrTooLarge
+	}
+	for {
+		if len(body) == cap(body) {
+			body, err = grow(body, length, limit, reserve)
+		}
+		if err != nil {
+			return nil, err
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if int64(len(body)) > limit {
+			return nil, ErrTooLarge
+		}
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// minBodyBytes is the size of the first buffer for a body whose length is not stated, and maxFirstBytes that of one whose length
+// is: the endpoint may not send what it states.
+const (
+	minBodyBytes  = 1 << 10
+	maxFirstBytes = 64 << 10
+)
+
+// grow returns the body with a buffer that is larger. length is the length of the whole body, -1 if it is not stated, and limit
+// the largest that is read.
+func grow(body []byte, length, limit int64, reserve func(n int64) error) (larger []byte, err error) {
+	size := max(2*int64(cap(body)), minBodyBytes)
+	if length >= 0 {
+		size, limit = max(size, maxFirstBytes), length
+	}
+	// One byte more shows whether the body ends there.
+	size = min(size, limit+1)
+	if reserve != nil {
+		err = reserve(size - int64(cap(body)))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return append(make([]byte, 0, size), body...), nil
+}
+
+// bodyLength returns the length of the body that follows the head, -1 if it is not known. The response to a HEAD request
+// states that of another one.
+func (r *Response) bodyLength() int64 {
+	if r.raw.Body == http.NoBody {
+		return 0
+	}
+	return r.Length
+}
+
+// Discard reads the rest of a short body, so that the connection can be kept.
+func (r *Response) Discard() {
+	if r.bodyLength() <= maxDiscardBytes {
+		_, _ = io.Copy(io.Discard, io.LimitReader(r, maxDiscardBytes))
 	}
-	return body, err
 }
 
 // SetDeadline changes the deadline for reading the response.
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -23,6 +23,7 @@
 	mu                sync.Mutex
 	idle              map[string][]*conn
 	connectionsOpened uint64
+	heads             headBudget
 }
 
 const (
@@ -54,6 +55,7 @@
 type conn struct {
 	net.Conn
 	r       *bufio.Reader
+	head    headLimiter
 	address string
 	reused  bool
 	expires time.Time
@@ -103,7 +105,9 @@
 	p.mu.Lock()
 	p.connectionsOpened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, r: bufio.NewReaderSize(raw, readBufferSize), address: address}, nil
+	c = &conn{Conn: raw, address: address, head: headLimiter{from: raw, budget: &p.heads}}
+	c.r = bufio.NewReaderSize(&c.head, readBufferSize)
+	return c, nil
 }
 
 // DialTCP opens a TCP connection to the address.
