io/http1: the check before a request does not read its answer to the end

Cause: closing the body of an answer to the check reads what is left of it, which lasts until the deadline of the request if it does not end. Found by TestCheckWithoutEndIsGivenUp, not seen by callers.

Change: the body is not closed; its connection is, once the check has failed.

--- a/io/http1/check.go
+++ b/io/http1/check.go
@@ -35,11 +35,10 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	resp, err := c.readHead(http.MethodGet)
+	resp, err := c.readHead(http.MethodGet) //nolint:bodyclose // Closing the body would read it to its end.
 	if err != nil {
 		return 0, nil, err
 	}
-	defer func() { _ = resp.Body.Close() }()
 	body, err = io.ReadAll(io.LimitReader(resp.Body, maxCheckBytes+1))
 	if err == nil && (resp.Close || len(body) > maxCheckBytes) {
 		err = io.ErrUnexpectedEOF
--- a/io/http1/endless_test.go
+++ b/io/http1/endless_test.go
@@ -204,3 +204,21 @@
 	assert.Equal(t, len(body), 0)
 	resp.Close()
 }
+
+// Guards against a check of the endpoint's process whose answer does not end.
+func TestCheckWithoutEndIsGivenUp(t *testing.T) {
+	for name, s := range map[string]*sender{
+		"head": {begin: okLine + "X: ", repeat: filler},
+		"body": {begin: chunked, repeat: "40\r\n" + filler + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := requestFor("GET")
+			r.Fresh, r.Check = true, &Check{Target: "/check", Accept: func(int, []byte) error { return nil }}
+			_, err := NewPool(s.connect).Do(context.Background(), r)
+			var failed *AttemptError
+			assert.Assert(t, errors.As(err, &failed) && !failed.MaybeSent, "%v", err)
+			s.ended.Wait()
+			assert.Assert(t, s.sent.Load() <= maxHeadBytes+maxCheckBytes/10*11+2*readBufferSize, "%d bytes were read", s.sent.Load())
+		})
+	}
+}
