io/caller, io/traffic: parts of large bodies are not taken for whole

Heads of the platform's and of probes' answers could have 10 MB.

Change: such a body is an error, such a head may have 16 KB.

--- a/io/caller/completion.go
+++ b/io/caller/completion.go
@@ -235,9 +235,21 @@
 	return a.readStream(resp, at, flight, silence)
 }
 
+// errTooLarge is returned for a body that is larger than it may be.
+var errTooLarge = errors.New("the body is too large")
+
+// readWhole reads a whole body. A part of one must not be taken for all of it.
+func readWhole(r io.Reader) (body []byte, err error) {
+	body, err = io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		return nil, errTooLarge
+	}
+	return body, err
+}
+
 // readWhole passes a response on only after it has arrived completely and was found to be valid JSON.
 func (a *completion) readWhole(resp *http.Response, at *decision.Attempt) (err error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := readWhole(resp.Body)
 	if err != nil {
 		return err
 	}
--- a/io/caller/plainservice.go
+++ b/io/caller/plainservice.go
@@ -283,7 +283,7 @@
 
 // recordResponse reads a whole response, which is then both recorded and sent to the client.
 func (c *plainCall) recordResponse(resp *http.Response, result *claim.Result) (p *problem) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := readWhole(resp.Body)
 	if err != nil {
 		return endpointFailed("the answer broke off: "+err.Error(), outcome.Unknown)
 	}
--- a/io/traffic/meter.go
+++ b/io/traffic/meter.go
@@ -58,9 +58,14 @@
 
 // Transport returns an HTTP transport whose connections are counted.
 func (m *Meter) Transport(k Kind) *http.Transport {
-	return &http.Transport{DialContext: m.Dial(k), MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true}
+	return &http.Transport{
+		DialContext: m.Dial(k), MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
+	}
 }
 
+// maxHeaderBytes bounds the head of a response in bytes: those of the platform and of probes have a few short lines.
+const maxHeaderBytes = 16 << 10
+
 // CountCall counts one call of the kind made by this process.
 func (m *Meter) CountCall(k Kind) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`savoryfall_control_calls_total{kind=%q}`, string(k))).Inc()
