io/hub: fleets check what routers confirm while a backlog is read

Change: a simulated fleet of 6 and of 120 routers goes through three outages with thirteen configurations each; half of the routers are killed before the store returns and start again. Every 5 ms no router may lack a version that was written before the read that it takes for the newest.

--- a/io/hub/hubtest/fleet.go
+++ b/io/hub/hubtest/fleet.go
@@ -283,6 +283,23 @@
 	}
 }
 
+// AssertProven checks that every router has each version of the configuration that had been written when the read was sent that it takes
+// for the newest. writtenAt are the times of the versions.
+func (f *Fleet) AssertProven(writtenAt map[int]time.Time) {
+	f.t.Helper()
+	for _, r := range f.routers {
+		_, sent, _ := r.configuration.Position()
+		known := 0
+		if record := r.configurationSink.record(); record != nil {
+			known = versionOf(*record)
+		}
+		for version, at := range writtenAt {
+			writtenBefore := at.Sub(f.began)+time.Hour < sent
+			assert.Assert(f.t, version <= known || !writtenBefore, "%s has version %d, and version %d was written before its read", r.self.Name, known, version)
+		}
+	}
+}
+
 // entryDecoder decodes the entries that putEndpoint writes.
 type entryDecoder struct{}
 
--- a/io/hub/hubtest/outage/outage_test.go
+++ b/io/hub/hubtest/outage/outage_test.go
@@ -1,6 +1,7 @@
 package outage_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"savoryfall/core/members"
 	"savoryfall/io/hub/hubtest"
 	"savoryfall/io/hub/hubtest/fakestore"
 )
@@ -74,3 +76,35 @@
 		})
 	}
 }
+
+// Guards against routers that take a part of what was written in an outage for all of it: the root that reads it, those that follow it
+// directly or through other hubs, and those that start meanwhile.
+func TestBacklogOfOutageIsNotConfirmedInPart(t *testing.T) {
+	for _, n := range []int{6, 120} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, n)
+			defer f.Stop()
+			writtenAt := map[int]time.Time{}
+			for round := range 3 {
+				f.Store().Refuse(func(string) bool { return true })
+				time.Sleep(3 * time.Second)
+				for v := 2 + 20*round; v < 15+20*round; v++ {
+					f.Store().Put(fakestore.ConfigurationTopic, "config", fmt.Sprint(v))
+					writtenAt[v] = time.Now()
+					time.Sleep(50 * time.Millisecond)
+				}
+				dead := f.Kill(round%2 > 0, func(m members.Member) bool { return m.Name[len(m.Name)-1]%2 > 0 })
+				f.Store().Refuse(nil)
+				for _, m := range dead {
+					f.Net().SetSilent(m.Address, false)
+					f.Start(m, false)
+				}
+				for range 400 {
+					f.AssertProven(writtenAt)
+					time.Sleep(5 * time.Millisecond)
+				}
+				f.AssertKnown(fmt.Sprint(14+20*round), hubtest.EndpointCount, 2*time.Second)
+			}
+		})
+	}
+}
