io/command: sockets are checked once their connections are served

Traced by reading: it finds the accepted descriptor in /proc/self/fd as soon as accept has returned it, before the listener has set its options one after the other.

Change: the test sends a request and reads the first byte of its answer, after which the options are set. What it asserts is unchanged.

--- a/io/command/sockets_test.go
+++ b/io/command/sockets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -99,6 +100,11 @@
 		c, err := net.Dial("tcp4", address)
 		assert.NilError(t, err)
 		t.Cleanup(func() { _ = c.Close() })
+		// An accepted connection has its descriptor before its options. It has both when it is served.
+		_, err = io.WriteString(c, "GET /none HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		_, err = c.Read(make([]byte, 1))
+		assert.NilError(t, err)
 		return func() int { return f.acceptedDescriptor(c) }
 	}
 	transport := storeTransport(traffic.New(vm.metricSet))
