--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"savoryfall/core/bytebudget"
 	"savoryfall/core/dispatch"
 	"savoryfall/core/quarantine"
 	"savoryfall/io/bootclock"
@@ -71,18 +72,8 @@
 
 // registerMemoryGauges registers metrics of the memory that is held for slow readers.
 func (vm *entryVM) registerMemoryGauges() {
-	vm.metricSet.NewGauge("savoryfall_held_bytes", func() float64 {
-		held, _, _, _ := vm.memory.Usage()
-		return float64(held)
-	})
-	vm.metricSet.NewGauge("savoryfall_held_bytes_limit", func() float64 {
-		_, size, _, _ := vm.memory.Usage()
-		return float64(size)
-	})
-	vm.metricSet.NewGauge("savoryfall_held_bytes_denied_total", func() float64 {
-		_, _, _, denied := vm.memory.Usage()
-		return float64(denied)
-	})
+	vm.addBudgetGauges("savoryfall_held_bytes", &vm.memory)
+	vm.addBudgetGauges("savoryfall_answer_bytes", &vm.answers)
 }
 
 // registerDispatchGauges registers metrics of cache reuse and load balance, and of the endpoint data they are based on.
@@ -145,3 +136,19 @@
 	}
 	return factor
 }
+
+// addBudgetGauges adds the gauges of what is held of a budget, of its size, and of how many reservations it did not allow.
+func (vm *entryVM) addBudgetGauges(name string, b *bytebudget.Budget) {
+	vm.metricSet.NewGauge(name, func() float64 {
+		held, _, _, _ := b.Usage()
+		return float64(held)
+	})
+	vm.metricSet.NewGauge(name+"_limit", func() float64 {
+		_, size, _, _ := b.Usage()
+		return float64(size)
+	})
+	vm.metricSet.NewGauge(name+"_denied_total", func() float64 {
+		_, _, _, denied := b.Usage()
+		return float64(denied)
+	})
+}
--- a/io/http1/exchange.go
+++ b/io/http1/exchange.go
@@ -214,15 +214,15 @@
 	return n, err
 }
 
-// ErrTooLarge is returned for a body that is larger than it may be.
-var ErrTooLarge = errors.New("the body of the response is too large")
+// errTooLarge is returned for a body that is larger than it may be.
+var errTooLarge = errors.New("the body of the response is too large")
 
 // ReadAll reads the whole body. It fails if the body is larger than limit bytes, without reading it if its length is stated, or
 // if reserve refuses more bytes to be held. reserve may be nil.
 func (r *Response) ReadAll(limit int64, reserve func(n int64) error) (body []byte, err error) {
 	length := r.bodyLength()
 	if length > limit {
-		return nil, ErrTooLarge
+		return nil, errTooLarge
 	}
 	for {
 		if len(body) == cap(body) {
@@ -234,7 +234,7 @@
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if int64(len(body)) > limit {
-			return nil, ErrTooLarge
+			return nil, errTooLarge
 		}
 		if errors.Is(err, io.EOF) {
 			return body, nil
