io/command: endpoints that crash come back at addresses of their own

Cause: TestEndsWithoutACause failed once of one run beside the soak ("bind: address already in use"): an endpoint that comes back binds the port that it had, which a connection of another test had been given meanwhile.

Change: these endpoints listen on loopback addresses of their own, at a port that the system gives to no connection.

--- a/io/command/crashfleet_test.go
+++ b/io/command/crashfleet_test.go
@@ -75,7 +75,7 @@
 		f.store.Put("keyed.servers", fmt.Sprint(o.service[:1], i), nil)
 	}
 	for i := range o.endpoints {
-		f.startEndpoint(i, "127.0.0.1:0")
+		f.startEndpoint(i, uniqueLoopbackAddress())
 	}
 	t.Cleanup(func() {
 		f.mu.Lock()
