--- a/io/command/endless_test.go
+++ b/io/command/endless_test.go
@@ -97,7 +97,7 @@
 		return testclient.Send(address, testclient.Request{Method: method, Host: "shop.example", Path: path, ID: id, Key: "good", Prompt: testclient.NoPrompt})
 	}
 	for send("GET", "/read/x", "first").Status != 200 {
-		time.Sleep(10 * time.Millisecond)
+		<-time.After(10 * time.Millisecond)
 	}
 	faulty := endpoints[:2]
 	for _, e := range faulty {
@@ -125,7 +125,7 @@
 				case n%3 == 1 && ran && slices.Contains([]int{408, 421, 429, 503}, r.Status):
 					untrue.Add(1)
 				}
-				time.Sleep(10 * time.Millisecond)
+				<-time.After(10 * time.Millisecond)
 			}
 		})
 	}
--- a/io/command/storebacklog_test.go
+++ b/io/command/storebacklog_test.go
@@ -37,7 +37,7 @@
 			f := newConfiguredEntryFleet(t, routers, withShortKeyTerm)
 			f.store.SetDown(true)
 			f.writeBacklog(2, 14)
-			time.Sleep(2 * shortKeyTerm)
+			<-time.After(2 * shortKeyTerm)
 			for _, vm := range f.vms {
 				assert.Equal(t, f.get(vm, "/read/x", "good").Status, 503)
 			}
@@ -70,7 +70,7 @@
 	assert.Equal(t, records(), "0")
 	f.store.SetDown(true)
 	f.writeBacklog(2, 14)
-	time.Sleep(shortKeyTerm)
+	<-time.After(shortKeyTerm)
 	f.store.SetDelay(backlogReadTime)
 	f.store.SetDown(false)
 	f.waitFor("the router is behind", func() bool { return records() != "0" })
--- a/io/follow/backlog_test.go
+++ b/io/follow/backlog_test.go
@@ -29,6 +29,18 @@
 	t.latency = d
 }
 
+// comeBack lets a router that reads for others return from a cut of 5 s in which n records were written, to a store whose answers take
+// the given time.
+func comeBack(f *follow.Follower, tp *fakeTopic, n int, latency time.Duration) {
+	f.SetLeader(true)
+	time.Sleep(10 * time.Millisecond)
+	tp.setFailure(errCutOff, false)
+	time.Sleep(5 * time.Second)
+	tp.addRecords(n)
+	tp.setFailure(nil, false)
+	tp.setLatency(latency)
+}
+
 // assertProven checks that the records that the sink has include all that existed when the last read that confirms them was
 // sent.
 func assertProven(t *testing.T, tp *fakeTopic, s *fakeSink, now func() time.Duration) {
@@ -40,13 +52,7 @@
 // Guards against a lease that is renewed by an answer that holds only a part of what was written while a router was cut off.
 func TestPartOfTheLogConfirmsNothing(t *testing.T) {
 	withFollower(t, func(f *follow.Follower, tp *fakeTopic, s *fakeSink, now func() time.Duration) {
-		f.SetLeader(true)
-		time.Sleep(10 * time.Millisecond)
-		tp.setFailure(errCutOff, false)
-		time.Sleep(5 * time.Second)
-		tp.addRecords(7)
-		tp.setFailure(nil, false)
-		tp.setLatency(100 * time.Millisecond)
+		comeBack(f, tp, 7, 100*time.Millisecond)
 		for len(s.allKeys()) < 8 {
 			assert.Assert(t, s.age(now()) > 5*time.Second, "%d records, confirmed %v ago", len(s.allKeys()), s.age(now()))
 			time.Sleep(10 * time.Millisecond)
@@ -75,13 +81,7 @@
 // Guards against a router that serves nothing for long because it reads all that was written while it was cut off.
 func TestLongBacklogIsSkipped(t *testing.T) {
 	withFollower(t, func(f *follow.Follower, tp *fakeTopic, s *fakeSink, now func() time.Duration) {
-		f.SetLeader(true)
-		time.Sleep(10 * time.Millisecond)
-		tp.setFailure(errCutOff, false)
-		time.Sleep(time.Second)
-		tp.addRecords(100)
-		tp.setFailure(nil, false)
-		tp.setLatency(100 * time.Millisecond)
+		comeBack(f, tp, 100, 100*time.Millisecond)
 		time.Sleep(leaderRetryMax + 250*time.Millisecond)
 		assert.Equal(t, len(s.allKeys()), 101)
 		assert.Assert(t, s.age(now()) <= leaderRetryMax)
@@ -113,13 +113,7 @@
 // Guards against a lease that is renewed by the log of before a restore, while this router was reading that log.
 func TestRestoreWhileBehindConfirmsNothing(t *testing.T) {
 	withFollower(t, func(f *follow.Follower, tp *fakeTopic, s *fakeSink, now func() time.Duration) {
-		f.SetLeader(true)
-		time.Sleep(10 * time.Millisecond)
-		tp.setFailure(errCutOff, false)
-		time.Sleep(5 * time.Second)
-		tp.addRecords(4)
-		tp.setFailure(nil, false)
-		tp.setLatency(300 * time.Millisecond)
+		comeBack(f, tp, 4, 300*time.Millisecond)
 		for len(s.allKeys()) < 3 {
 			time.Sleep(10 * time.Millisecond)
 		}
@@ -131,13 +125,7 @@
 // Guards against a part of the log that is given to other routers as if it were known to be all of it.
 func TestPositionOfABacklogIsNotConfirmed(t *testing.T) {
 	withFollower(t, func(f *follow.Follower, tp *fakeTopic, s *fakeSink, now func() time.Duration) {
-		f.SetLeader(true)
-		time.Sleep(10 * time.Millisecond)
-		tp.setFailure(errCutOff, false)
-		time.Sleep(5 * time.Second)
-		tp.addRecords(7)
-		tp.setFailure(nil, false)
-		tp.setLatency(100 * time.Millisecond)
+		comeBack(f, tp, 7, 100*time.Millisecond)
 		for end := at(0); end.Before(at(8)); {
 			time.Sleep(10 * time.Millisecond)
 			var sent time.Duration
