io/command: streams meet answers without end at engines of their own

Cause: since it plays through the stand-in, TestAnswersWithoutEnd sent streams to endpoints that stream nothing; a third of its requests could not be served, and these endpoints counted as failing for another reason than the one that is played.

Change: four engines stand beside the four endpoints, two of each give answers without end. Checks and bounds are as before.

--- a/io/command/endless_test.go
+++ b/io/command/endless_test.go
@@ -30,10 +30,12 @@
 )
 
 // newEndpoint starts an endpoint and writes its entry.
-func newEndpoint(t *testing.T, store *fakestore.Service, id string) (e *fakeendpoint.Endpoint) {
+func newEndpoint(t *testing.T, store *fakestore.Service, id, service string, events int) (e *fakeendpoint.Endpoint) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	e = fakeendpoint.New(fakeendpoint.Options{ID: id, Service: "plain", Address: l.Addr().String(), FailureDomain: "a", Slots: 64, ResponseTime: 5 * time.Millisecond})
+	e = fakeendpoint.New(fakeendpoint.Options{
+		ID: id, Service: service, Address: l.Addr().String(), FailureDomain: "a", Slots: 64, ResponseTime: 5 * time.Millisecond, Events: events, EventTime: 5 * time.Millisecond,
+	})
 	s := &http.Server{Handler: e}
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
@@ -44,8 +46,8 @@
 const endlessConfiguration = `{"version":1,"routes":[
 	{"name":"read","host":"shop.example","path_prefix":"/read/","type":"idempotent","timeout_ms":3000,"goal_ms":100,"service":"plain","max_attempts":3},
 	{"name":"book","host":"shop.example","path_prefix":"/book/","type":"non_idempotent","timeout_ms":3000,"goal_ms":100,"service":"plain","max_attempts":3},
-	{"name":"draft","host":"shop.example","path_prefix":"/draft/","type":"streaming","timeout_ms":3000,"goal_ms":100,"service":"plain","max_attempts":3}],
-	"services":[{"name":"plain","max_conns":400}],
+	{"name":"draft","host":"shop.example","path_prefix":"/draft/","type":"streaming","timeout_ms":3000,"goal_ms":100,"service":"models","max_attempts":3}],
+	"services":[{"name":"plain","max_conns":400},{"name":"models","max_conns":400,"engine":{"slots":64,"kv_capacity":100000}}],
 	"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 	"tenants":[{"name":"coop","api_keys":["good"]}]}`
 
@@ -82,9 +84,13 @@
 	storeServer := httptest.NewServer(&store)
 	t.Cleanup(storeServer.Close)
 	store.Put("keyed.op", "config", []byte(endlessConfiguration))
-	var endpoints []*fakeendpoint.Endpoint
+	var faulty, endpoints []*fakeendpoint.Endpoint
 	for i := range 4 {
-		endpoints = append(endpoints, newEndpoint(t, &store, fmt.Sprint("i", i)))
+		plain, engine := newEndpoint(t, &store, fmt.Sprint("p", i), "plain", 0), newEndpoint(t, &store, fmt.Sprint("m", i), "models", 3)
+		endpoints = append(endpoints, plain, engine)
+		if i < 2 {
+			faulty = append(faulty, plain, engine)
+		}
 	}
 	settings := strings.Replace(entrySettings, "127.0.0.1:1", strings.TrimPrefix(storeServer.URL, "http://"), 1)
 	settings = strings.Replace(settings, "[clients]", fmt.Sprintf("memoryMB = %d\n[clients]", memoryLimitMB), 1)
@@ -99,7 +105,6 @@
 	for send("GET", "/read/x", "first").Status != 200 {
 		<-time.After(10 * time.Millisecond)
 	}
-	faulty := endpoints[:2]
 	for _, e := range faulty {
 		e.AnswerWithoutEnd(a, endlessShare)
 	}
