soak: endpoints that leave with an unframed answer under way reset it

Traced: the stream was sent by a router that had just been resumed (14:03:55.98) to an endpoint that was about to leave, and whose answers end with their connection; that endpoint ended 0.3 s later (answerBroken process=ended) and closed the connection between two events. No client can tell that from the end of the answer. The harness resets the connections of such an endpoint when it crashes, for this reason, and did not when it leaves.

Change: it does in both cases. No check is changed.

--- a/soak/endpoints_test.go
+++ b/soak/endpoints_test.go
@@ -153,13 +153,18 @@
 	e.mu.Lock()
 	e.removed = true
 	e.mu.Unlock()
+	e.closeConnections()
+	e.link.reset()
+	time.AfterFunc(3*heartbeatPeriod, func() { h.deleteEntry(e) })
+}
+
+// closeConnections ends the endpoint's process.
+func (e *endpoint) closeConnections() {
 	if e.options.Unframed {
 		// The end of a connection between two events would be that of a complete answer.
 		e.link.reset()
 	}
 	_ = e.http.Close()
-	e.link.reset()
-	time.AfterFunc(3*heartbeatPeriod, func() { h.deleteEntry(e) })
 }
 
 func (h *harness) deleteEntry(e *endpoint) {
@@ -189,7 +194,7 @@
 	e.removed = true
 	e.mu.Unlock()
 	h.deleteEntry(e)
-	_ = e.http.Close()
+	e.closeConnections()
 }
 
 // liveEndpoints returns the endpoints of the service that are neither leaving nor removed.
