--- a/io/command/storebacklog_test.go
+++ b/io/command/storebacklog_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -49,7 +50,7 @@
 				for _, vm := range f.vms {
 					// A machine that is busy may leave a request without an answer, which is no sign that its key was accepted.
 					withdrawn := f.get(vm, "/read/x", "good")
-					assert.Check(t, withdrawn.Status != 200, "%s accepts a withdrawn key", vm.settings.VM().Name())
+					assert.Check(t, slices.Contains([]int{0, 401, 503}, withdrawn.Status), "%s answers %d to a withdrawn key", vm.settings.VM().Name(), withdrawn.Status)
 					if f.get(vm, "/read/x", "new").Status == 200 {
 						served++
 					}
