io/command: a socket is found by both of its ends

The test looks for a connection's descriptor in this process by one end, the local address.

Change: both ends of a socket are compared. Bounds and cases are unchanged.

TestSocketIsFoundByBothEnds makes two connections with one local port; with the lookup as it was it failed ("8 (int) != 12 (int)").

--- a/io/command/sockets_test.go
+++ b/io/command/sockets_test.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
-	"os"
-	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -47,39 +46,43 @@
 	return fd
 }
 
+// isAddress reports whether a socket's name is the address.
+func isAddress(name unix.Sockaddr, a net.Addr) bool {
+	in, is := name.(*unix.SockaddrInet4)
+	tcp := a.(*net.TCPAddr)
+	return is && in.Port == tcp.Port && net.IP(in.Addr[:]).Equal(tcp.IP)
+}
+
+// socketBetween returns the descriptor of this process for the socket with these two ends. One end does not identify it:
+// connections to several addresses may share a local port.
+func socketBetween(local, remote net.Addr) (fd int, found bool) {
+	for n := range 1 << 16 {
+		name, err := unix.Getsockname(n)
+		if err != nil || !isAddress(name, local) {
+			continue
+		}
+		peer, err := unix.Getpeername(n)
+		if err == nil && isAddress(peer, remote) {
+			return n, true
+		}
+	}
+	return 0, false
+}
+
 // acceptedDescriptor returns the descriptor of this process for the other end of the connection.
 func (f *entryFleet) acceptedDescriptor(c net.Conn) (fd int) {
-	local := c.LocalAddr().(*net.TCPAddr)
-	f.waitFor("the connection is accepted", func() bool {
-		entries, err := os.ReadDir("/proc/self/fd")
-		assert.NilError(f.t, err)
-		for _, e := range entries {
-			n, err := strconv.Atoi(e.Name())
-			if err != nil {
-				continue
-			}
-			peer, err := unix.Getpeername(n)
-			if in, is := peer.(*unix.SockaddrInet4); err == nil && is && in.Port == local.Port && net.IP(in.Addr[:]).Equal(local.IP) {
-				fd = n
-				return true
-			}
-		}
-		return false
+	f.waitFor("the connection is accepted", func() (found bool) {
+		fd, found = socketBetween(c.RemoteAddr(), c.LocalAddr())
+		return found
 	})
 	return fd
 }
 
 // socketTo returns the descriptor of this end of the connection.
 func (f *entryFleet) socketTo(c net.Conn) (fd int) {
-	local := c.LocalAddr().(*net.TCPAddr)
-	for n := range 1 << 16 {
-		name, err := unix.Getsockname(n)
-		if in, is := name.(*unix.SockaddrInet4); err == nil && is && in.Port == local.Port && net.IP(in.Addr[:]).Equal(local.IP) {
-			return n
-		}
-	}
-	f.t.Fatal("the socket has no descriptor")
-	return 0
+	fd, found := socketBetween(c.LocalAddr(), c.RemoteAddr())
+	assert.Assert(f.t, found, "the socket has no descriptor")
+	return fd
 }
 
 // silence is how long a sound peer may be silent, without acknowledging anything.
@@ -128,3 +131,33 @@
 		assert.Assert(t, noticed > silence && noticed <= socket.most, "%s: after %v", name, noticed)
 	}
 }
+
+// Guards against options read from another connection, which the system gave the same local port.
+func TestSocketIsFoundByBothEnds(t *testing.T) {
+	t.Parallel()
+	f := &entryFleet{t: t}
+	reuse := func(_, _ string, raw syscall.RawConn) (err error) {
+		controlErr := raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+		})
+		return errors.Join(err, controlErr)
+	}
+	local := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}
+	found := map[int]bool{}
+	for range 2 {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		c, err := (&net.Dialer{LocalAddr: local, Control: reuse}).Dial("tcp4", listener.Addr().String())
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		accepted, err := listener.Accept()
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = accepted.Close() })
+		local = c.LocalAddr().(*net.TCPAddr)
+		assert.Equal(t, f.socketTo(c), descriptor(t, c))
+		assert.Equal(t, f.acceptedDescriptor(c), descriptor(t, accepted))
+		found[f.socketTo(c)], found[f.acceptedDescriptor(c)] = true, true
+	}
+	assert.Equal(t, len(found), 4)
+}
