io/entry, core/bodybudget: bodies of requests are bounded together

Change: core/bodybudget, three tenths of vm.memoryMB, wherever that is stated. The first 64 KB of a body are held or refused at once; a larger body gets the rest at one time, in order of arrival, within half a second and a quarter of its time; all large ones get two thirds. Without room: 503, not run, before the rest is held, and what the client is still sending is thrown away for 0.3 s so that it reads the answer. A large body that has been arriving for a second gives way to those that wait. Buffers have the stated length, are not copied for an attempt, and are released before the answer is written. The entry command has the runtime collect garbage early from 0.75 of the memory on; GOMEMLIMIT goes before it.

The parts of its router that TestAnswersWithoutEnd shares moved to memoryfleet_test.go. TestLargeBodyWithoutMemoryIsRefused, TestSlowBodyGivesWay, TestBodiesOfAllSizesArriveWhole and the tests of core/bodybudget are new.

--- a/core/request/problem.go
+++ b/core/request/problem.go
@@ -35,7 +35,7 @@
 	UnknownVersion Reason = "unknownVersion"
 	// Quarantined means that endpoints crashed under requests with a part of the prompt.
 	Quarantined Reason = "quarantined"
-	// Memory means that this router holds as many bytes for slow peers as it may.
+	// Memory means that this router holds as many bytes of requests, or for slow peers, as it may.
 	Memory Reason = "memory"
 	// NoAttemptLeft means that the route's attempts, the deadline or the retry budget allow no further attempt.
 	NoAttemptLeft    Reason = "noAttemptLeft"
--- a/io/command/entry.go
+++ b/io/command/entry.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"os"
+	"runtime/debug"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -44,6 +46,7 @@
 		return err
 	}
 	logger := logwriter.New(s.out)
+	limitHeap(cfg)
 	vm, err := newEntryVM(cfg, logger)
 	if err != nil {
 		return err
@@ -55,3 +58,14 @@
 	vm.watchSettings(ctx, file, data, hangup)
 	return vm.stop()
 }
+
+// heapShare is the share of the VM's memory from which on the runtime collects garbage early. What budgets allow to be held stays
+// under it.
+const heapShare = 0.75
+
+// limitHeap keeps garbage from taking the process beyond the memory of its VM. GOMEMLIMIT goes before it.
+func limitHeap(cfg *settings.Entry) {
+	if cfg.MemoryMB() > 0 && debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(int64(heapShare * cfg.MemoryMB() * (1 << 20)))
+	}
+}
--- a/io/command/entrymetrics.go
+++ b/io/command/entrymetrics.go
@@ -8,7 +8,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"savoryfall/core/bytebudget"
 	"savoryfall/core/dispatch"
 	"savoryfall/core/quarantine"
 	"savoryfall/io/bootclock"
@@ -70,10 +69,15 @@
 	}
 }
 
-// registerMemoryGauges registers metrics of the memory that is held for slow readers.
+// registerMemoryGauges registers metrics of the memory that is held for clients and endpoints.
 func (vm *entryVM) registerMemoryGauges() {
 	vm.addBudgetGauges("savoryfall_held_bytes", &vm.memory)
 	vm.addBudgetGauges("savoryfall_answer_bytes", &vm.answers)
+	vm.addBudgetGauges("savoryfall_body_bytes", &vm.bodies)
+	vm.metricSet.NewGauge("savoryfall_bodies_waiting", func() float64 {
+		_, _, waiting, _ := vm.bodies.Usage()
+		return float64(waiting)
+	})
 }
 
 // registerDispatchGauges registers metrics of cache reuse and load balance, and of the endpoint data they are based on.
@@ -137,8 +141,13 @@
 	return factor
 }
 
+// budget is a number of bytes that may be held. Usage returns the bytes held, the limit, the number of holders, and how many were denied.
+type budget interface {
+	Usage() (held, size int64, holders int, denied uint64)
+}
+
 // addBudgetGauges adds the gauges of what is held of a budget, of its size, and of how many reservations it did not allow.
-func (vm *entryVM) addBudgetGauges(name string, b *bytebudget.Budget) {
+func (vm *entryVM) addBudgetGauges(name string, b budget) {
 	vm.metricSet.NewGauge(name, func() float64 {
 		held, _, _, _ := b.Usage()
 		return float64(held)
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"savoryfall/core/annotate"
+	"savoryfall/core/bodybudget"
 	"savoryfall/core/bytebudget"
 	"savoryfall/core/coldlimit"
 	"savoryfall/core/directory"
@@ -65,6 +66,8 @@
 	connectionBytes atomic.Int64
 	// answers is the budget of the bytes that are held of answers before they are passed on.
 	answers bytebudget.Budget
+	// bodies is the budget of the bytes that are held of request bodies.
+	bodies bodybudget.Budget
 	// parts is what is known of prompt parts under which endpoints crashed.
 	quarantine    quarantine.Table
 	endpoints     *registry.Tracker
@@ -107,6 +110,8 @@
 	// minRouters is the minimum number of routers to divide the retry budget by, since routers that have just started
 	// are not known yet.
 	minRouters = 4
+	// bodiesShare is the share of the memory that the bodies of requests may hold.
+	bodiesShare = 0.3
 	// answersShare is the share of the memory that answers may hold. The buffers that they outgrow are garbage of about the same
 	// size, so that twice as much is taken.
 	answersShare = 0.125
@@ -142,6 +147,7 @@
 	vm.dispatcher.SetDrainFetchTerm(cfg.DrainedWithin() / 2)
 	vm.dispatcher.SetOverloadControl(overloadControl(cfg))
 	vm.memory.SetSize(int64(cfg.OverloadControl().SlowReaderShare() * cfg.MemoryMB() * (1 << 20)))
+	vm.bodies.SetSize(int64(bodiesShare * cfg.MemoryMB() * (1 << 20)))
 	vm.answers.SetSize(int64(answersShare * cfg.MemoryMB() * (1 << 20)))
 	vm.connectionBytes.Store(cfg.OverloadControl().ConnectionBytes())
 	if vm.handler != nil {
@@ -196,7 +202,7 @@
 	vm.handler = entry.New(entry.Config{
 		ClientProtocol: clientapi.Codec{}, EndpointProtocol: endpointapi.Codec{}, Configuration: vm.configTracker, Lease: &vm.lease,
 		Endpoints: vm.endpoints, Origins: &vm.origins, Dispatcher: vm.dispatcher, Retries: &vm.retries, Pool: pool, Connections: vm.connector, Quarantine: &vm.quarantine, Dial: vm.dialEndpoint, Tracer: tracer,
-		Metrics: entry.NewMetrics(vm.metricSet), Logger: vm.logger, Clock: bootclock.Now, Memory: &vm.memory, Answers: &vm.answers, ConnectionBytes: vm.connectionBytes.Load,
+		Metrics: entry.NewMetrics(vm.metricSet), Logger: vm.logger, Clock: bootclock.Now, Memory: &vm.memory, Bodies: &vm.bodies, Answers: &vm.answers, ConnectionBytes: vm.connectionBytes.Load,
 		MaxWait: vm.settings.OverloadControl().MaxWait(), MaxWaiting: vm.settings.OverloadControl().MaxWaiting(),
 	})
 	vm.clientServer, err = entry.NewServer(vm.settings.ClientAddress(), vm.handler)
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"savoryfall/core/bodybudget"
 	"savoryfall/core/bytebudget"
 	"savoryfall/core/origin"
 	"savoryfall/core/quarantine"
@@ -59,8 +59,10 @@
 	trial bool
 	// quarantined is the prompt part that the request was refused for.
 	quarantined quarantine.Status
-	// memory is what is held of the request's body, nil if it does not count.
-	memory *bytebudget.Account
+	// heldBody is what is held of the request's body, nil if there is none. memory is what of it counts toward the budget for slow
+	// readers, nil if it does not.
+	heldBody *bodybudget.Body
+	memory   *bytebudget.Account
 	// infeasible is set if no endpoint was expected to serve the request in time.
 	infeasible *infeasible
 	// lostConnection is set if an attempt has ended without the complete response.
@@ -173,49 +175,6 @@
 // defaultTimeout applies if neither the client nor the route sets a timeout.
 const defaultTimeout = 30 * time.Second
 
-// defaultMaxBodyBytes applies until a configuration sets a limit.
-const defaultMaxBodyBytes = 4 << 20
-
-// readBody reads the whole body, so that the request can be sent to several endpoints and net/http notices when the
-// client disconnects.
-func (x *exchange) readBody() *request.Problem {
-	limit := x.table.Limits().MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		return request.NotRun(request.BodyTooLarge, 0)
-	}
-	if !x.hasBody() {
-		return nil
-	}
-	rc := http.NewResponseController(x.w)
-	_ = rc.SetReadDeadline(x.deadline)
-	body, err := x.readLimited(limit)
-	x.bodyRead = err == nil
-	_ = rc.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return request.NotRun(request.BodyTooLarge, 0)
-	case errors.Is(err, errNoMemory):
-		return request.NotRun(request.Memory, retryLater)
-	case isTimeout(err):
-		return request.NotRun(request.BodySlow, 0)
-	case err != nil:
-		return request.NotRun(request.Malformed, 0)
-	}
-	x.body = body
-	return nil
-}
-
-func (x *exchange) hasBody() bool { return x.r.Body != nil && x.r.Body != http.NoBody }
-
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
-
 // forward sends the request to endpoints until one of them has answered it.
 func (x *exchange) forward() *request.Problem {
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeSlack))
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"savoryfall/core/background"
+	"savoryfall/core/bodybudget"
 	"savoryfall/core/bytebudget"
 	"savoryfall/core/directory"
 	"savoryfall/core/dispatch"
@@ -95,6 +96,8 @@
 	Quarantine *quarantine.Table
 	// Dial opens a connection of its own to the address of an endpoint. It defaults to http1.DialTCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Bodies is the budget of the bytes that are held of request bodies. It defaults to one without a limit.
+	Bodies *bodybudget.Budget
 	// Answers is the budget of the bytes that are held of endpoints' answers before they are passed on. It may be nil.
 	Answers *bytebudget.Budget
 	// Memory is the budget of the bytes that are held for slow readers. It may be nil. ConnectionBytes returns how many of them
@@ -139,6 +142,9 @@
 	if c.Quarantine == nil {
 		c.Quarantine = &quarantine.Table{}
 	}
+	if c.Bodies == nil {
+		c.Bodies = &bodybudget.Budget{}
+	}
 	if c.Dial == nil {
 		c.Dial = http1.DialTCP
 	}
--- a/io/entry/memory.go
+++ b/io/entry/memory.go
@@ -1,9 +1,6 @@
 package entry
 
 import (
-	"errors"
-	"io"
-	"net/http"
 	"time"
 
 	"savoryfall/core/event"
@@ -11,9 +8,6 @@
 	"savoryfall/core/request"
 )
 
-// errNoMemory is returned if a body cannot be held within the memory budget.
-var errNoMemory = errors.New("the memory budget does not allow the body")
-
 // countsMemory reports whether the bytes that are held for the request count toward the memory budget.
 func (x *exchange) countsMemory() bool {
 	h := x.handler
@@ -44,36 +38,6 @@
 	return newReadAhead(a, x.handler.Memory, x.handler.ConnectionBytes())
 }
 
-// minBodyBytes is the size of the first buffer for a body.
-const minBodyBytes = 1 << 10
-
-// readLimited reads the body, up to limit bytes and within the memory budget.
-func (x *exchange) readLimited(limit int64) (body []byte, err error) {
-	from := http.MaxBytesReader(x.w, x.r.Body, limit)
-	if !x.countsMemory() {
-		return io.ReadAll(from)
-	}
-	// A buffer that is full is doubled, so that it may take up to twice the limit.
-	x.memory = x.handler.Memory.Open(2*limit + minBodyBytes)
-	for {
-		if len(body) == cap(body) {
-			grown := int64(max(cap(body), minBodyBytes))
-			if !x.memory.Reserve(grown) {
-				return nil, errNoMemory
-			}
-			body = append(make([]byte, 0, int64(cap(body))+grown), body...)
-		}
-		n, err := from.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-}
-
 // holdAnswer counts an answer that is ready. It is never cut off for want of memory.
 func (x *exchange) holdAnswer(n int) {
 	if !x.countsMemory() {
@@ -86,6 +50,9 @@
 }
 
 func (x *exchange) releaseMemory() {
+	if x.heldBody != nil {
+		x.heldBody.Close()
+	}
 	if x.memory != nil {
 		x.memory.Close()
 	}
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -124,6 +124,7 @@
 
 // writeResponse sends the endpoint's response to the client unchanged.
 func (x *exchange) writeResponse(response *plainResponse) {
+	x.releaseBody()
 	x.holdAnswer(len(response.body))
 	h := x.w.Header()
 	copyResponseHeader(h, response.header)
--- a/io/http1/check.go
+++ b/io/http1/check.go
@@ -31,7 +31,7 @@
 }
 
 func (k *Check) ask(c *conn, host string) (status int, body []byte, err error) {
-	_, err = c.Write(encodeRequest(Request{Method: http.MethodGet, Target: k.Target, Host: host, Header: http.Header{}}))
+	_, err = c.Write(encodeHead(Request{Method: http.MethodGet, Target: k.Target, Host: host, Header: http.Header{}}).Bytes())
 	if err != nil {
 		return 0, nil, err
 	}
--- a/io/http1/exchange.go
+++ b/io/http1/exchange.go
@@ -143,34 +143,38 @@
 // into the send buffer, so that the write cannot block if the endpoint responds before it reads.
 const maxInlineWrite = 16 << 10
 
-// writeRequest writes the request in a single call. The channel receives the result, for large requests after
+// writeRequest writes the request, a small one in a single call. The channel receives the result, for large requests after
 // writeRequest has returned.
 func writeRequest(c *conn, r Request) (writeResult chan error) {
 	writeResult = make(chan error, 1)
-	data := encodeRequest(r)
-	if len(data) <= maxInlineWrite {
-		_, err := c.Write(data)
+	data := encodeHead(r)
+	if data.Len()+len(r.Body) <= maxInlineWrite {
+		data.Write(r.Body)
+		_, err := c.Write(data.Bytes())
 		writeResult <- err
 		return writeResult
 	}
 	go func() {
-		_, err := c.Write(data)
+		_, err := c.Write(data.Bytes())
+		if err == nil {
+			// Large bodies are not copied. Many of them would take twice their memory.
+			_, err = c.Write(r.Body)
+		}
 		writeResult <- err
 	}()
 	return writeResult
 }
 
-func encodeRequest(r Request) []byte {
-	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
-	_ = r.Header.Write(&b)
+func encodeHead(r Request) (b *bytes.Buffer) {
+	b = &bytes.Buffer{}
+	b.Grow(1024 + min(len(r.Body), maxInlineWrite))
+	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	_ = r.Header.Write(b)
 	if r.HasBody {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	return b
 }
 
 // readResponse reads the header of the response. Responses to other requests may precede it if an endpoint has answered
