io/http1: an answer that belongs to no request is no report of a process

Cause: before a stream goes on at an engine, its process is asked on the same connection when it started. The first answer on that connection counted as the report; one without the time, or none at all, was accepted. On a connection that was used before, bytes that follow an earlier answer may be the first: the stream could then be sent to a process of another software version. The others take only answers that repeat the request's id since: plain answers, streams, refusals, 421, 429, loads, announcements; checks of a process's end (io/process) use a connection of their own and take no content.

--- a/io/entry/continued.go
+++ b/io/entry/continued.go
@@ -127,7 +127,10 @@
 	return &http1.Check{Target: x.handler.EndpointProtocol.ReportTarget(), Accept: func(status int, body []byte) error {
 		born := x.handler.EndpointProtocol.DecodeReport(status, body)
 		listed := a.Endpoint().Born
-		if born != 0 && listed != 0 && born != listed {
+		if born == 0 {
+			return http1.ErrNotAnswered
+		}
+		if listed != 0 && born != listed {
 			x.handler.Dispatcher.MarkReplaced(a.Endpoint().ID)
 			return errOtherProcess
 		}
