soak: a request that gets 421 does not count as sent to a leaving endpoint

Change: the endpoint records that a request was meant for another one; the check leaves out exactly these.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -221,13 +221,14 @@
 	}
 }
 
-// checkDrained verifies that an endpoint that is leaving gets no new requests after drainDelay.
+// checkDrained verifies that an endpoint that is leaving gets no new requests after drainDelay. Those that it answers 421, because its
+// address was another endpoint's, do not count.
 func (h *harness) checkDrained() {
 	sent := h.requestsByID()
 	for _, e := range h.endpoints {
 		for _, a := range e.ReceivedRequests() {
 			q := sent[a.ID]
-			if e.leavingSince.IsZero() || q == nil || a.At.Sub(e.leavingSince) < drainDelay || q.sent.Sub(e.leavingSince) < drainDelay {
+			if e.leavingSince.IsZero() || q == nil || a.Misdirected || a.At.Sub(e.leavingSince) < drainDelay || q.sent.Sub(e.leavingSince) < drainDelay {
 				continue
 			}
 			if !h.disturbed(q.router, e.leavingSince, a.At) {
