io/entry: a body without a stated length holds what it has

Cause: a body in chunks beyond 64 KB got a buffer, and memory of the budget, for the largest body allowed, and kept both until its request ended: 4 MiB for a prompt of 100 KB, a stream at a time, so that 14 of them filled a router of 284 MB.

Change: a body that takes less than half of its buffer is copied when it is whole, and gives back the rest. An error of the read ends it at once; before, a larger buffer could be asked for first.

TestChunkedBodyHoldsWhatItHas failed before: 4,194,305 bytes held for 102,400.

--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"savoryfall/core/bodybudget"
@@ -82,21 +83,25 @@
 	for int64(len(body)) != length {
 		if len(body) == cap(body) {
 			body, err = x.growBody(body, largest)
+			if err != nil {
+				return nil, err
+			}
 		}
-		if err != nil {
-			return nil, err
-		}
-		var n int
-		n, err = from.Read(body[len(body):cap(body)])
+		n, err := from.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
 		case errors.Is(err, io.EOF):
-			x.heldBody.Complete(int64(cap(body)))
-			return body, nil
+			length = int64(len(body))
 		case err != nil && x.heldBody.Evicted():
 			return nil, errNoMemory
+		case err != nil:
+			return nil, err
 		}
 	}
+	// A body whose length was not stated may be far smaller than its buffer.
+	if len(body) < cap(body)/2 {
+		body = slices.Clone(body)
+	}
 	x.heldBody.Complete(int64(cap(body)))
 	return body, nil
 }
