--- a/io/peer/finding_test.go
+++ b/io/peer/finding_test.go
@@ -1,20 +1,24 @@
 package peer
 
 import (
-	"net"
+	"fmt"
 	"testing"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
-// refusingAddress returns an address that refuses every connection.
+// refusingAddress returns an address that refuses every connection. Its port is bound until the test ends, so that no other process
+// gets it.
 func refusingAddress(t *testing.T) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	assert.NilError(t, err)
-	address = l.Addr().String()
-	assert.NilError(t, l.Close())
-	return address
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	assert.NilError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := unix.Getsockname(fd)
+	assert.NilError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
 }
 
 var downFinding = Finding{Endpoint: "engine-01", Down: true}
