io/hub: endpoints that a reply brought too early are requested again

Cause: the hub could not read the store and was behind what the starting router had read itself, from a store whose older records had expired.

Change: changes that are not applied are noted, and requested again once the hub has read as far as this router.

TestEndpointsOfAnOlderReplyAreRequestedAgain failed before.

--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -31,6 +31,10 @@
 	askedToRead bool
 	// failing is set if no router that reads for the hub can read the store.
 	failing bool
+	// missesChanges is set if changes of endpoints after the number missedAfter were not applied, because this router had read further
+	// than the hub.
+	missesChanges bool
+	missedAfter   int64
 }
 
 // forEpoch returns the state for the epoch, and resets it if it belongs to another one.
@@ -238,17 +242,26 @@
 	return true
 }
 
+// applyRegistry applies changes of endpoints up to the hub's position, unless this router has read further. What it has read does not
+// make up for changes that were not applied: records may have left the store before it began to read. They are requested
+// again once the hub has read as far.
 func (a *Agent) applyRegistry(r *Reply, sent time.Duration) {
 	end, _, ok := a.Registry.Position()
-	if !r.Registry.Known {
-		return
+	if r.Registry.Known {
+		a.Registry.HubAnswered()
 	}
-	a.Registry.HubAnswered()
-	if ok && r.Registry.end().Before(end) {
-		return
+	state := &a.hubState
+	switch {
+	case !r.Registry.Known || ok && r.Registry.end().Before(end):
+		if !state.missesChanges && r.Numbers.Changes > r.Since.Changes {
+			state.missesChanges, state.missedAfter = true, r.Since.Changes
+		}
+	case state.missesChanges:
+		state.Numbers.Changes, state.missesChanges = state.missedAfter, false
+	default:
+		a.Endpoints.ApplyChanges(r.Changes, r.Since.Changes == 0)
+		a.Registry.AdvanceTo(r.Registry.end(), sent-r.Registry.Age)
 	}
-	a.Endpoints.ApplyChanges(r.Changes, r.Since.Changes == 0)
-	a.Registry.AdvanceTo(r.Registry.end(), sent-r.Registry.Age)
 }
 
 func (a *Agent) applyConfiguration(r *Reply, sent time.Duration) {
--- a/io/hub/input_test.go
+++ b/io/hub/input_test.go
@@ -62,6 +62,59 @@
 	}
 }
 
+// readTopic is a topic that has been read.
+type readTopic struct {
+	unreadTopic
+	next int64
+}
+
+func (r *readTopic) Position() (end compactedlog.Position, sent time.Duration, ok bool) {
+	return compactedlog.Position{Offset: r.next}, time.Second, true
+}
+
+func (r *readTopic) AdvanceTo(end compactedlog.Position, _ time.Duration) { r.next = end.Offset }
+
+// appliedEndpoints records the changes applied to it.
+type appliedEndpoints struct {
+	fakeEndpoints
+	usable map[string]bool
+}
+
+func (e *appliedEndpoints) ApplyChanges(changes []fleetload.Change, _ bool) {
+	for _, c := range changes {
+		e.usable[c.Entry.ID] = c.Usable
+	}
+}
+
+// Guards against a router that starts while its hub cannot read the store, and never gets the endpoints whose records had left the store
+// when it read that itself: the hub's list was dropped as older, and not requested again.
+func TestEndpointsOfAnOlderReplyAreRequestedAgain(t *testing.T) {
+	s, changes := newTestHub(t, "hub")
+	changes.Add(knownEndpoint)
+	hubTopic, ownTopic, endpoints := &readTopic{next: 5}, &readTopic{next: 10}, &appliedEndpoints{usable: map[string]bool{}}
+	s.agent.Registry = hubTopic
+	f, _ := newTestHub(t, "follower")
+	a := f.agent
+	a.Loads, a.Registry, a.Endpoints = idleLoads{}, ownTopic, endpoints
+	exchange := func() (r Reply) {
+		sendTestReport(t, s, a, &r)
+		assert.NilError(t, a.applyReply(&r, fleetload.Workload{}, fleetload.Workload{}, 0))
+		return r
+	}
+	exchange()
+	changes.Add(fleetload.Change{Entry: directory.Entry{ID: "later"}, Usable: true})
+	exchange()
+	assert.Assert(t, len(endpoints.usable) == 0)
+	assert.Equal(t, len(exchange().Changes), 0, "requested while the hub is behind")
+	hubTopic.next = 12
+	exchange()
+	assert.Assert(t, len(endpoints.usable) == 0)
+	exchange()
+	assert.Assert(t, endpoints.usable["known"] && endpoints.usable["later"])
+	assert.Equal(t, ownTopic.next, int64(12))
+	assert.Equal(t, len(exchange().Changes), 0)
+}
+
 // A report with invalid columns is rejected and not counted. Routers without a name or an address are not added to
 // the list.
 func TestInvalidReportIsRejected(t *testing.T) {
