--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -257,7 +257,7 @@
 			state.missesChanges, state.missedAfter = true, r.Since.Changes
 		}
 	case state.missesChanges:
-		state.Numbers.Changes, state.missesChanges = state.missedAfter, false
+		state.Changes, state.missesChanges = state.missedAfter, false
 	default:
 		a.Endpoints.ApplyChanges(r.Changes, r.Since.Changes == 0)
 		a.Registry.AdvanceTo(r.Registry.end(), sent-r.Registry.Age)
