core/bodybudget: one count of the bodies that were denied memory

Those evicted had a count of their own, which was only ever added to the other. Behaviour is the same; go test -race of the package and io/entry passed.

--- a/core/bodybudget/budget.go
+++ b/core/bodybudget/budget.go
@@ -25,8 +25,9 @@
 	mu sync.Mutex
 	// size is the size in bytes, 0 for no limit. held are the bytes held, of which large belong to bodies beyond their first part.
 	size, held, large int64
-	denied, evicted   uint64
-	waiting           []*Body
+	// denied is how many bodies were denied their memory, or evicted.
+	denied  uint64
+	waiting []*Body
 	// arriving are the large bodies that have their memory and are not complete, in the order in which they got it.
 	arriving []*Body
 }
@@ -55,7 +56,7 @@
 func (b *Budget) Usage() (held, size int64, waiting int, denied uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.held, b.size, len(b.waiting), b.denied + b.evicted
+	return b.held, b.size, len(b.waiting), b.denied
 }
 
 // Open begins a body, of which the first n bytes are held, up to FirstBytes. It returns nil if there is no memory for them. The body must
@@ -140,7 +141,7 @@
 	}
 	o := b.arriving[0]
 	b.arriving = b.arriving[1:]
-	b.evicted++
+	b.denied++
 	o.evicted = true
 	o.interrupt()
 }
