io/entry: no fourth past deadline

The read of a body that gives way was ended by a constant that io/http1, io/clientconn and io/tunnel have too. A deadline at the present does the same: the runtime takes it as passed.

Measured: go test -race of io/entry and platform/requestpath (TestSlowBodyGivesWay) passed, and TestManyLargeBodiesAtOnce with slow clients.

--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -112,13 +112,10 @@
 		x.memory = x.handler.Memory.Open(largest)
 	}
 	rc := http.NewResponseController(x.w)
-	x.heldBody = x.handler.Bodies.Open(largest, func() { _ = rc.SetReadDeadline(pastDeadline) })
+	x.heldBody = x.handler.Bodies.Open(largest, func() { _ = rc.SetReadDeadline(time.Now()) })
 	return x.heldBody != nil
 }
 
-// pastDeadline, set as a deadline, makes reads fail at once.
-var pastDeadline = time.Unix(1, 0)
-
 // growBody returns the body with a larger buffer. Beyond the first part of a body, that is a buffer for all of it: bodies that have
 // arrived in part and find no more memory would keep each other from theirs.
 func (x *exchange) growBody(body []byte, largest int64) (larger []byte, err error) {
