io/origins: a resumed stream's line says on what the only version rests

A stream that a client resumes goes on at the only version of its service. The log did not say whether that rests on the lists that the router has had itself, on the starts of the listed processes, or on what another router answered, so that two of the three hypotheses could not be told apart. The source is now onlyVersion, onlyVersionByStarts or onlyVersionByRouter. A test that named the source names the new one; nothing is decided otherwise.

--- a/core/versionhistory/history.go
+++ b/core/versionhistory/history.go
@@ -129,6 +129,13 @@
 	return !h.began.After(from) || s.youngest > 0 && s.youngest <= from.Add(-clockSlack).UnixMilli()
 }
 
+// Listed reports whether this router has had lists of endpoints for the whole window.
+func (h *History) Listed(window time.Duration, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.began.IsZero() && !h.began.After(now.Add(-window))
+}
+
 // Settled reports whether the service has had a single known version for a while, by what this router has itself seen.
 func (h *History) Settled(name string, now time.Time) bool {
 	h.mu.Lock()
--- a/io/origins/find.go
+++ b/io/origins/find.go
@@ -17,8 +17,12 @@
 	// Own means that this router had the record, Router that another one did.
 	Own    Source = "own"
 	Router Source = "router"
-	// OnlyVersion means that the service has had endpoints of one version only.
+	// OnlyVersion means that the service has had endpoints of one version only, by the lists that this router has had itself.
 	OnlyVersion Source = "onlyVersion"
+	// OnlyVersionByStarts means the same, but for the time before this router's first list by the starts of the listed processes.
+	OnlyVersionByStarts Source = "onlyVersionByStarts"
+	// OnlyVersionByRouter means the same, but for the time before this router's first list by what another router answered.
+	OnlyVersionByRouter Source = "onlyVersionByRouter"
 )
 
 // Query asks where a stream began.
@@ -35,7 +39,7 @@
 func (k *Keeper) Find(q Query) (o origin.Origin, from Source, ok bool) {
 	if !q.HasKey {
 		if version, ok := k.History.Only(q.Service, q.Window, time.Now()); ok {
-			return origin.Origin{Service: q.Service, Version: version}, OnlyVersion, true
+			return origin.Origin{Service: q.Service, Version: version}, k.only(q.Window), true
 		}
 	} else if r, ok := k.table.Find(q.Key, time.Now()); ok {
 		return r.Origin, Own, true
@@ -50,16 +54,25 @@
 		return r.Origin, Router, true
 	}
 	now := time.Now()
+	from = k.only(q.Window)
 	version, ok := k.History.Only(q.Service, q.Window, now)
 	if !ok {
 		// A router that has just started may learn the rest of the window from another one.
 		version, ok = k.History.OnlySeen(q.Service, q.Window, now)
-		ok = ok && version == only
+		ok, from = ok && version == only, OnlyVersionByRouter
 	}
 	if !ok {
 		return origin.Origin{}, "", false
 	}
-	return origin.Origin{Service: q.Service, Version: version}, OnlyVersion, true
+	return origin.Origin{Service: q.Service, Version: version}, from, true
+}
+
+// only returns what this router's knowledge of the versions within the window rests on.
+func (k *Keeper) only(window time.Duration) Source {
+	if k.History.Listed(window, time.Now()) {
+		return OnlyVersion
+	}
+	return OnlyVersionByStarts
 }
 
 // ask asks the routers that may have the record. If none has it, only is the version of all endpoints that the service has
--- a/io/origins/keeper_test.go
+++ b/io/origins/keeper_test.go
@@ -320,7 +320,7 @@
 		f.routers[2].History = restarted
 		version, from := f.routers[2].find("s")
 		assert.Equal(t, version, "v2")
-		assert.Equal(t, from, origins.OnlyVersion)
+		assert.Equal(t, from, origins.OnlyVersionByRouter)
 		unnamed, _, ok := f.routers[2].Find(origins.Query{Service: "models", Window: ttl})
 		assert.Assert(t, ok)
 		assert.Equal(t, unnamed.Version, "v2")
