--- a/io/command/entryfleet_test.go
+++ b/io/command/entryfleet_test.go
@@ -30,6 +30,8 @@
 	storeAddress string
 	endpoints    map[string]*fakeendpoint.Endpoint
 	vms          []*entryVM
+	// peerAddresses are the addresses for routers, by number of the VM. One that is started again has the same.
+	peerAddresses map[int]string
 	// partitions are those of the routers from the endpoints.
 	partitions []*partition
 	// configure is called with each router before it starts. It may be nil.
@@ -39,7 +41,7 @@
 func newEntryFleet(t testing.TB, vms int) *entryFleet { return newConfiguredEntryFleet(t, vms, nil) }
 
 func newConfiguredEntryFleet(t testing.TB, vms int, configure func(vm *entryVM)) *entryFleet {
-	f := &entryFleet{t: t, endpoints: map[string]*fakeendpoint.Endpoint{}, configure: configure}
+	f := &entryFleet{t: t, endpoints: map[string]*fakeendpoint.Endpoint{}, peerAddresses: map[int]string{}, configure: configure}
 	storeServer := httptest.NewServer(&f.store)
 	t.Cleanup(storeServer.Close)
 	f.storeAddress = strings.TrimPrefix(storeServer.URL, "http://")
@@ -112,7 +114,7 @@
 address = %q
 [store]
 address = %q
-`, i, 10-i, uniqueLoopbackAddress(), f.storeAddress)
+`, i, 10-i, f.peerAddress(i), f.storeAddress)
 	cfg, err := settings.ParseEntry("vm.toml", []byte(text))
 	assert.NilError(f.t, err)
 	vm, err := newEntryVM(cfg, logwriter.New(io.Discard))
@@ -132,6 +134,13 @@
 	})
 }
 
+func (f *entryFleet) peerAddress(i int) string {
+	if f.peerAddresses[i] == "" {
+		f.peerAddresses[i] = uniqueLoopbackAddress()
+	}
+	return f.peerAddresses[i]
+}
+
 var addressCount atomic.Int64
 
 // uniqueLoopbackAddress returns a loopback IP address that no other test uses, with a fixed port. Choosing a free port
