core/versionhistory, io/versionlog: routers record the software versions of endpoints before streams begin at them

What callers saw: after a loss of all routers, streams that clients took up again were answered 200 and ran to their end with text of two software versions, whenever what was left had one version and old processes. Where a service had had one version all the time and one process was young, none went on.

Cause: a router that has just started concluded from the endpoints that are listed now which versions were listed before: the starts of the listed processes stood for the time before its first list.

Change: what is known of the past is written down while it happens, in a topic of the store, as one record for all services, under the condition that it has not changed since it was read. A version is in it before a router offers its endpoints for resumable streams; for how long it has been absent is written in steps, as a lower bound that no clock of another machine enters; and for how long the record has had all versions. A router that has just started believes the record for the time before its first list only if it was read after that list, is of the same generation of the store, and not older than routers that run let it become (40 s, two clocks five seconds off). It proves nothing if it is missing, unreadable, old, from a copy of the store, or if routers of an earlier release run; then streams are refused until the router has had lists for as long as a stream can last. What another router answers counts only if it rests on lists and records, which earlier releases do not say. Starts of processes are no longer looked at.

Calls: one read by a router that reads the store itself, one write when a version comes or goes, seven in the 150 s after it has gone, two a minute otherwise; 50 routers that follow a hub make none.

Two tests asserted the fault, that old processes prove what was listed before their list; they now assert that a first list proves nothing of the time before.

--- a/core/compactedlog/record.go
+++ b/core/compactedlog/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 )
 
@@ -64,3 +65,6 @@
 func (e TrimmedError) Error() string {
 	return fmt.Sprintf("records were trimmed: the log starts at offset %d, requested offset %d", e.First, e.Requested)
 }
+
+// ErrConflict reports that nothing was written, because the log has grown since the position that the writer named.
+var ErrConflict = errors.New("the log has grown since it was read")
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -57,4 +57,8 @@
 	StoreRestored           Name = "storeRestored"
 	TopicBehind             Name = "topicBehind"
 	TopicCaughtUp           Name = "topicCaughtUp"
+	VersionsRead            Name = "versionsRead"
+	VersionsRecorded        Name = "versionsRecorded"
+	VersionsUnavailable     Name = "versionsUnavailable"
+	VersionsUnreadable      Name = "versionsUnreadable"
 )
--- a/core/field/field.go
+++ b/core/field/field.go
@@ -243,6 +243,10 @@
 	Listener Name = "listener"
 	// Count is the number of dropped lines, or of closed connections.
 	Count Name = "count"
+	// Versions is how many software versions the record of versions has.
+	Versions Name = "versions"
+	// CoveredMs is for how long, in milliseconds, the record of versions has all of them.
+	CoveredMs Name = "coveredMs"
 	// Err is the text of an error.
 	Err Name = "err"
 )
--- a/core/fleetload/changes.go
+++ b/core/fleetload/changes.go
@@ -10,6 +10,9 @@
 type Change struct {
 	Entry  directory.Entry
 	Usable bool
+	// Recorded says that the entry's software version was in the record of versions before. Routers of earlier releases do not
+	// set it.
+	Recorded bool
 }
 
 // ChangeLog keeps the latest change of each endpoint under an increasing version, for routers that follow the
--- a/core/members/member.go
+++ b/core/members/member.go
@@ -17,6 +17,8 @@
 	Started int64 `json:"-"`
 	// Bears is how many followers the router's VM could serve as hub.
 	Bears int `json:"bears"`
+	// RecordsVersions says that the router records the software versions of endpoints. Routers of earlier releases do not.
+	RecordsVersions bool `json:"recordsVersions,omitempty"`
 }
 
 // VM describes the resources of a VM. For memory and link speed, 0 means unknown.
--- a/core/routetable/table.go
+++ b/core/routetable/table.go
@@ -92,6 +92,8 @@
 	limits        Limits
 	routeCount    int
 	priorities    priorityIndex
+	// resumed are the services that resumable streams may be sent to.
+	resumed map[string]bool
 }
 
 // Config are the parts of the configuration that a Table is built from.
@@ -110,12 +112,16 @@
 	t := &Table{
 		version: c.Version, byHost: map[string][]*Route{}, services: map[string]*Service{},
 		accountsByKey: map[string]*Account{}, requiresKey: c.RequireKey, limits: c.Limits, routeCount: len(c.Routes),
+		resumed: map[string]bool{},
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 		t.priorities.addRoute(r)
+		for _, target := range r.Targets {
+			t.resumed[target.Service] = t.resumed[target.Service] || r.Kind == ResumableStream
+		}
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
@@ -156,6 +162,9 @@
 // AccountByKey returns the client account that holds the key, or nil.
 func (t *Table) AccountByKey(key string) *Account { return t.accountsByKey[key] }
 
+// Resumes reports whether streams of the service may be resumed.
+func (t *Table) Resumes(service string) bool { return t.resumed[service] }
+
 // Route returns the route of the host with the longest matching path prefix, or nil. A port in the host is
 // ignored.
 func (t *Table) Route(host, path string) (best *Route) {
--- a/core/versionhistory/history.go
+++ b/core/versionhistory/history.go
@@ -1,18 +1,21 @@
 package versionhistory
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	"savoryfall/core/directory"
 )
 
-// History keeps, for each service, the versions that are listed and when others were last seen. A service with one version
-// needs no record of where streams began. The zero value is empty.
+// History keeps, for each service, the versions that are listed and when others were last seen, by this router and by those
+// that wrote the record in the store. A service with one version needs no record of where streams began. The zero value is
+// empty.
 type History struct {
 	mu       sync.Mutex
 	began    time.Time
 	services map[string]*service
+	record   recordState
 }
 
 type service struct {
@@ -20,9 +23,10 @@
 	seen map[string]time.Time
 	// listed are the versions of the listed endpoints.
 	listed map[string]bool
-	// youngest is the newest start of a process in the first list, in Unix milliseconds. It shows for how long before that
-	// list no endpoint was replaced.
-	youngest int64
+	// recorded is what the record in the store has of the version.
+	recorded map[string]recordedVersion
+	// offered are the listed versions at which streams may begin, because they were in the record before.
+	offered map[string]bool
 }
 
 func (h *History) service(name string) *service {
@@ -31,7 +35,7 @@
 	}
 	s := h.services[name]
 	if s == nil {
-		s = &service{seen: map[string]time.Time{}, listed: map[string]bool{}}
+		s = &service{seen: map[string]time.Time{}, listed: map[string]bool{}, recorded: map[string]recordedVersion{}, offered: map[string]bool{}}
 		h.services[name] = s
 	}
 	return s
@@ -48,8 +52,7 @@
 func (h *History) SetListed(entries []directory.Entry, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	first := h.began.IsZero()
-	if first {
+	if h.began.IsZero() {
 		h.began = now
 	}
 	for _, s := range h.services {
@@ -61,9 +64,9 @@
 	for _, e := range entries {
 		s := h.service(e.Service)
 		s.seen[e.Version], s.listed[e.Version] = now, true
-		if first {
-			s.youngest = max(s.youngest, e.Born)
-		}
+	}
+	for _, s := range h.services {
+		maps.DeleteFunc(s.offered, func(version string, _ bool) bool { return !s.listed[version] })
 	}
 	h.forget(now)
 }
@@ -79,6 +82,9 @@
 				delete(s.seen, version)
 			}
 		}
+		maps.DeleteFunc(s.recorded, func(version string, r recordedVersion) bool {
+			return !s.listed[version] && now.Sub(r.lastListed) > retention
+		})
 	}
 }
 
@@ -88,7 +94,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.services[name]
-	if s == nil || !h.knows(s, window, now) {
+	if s == nil || !h.knows(window, now) {
 		return "", false
 	}
 	return s.only(window, now)
@@ -106,27 +112,45 @@
 }
 
 func (s *service) only(window time.Duration, now time.Time) (version string, ok bool) {
-	found := 0
+	found := map[string]bool{}
 	for v, at := range s.seen {
 		if s.listed[v] || now.Sub(at) <= window {
-			version = v
-			found++
+			version, found[v] = v, true
 		}
 	}
-	if found != 1 || version == "" || !s.listed[version] {
+	for v, r := range s.recorded {
+		if now.Sub(r.lastListed) <= window {
+			version, found[v] = v, true
+		}
+	}
+	if len(found) != 1 || version == "" || !s.listed[version] {
 		return "", false
 	}
 	return version, true
 }
 
-// clockSlack is how far the clocks of endpoints may differ from this router's.
-const clockSlack = 5 * time.Second
+// Began reports whether a list of endpoints has been set.
+func (h *History) Began() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.began.IsZero()
+}
+
+// Knows reports whether all versions of the window are known.
+func (h *History) Knows(window time.Duration, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.knows(window, now)
+}
 
-// knows reports whether the history reaches back to the beginning of the window. Endpoints that had not been replaced for
-// long when the first list was read stand for the time before it.
-func (h *History) knows(s *service, window time.Duration, now time.Time) bool {
+// knows reports whether the history reaches back to the beginning of the window: by the lists that this router has had, or by
+// the record in the store. The endpoints that are listed now say nothing of those that were listed before.
+func (h *History) knows(window time.Duration, now time.Time) bool {
 	from := now.Add(-window)
-	return !h.began.After(from) || s.youngest > 0 && s.youngest <= from.Add(-clockSlack).UnixMilli()
+	if h.began.IsZero() {
+		return false
+	}
+	return !h.began.After(from) || h.record.covers(from)
 }
 
 // Listed reports whether this router has had lists of endpoints for the whole window.
--- a/core/versionhistory/history_test.go
+++ b/core/versionhistory/history_test.go
@@ -40,7 +40,8 @@
 	var h versionhistory.History
 	assert.Equal(t, only(&h, 0), "?")
 	h.SetListed(list("v1", "v1"), start)
-	assert.Equal(t, only(&h, time.Second), "v1")
+	assert.Equal(t, only(&h, 19*time.Second), "?")
+	assert.Equal(t, only(&h, 21*time.Second), "v1")
 	h.SetListed(list("v1", "v1.1"), after(30*time.Second))
 	assert.Equal(t, only(&h, 31*time.Second), "?")
 	h.SetListed(list("v1.1"), after(40*time.Second))
@@ -50,17 +51,20 @@
 	assert.Equal(t, only(&h, 71*time.Second), "?")
 }
 
-// Guards against a router that has just started and takes the listed version for the only one, although endpoints were
-// replaced shortly before.
-func TestFirstListAfterReplacement(t *testing.T) {
-	var h versionhistory.History
-	fresh := list("v2", "v2")
-	fresh[1].Born = after(-10 * time.Second).UnixMilli()
-	h.SetListed(fresh, start)
-	assert.Equal(t, only(&h, 0), "?")
-	_, seen := h.OnlySeen("models", window, start)
-	assert.Assert(t, seen)
-	assert.Equal(t, only(&h, 16*time.Second), "v2")
+// Guards against a router that has just started and takes the listed version for the only one, because its endpoints are old or
+// although they were replaced shortly before.
+func TestFirstListSaysNothingOfTheTimeBefore(t *testing.T) {
+	for _, age := range []time.Duration{time.Hour, 10 * time.Second} {
+		var h versionhistory.History
+		listed := list("v2", "v2")
+		listed[1].Born = after(-age).UnixMilli()
+		h.SetListed(listed, start)
+		assert.Equal(t, only(&h, 0), "?")
+		_, seen := h.OnlySeen("models", window, start)
+		assert.Assert(t, seen)
+		assert.Equal(t, only(&h, 19*time.Second), "?")
+		assert.Equal(t, only(&h, 21*time.Second), "v2")
+	}
 }
 
 // Guards against a router that has only part of the list, or one without versions.
--- a/io/command/entryconnections.go
+++ b/io/command/entryconnections.go
@@ -77,6 +77,7 @@
 // buildOrigins builds what exchanges with the other routers where streams began.
 func (vm *entryVM) buildOrigins(m *traffic.Meter) {
 	vm.origins.Others, vm.origins.Dial, vm.origins.History, vm.origins.Meter = vm.otherRouters, vm.dialRouter, vm.endpoints.Versions(), m
+	vm.origins.Learn = vm.versions.Learn
 	vm.manager.Register("origins", &vm.origins)
 }
 
--- a/io/command/entrystore.go
+++ b/io/command/entrystore.go
@@ -44,17 +44,19 @@
 		end, _, _ := registryFollower.Position()
 		return float64(end.Generation)
 	})
+	routerList := hub.NewRouterList(storeClient.Topic(store.RoutersTopic))
+	vm.buildVersions(storeClient.Topic(store.VersionsTopic), routerList)
 	vm.buildOrigins(meter)
 	vm.hub, err = hub.New(hub.Config{
 		Self: members.Member{
 			Name: vm.settings.VM().Name(), Address: vm.settings.AdvertisedAddress(), FailureDomain: vm.settings.VM().FailureDomain(),
-			Started: time.Now().UnixMilli(),
-			Bears:   members.VM{Cores: vm.settings.Cores(), MemoryMB: vm.settings.MemoryMB(), LinkMbps: vm.settings.LinkMbps()}.FollowerCapacity(),
+			Started: time.Now().UnixMilli(), RecordsVersions: true,
+			Bears: members.VM{Cores: vm.settings.Cores(), MemoryMB: vm.settings.MemoryMB(), LinkMbps: vm.settings.LinkMbps()}.FollowerCapacity(),
 		},
 		ListenAddress: vm.settings.PeerAddress(),
 		Members:       &vm.members, Split: vm.splitPeers, Register: vm.origins.Register, Configuration: configurationFollower, CurrentRecord: vm.configTracker.Record,
 		OtherRecords: vm.drainTracker.Records, Registry: registryFollower, Endpoints: vm.endpoints,
-		Loads: vm.dispatcher, Parts: &vm.quarantine, FleetState: vm.dispatcher, RouterList: hub.NewRouterList(storeClient.Topic(store.RoutersTopic)), Bootstrap: vm.settings.Bootstrap(), Meter: meter,
+		Loads: vm.dispatcher, Parts: &vm.quarantine, FleetState: vm.dispatcher, RouterList: routerList, Bootstrap: vm.settings.Bootstrap(), Meter: meter,
 		Logger: vm.logger, Clock: bootclock.Now, StaleAfter: staleAfter, OnRoutersChanged: vm.setRouters,
 	})
 	if err != nil {
--- /dev/null
+++ b/io/command/entryversions.go
@@ -0,0 +1,34 @@
+package command
+
+import (
+	"context"
+	"slices"
+
+	"savoryfall/core/members"
+	"savoryfall/io/hub"
+	"savoryfall/io/versionlog"
+)
+
+// buildVersions builds what records the software versions of endpoints before streams begin at them.
+func (vm *entryVM) buildVersions(t versionlog.Topic, l hub.RouterList) {
+	vm.versions = versionlog.Recorder{
+		Topic: t, History: vm.endpoints.Versions(), Required: vm.resumesStreams, OnOffered: vm.endpoints.Recheck, Logger: vm.logger,
+		Maintains:    func() bool { return vm.hub.ReadsStore() },
+		OlderRouters: func() bool { return slices.ContainsFunc(vm.otherRouters(), recordsNoVersions) },
+		OlderRoutersListed: func(ctx context.Context) (older bool, err error) {
+			listed, err := l.All(ctx)
+			return slices.ContainsFunc(listed, recordsNoVersions), err
+		},
+	}
+	vm.versions.Init()
+	vm.endpoints.RecordFirst(vm.resumesStreams, vm.versions.Wake)
+	vm.manager.Register("versions", &vm.versions)
+}
+
+func recordsNoVersions(m members.Member) bool { return !m.RecordsVersions }
+
+// resumesStreams reports whether clients may resume streams of the service, as far as this router knows.
+func (vm *entryVM) resumesStreams(service string) bool {
+	t := vm.configTracker.Current()
+	return t == nil || t.Resumes(service)
+}
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -46,6 +46,7 @@
 	"savoryfall/io/storeconfig"
 	"savoryfall/io/tracing"
 	"savoryfall/io/tunnel"
+	"savoryfall/io/versionlog"
 	"savoryfall/platform/clientapi"
 	"savoryfall/platform/endpointapi"
 	"savoryfall/platform/terms"
@@ -79,6 +80,7 @@
 	configTracker *storeconfig.Tracker
 	members       members.List
 	origins       origins.Keeper
+	versions      versionlog.Recorder
 	hub           *hub.Agent
 	// tunnels are the connections to endpoints that this router opens for others.
 	tunnels      tunnel.Server
@@ -199,6 +201,7 @@
 	vm.dispatcher.SetFleet(fleet)
 	vm.quarantine.SetFleet(fleet)
 	vm.updateRetryLimits()
+	vm.versions.Wake()
 }
 
 func (vm *entryVM) updateRetryLimits() {
@@ -207,7 +210,11 @@
 	vm.retries.SetLimits(limits)
 }
 
-func (vm *entryVM) onConfiguration(t *routetable.Table) { vm.dispatcher.Configure(t) }
+func (vm *entryVM) onConfiguration(t *routetable.Table) {
+	vm.dispatcher.Configure(t)
+	vm.endpoints.Recheck()
+}
+
 func (vm *entryVM) setEndpoints(usable []directory.Entry) {
 	vm.connector.Update(usable)
 	vm.dispatcher.Update(usable, time.Now())
--- a/io/command/loglines_test.go
+++ b/io/command/loglines_test.go
@@ -93,7 +93,7 @@
 
 // optionalLines matches lines that depend on timing: of a store that is briefly unavailable, and of requests that are
 // sent until the first endpoint is known.
-var optionalLines = regexp.MustCompile(`event=(notListed|routersUnknown) |request=r\d+ `)
+var optionalLines = regexp.MustCompile(`event=(notListed|routersUnknown|versionsUnavailable) |event=versionsRead .* versions=3 |request=r\d+ `)
 
 // distinctLines replaces the random values and returns the distinct lines in sorted order.
 func distinctLines(output string) string {
@@ -135,4 +135,6 @@
 ts=<time> vm=vm0 event=storeLost topic=registry err="<text>"
 ts=<time> vm=vm0 event=storeRegained topic=configuration failures=<n> afterMs=<n> offset=<n>
 ts=<time> vm=vm0 event=storeRegained topic=registry failures=<n> afterMs=<n> offset=<n>
+ts=<time> vm=vm0 event=versionsRead offset=<n> generation=1 versions=0 coveredMs=600000 reason=
+ts=<time> vm=vm0 event=versionsRecorded offset=<n> generation=1 versions=3 coveredMs=600000
 `
--- a/io/origins/find.go
+++ b/io/origins/find.go
@@ -19,8 +19,8 @@
 	Router Source = "router"
 	// OnlyVersion means that the service has had endpoints of one version only, by the lists that this router has had itself.
 	OnlyVersion Source = "onlyVersion"
-	// OnlyVersionByStarts means the same, but for the time before this router's first list by the starts of the listed processes.
-	OnlyVersionByStarts Source = "onlyVersionByStarts"
+	// OnlyVersionByRecord means the same, but for the time before this router's first list by the record in the store.
+	OnlyVersionByRecord Source = "onlyVersionByRecord"
 	// OnlyVersionByRouter means the same, but for the time before this router's first list by what another router answered.
 	OnlyVersionByRouter Source = "onlyVersionByRouter"
 )
@@ -53,6 +53,7 @@
 		k.table.Put(r, time.Now())
 		return r.Origin, Router, true
 	}
+	k.learn(q.Window)
 	now := time.Now()
 	from = k.only(q.Window)
 	version, ok := k.History.Only(q.Service, q.Window, now)
@@ -72,7 +73,17 @@
 	if k.History.Listed(window, time.Now()) {
 		return OnlyVersion
 	}
-	return OnlyVersionByStarts
+	return OnlyVersionByRecord
+}
+
+// learn reads the record of versions if this router does not know for itself which ones there were within the window.
+func (k *Keeper) learn(window time.Duration) {
+	if k.Learn == nil || k.History.Knows(window, time.Now()) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	k.Learn(ctx)
 }
 
 // ask asks the routers that may have the record. If none has it, only is the version of all endpoints that the service has
@@ -96,7 +107,7 @@
 	for range peers {
 		select {
 		case reply := <-replies:
-			if reply.Only != "" {
+			if reply.Proven {
 				only = reply.Only
 			}
 			if !reply.Found || !q.HasKey {
--- a/io/origins/keeper.go
+++ b/io/origins/keeper.go
@@ -37,7 +37,10 @@
 	// Dial connects to another router.
 	Dial    func(ctx context.Context, address string) (net.Conn, error)
 	History *versionhistory.History
-	Meter   *traffic.Meter
+	// Learn reads the record of software versions, which may tell this router which ones there were before it started. It may be
+	// nil.
+	Learn func(ctx context.Context)
+	Meter *traffic.Meter
 
 	table     origintable.Table
 	startedAt time.Time
--- a/io/origins/message.go
+++ b/io/origins/message.go
@@ -29,6 +29,9 @@
 	Record origintable.Record
 	// Only is the version of all endpoints that the service has had within the window, empty if that is not known.
 	Only string
+	// Proven says that Only rests on lists of endpoints and on records. Routers of earlier releases do not set it: they conclude
+	// it from the starts of the endpoints that are listed.
+	Proven bool
 }
 
 // Service is the RPC service that other routers call.
@@ -50,6 +53,6 @@
 func (s *Service) Find(args *FindArgs, reply *FindReply) error {
 	now := time.Now()
 	reply.Record, reply.Found = s.keeper.table.Find(args.Key, now)
-	reply.Only, _ = s.keeper.History.Only(args.Service, args.Window, now)
+	reply.Only, reply.Proven = s.keeper.History.Only(args.Service, args.Window, now)
 	return nil
 }
--- a/io/registry/tracker.go
+++ b/io/registry/tracker.go
@@ -27,10 +27,15 @@
 	versions versionhistory.History
 	changed  func(usable []directory.Entry)
 	logger   log.Logger
+	// recordFirst and onWaiting are set by RecordFirst.
+	recordFirst func(service string) bool
+	onWaiting   func()
 
 	mu        sync.Mutex
 	directory directory.Directory
 	published map[string]directory.Entry
+	// waiting is set while an endpoint waits for its version to be recorded.
+	waiting bool
 	// readAt is when a read of the registry, by this router or another, last showed that nothing is missing here.
 	readAt time.Time
 	// coldUnknown holds, for each endpoint whose entry does not say how long it is cold, the start time of the
@@ -43,6 +48,19 @@
 	return &Tracker{decoder: d, changed: changed, logger: logger}
 }
 
+// RecordFirst has endpoints of the services for which required returns true wait, out of use, until their software version is
+// in the record of versions. onWaiting is called when one waits. It must be called before any other method.
+func (t *Tracker) RecordFirst(required func(service string) bool, onWaiting func()) {
+	t.recordFirst, t.onWaiting = required, onWaiting
+}
+
+// Recheck passes on the endpoints that need no longer wait.
+func (t *Tracker) Recheck() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.publish(t.waiting, sourceRegistry)
+}
+
 // Changes returns the changes to send to routers that follow the endpoints through this one.
 func (t *Tracker) Changes() *fleetload.ChangeLog { return &t.changes }
 
@@ -64,7 +82,15 @@
 			changed = t.directory.Put(c.Entry) || changed
 		}
 	}
-	t.publish(changed, sourceHub)
+	if changed {
+		t.versions.SetListed(t.directory.Usable(), now)
+	}
+	for _, c := range changes {
+		if c.Usable && c.Recorded {
+			t.versions.Offer(c.Entry.Service, c.Entry.Version)
+		}
+	}
+	t.publish(changed || t.waiting, sourceHub)
 }
 
 // MarkLeaving records that a process has answered that it is leaving. Its entry may show that much later, and not at
@@ -191,7 +217,9 @@
 	if !changed {
 		return
 	}
-	usable := t.directory.Usable()
+	listed := t.directory.Usable()
+	t.versions.SetListed(listed, time.Now())
+	usable := t.recorded(listed)
 	current := map[string]directory.Entry{}
 	for _, e := range usable {
 		current[e.ID] = e
@@ -200,7 +228,7 @@
 		if known && old == e {
 			continue
 		}
-		t.changes.Add(fleetload.Change{Entry: e, Usable: true})
+		t.changes.Add(fleetload.Change{Entry: e, Usable: true, Recorded: t.recordFirst != nil && t.versions.Offered(e.Service, e.Version)})
 		if !known {
 			_ = t.logger.Log(field.Event, event.EndpointUsable, field.Endpoint, e.ID, field.Service, e.Service, field.Address, e.Address, field.Born, e.Born,
 				field.Software, e.Version)
@@ -216,6 +244,24 @@
 			field.Software, e.Version, field.Leaving, e.Leaving, field.Source, from)
 	}
 	t.published = current
-	t.versions.SetListed(usable, time.Now())
 	t.changed(usable)
 }
+
+// recorded returns the endpoints that need not wait for their version to be recorded. One that is in use stays so.
+func (t *Tracker) recorded(listed []directory.Entry) (usable []directory.Entry) {
+	if t.recordFirst == nil {
+		return listed
+	}
+	for _, e := range listed {
+		old, used := t.published[e.ID]
+		used = used && old.Version == e.Version
+		if used || !t.recordFirst(e.Service) || t.versions.Offered(e.Service, e.Version) {
+			usable = append(usable, e)
+		}
+	}
+	t.waiting = len(usable) < len(listed)
+	if t.waiting {
+		t.onWaiting()
+	}
+	return usable
+}
