io/registry: endpoints that wait for their version to be recorded are passed on to other routers

Cause: a hub states up to where it has read the registry, and its list of endpoints counts as complete up to there. While the versions of its endpoints were being recorded, a matter of milliseconds, it passed none on. A router that had read the same records itself then took its endpoints for removed, and a removed process is not revived by the entry that it was removed with.

Change: endpoints are passed on as before, with whether their version is recorded; each router keeps those that wait out of use for itself. A router that follows a hub waits a second for it to report a version as recorded before it reads the record itself, one that has read the entry from the registry does not.

--- a/io/command/entryversions.go
+++ b/io/command/entryversions.go
@@ -21,7 +21,7 @@
 		},
 	}
 	vm.versions.Init()
-	vm.endpoints.RecordFirst(vm.resumesStreams, vm.versions.Wake)
+	vm.endpoints.RecordFirst(vm.resumesStreams, vm.versions.Record)
 	vm.manager.Register("versions", &vm.versions)
 }
 
--- a/io/registry/tracker.go
+++ b/io/registry/tracker.go
@@ -33,7 +33,9 @@
 
 	mu        sync.Mutex
 	directory directory.Directory
-	published map[string]directory.Entry
+	// published are the listed endpoints as passed on to other routers, and used the versions of those in use, by id.
+	published map[string]fleetload.Change
+	used      map[string]string
 	// waiting is set while an endpoint waits for its version to be recorded.
 	waiting bool
 	// readAt is when a read of the registry, by this router or another, last showed that nothing is missing here.
@@ -49,7 +51,8 @@
 }
 
 // RecordFirst has endpoints of the services for which required returns true wait, out of use, until their software version is
-// in the record of versions. onWaiting is called when one waits. It must be called before any other method.
+// in the record of versions. onWaiting is called when one waits that this router has read itself: a hub that passes one on
+// reports it as recorded soon. It must be called before any other method.
 func (t *Tracker) RecordFirst(required func(service string) bool, onWaiting func()) {
 	t.recordFirst, t.onWaiting = required, onWaiting
 }
@@ -219,48 +222,51 @@
 	}
 	listed := t.directory.Usable()
 	t.versions.SetListed(listed, time.Now())
-	usable := t.recorded(listed)
-	current := map[string]directory.Entry{}
-	for _, e := range usable {
-		current[e.ID] = e
+	current := map[string]fleetload.Change{}
+	for _, e := range listed {
+		c := fleetload.Change{Entry: e, Usable: true, Recorded: t.recordFirst != nil && t.versions.Offered(e.Service, e.Version)}
+		current[e.ID] = c
 		old, known := t.published[e.ID]
-		old.Sequence = e.Sequence
-		if known && old == e {
+		old.Entry.Sequence = e.Sequence
+		if known && old == c {
 			continue
 		}
-		t.changes.Add(fleetload.Change{Entry: e, Usable: true, Recorded: t.recordFirst != nil && t.versions.Offered(e.Service, e.Version)})
+		t.changes.Add(c)
 		if !known {
 			_ = t.logger.Log(field.Event, event.EndpointUsable, field.Endpoint, e.ID, field.Service, e.Service, field.Address, e.Address, field.Born, e.Born,
 				field.Software, e.Version)
 		}
 	}
-	for id, e := range t.published {
+	for id, c := range t.published {
 		if _, still := current[id]; still {
 			continue
 		}
+		e := c.Entry
 		e.Leaving = t.directory.Leaving(id)
 		t.changes.Add(fleetload.Change{Entry: e})
 		_ = t.logger.Log(field.Event, event.EndpointGone, field.Endpoint, id, field.Service, e.Service, field.Address, e.Address, field.Born, e.Born,
 			field.Software, e.Version, field.Leaving, e.Leaving, field.Source, from)
 	}
 	t.published = current
-	t.changed(usable)
+	t.changed(t.recorded(listed, from))
 }
 
 // recorded returns the endpoints that need not wait for their version to be recorded. One that is in use stays so.
-func (t *Tracker) recorded(listed []directory.Entry) (usable []directory.Entry) {
+func (t *Tracker) recorded(listed []directory.Entry, from source) (usable []directory.Entry) {
 	if t.recordFirst == nil {
 		return listed
 	}
+	used := map[string]string{}
 	for _, e := range listed {
-		old, used := t.published[e.ID]
-		used = used && old.Version == e.Version
-		if used || !t.recordFirst(e.Service) || t.versions.Offered(e.Service, e.Version) {
+		version, inUse := t.used[e.ID]
+		if inUse && version == e.Version || !t.recordFirst(e.Service) || t.versions.Offered(e.Service, e.Version) {
 			usable = append(usable, e)
+			used[e.ID] = e.Version
 		}
 	}
+	t.used = used
 	t.waiting = len(usable) < len(listed)
-	if t.waiting {
+	if t.waiting && from == sourceRegistry {
 		t.onWaiting()
 	}
 	return usable
--- a/io/versionlog/recorder.go
+++ b/io/versionlog/recorder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -42,9 +43,12 @@
 	OnOffered func()
 	Logger    log.Logger
 
-	wake       chan struct{}
-	cancel     context.CancelFunc
-	goroutines background.Group
+	wake chan struct{}
+	// urgent is set while a version waits that no hub reports as recorded, and waitingSince is since when one waits.
+	urgent       atomic.Bool
+	waitingSince time.Time
+	cancel       context.CancelFunc
+	goroutines   background.Group
 	// busy holds a value while a call to the store is made for the record. It guards the fields below.
 	busy chan struct{}
 	// known is set while end is where the topic ends, as far as this router knows, in a store of the generation.
@@ -66,6 +70,8 @@
 	retryMin      = 50 * time.Millisecond
 	retryMax      = time.Second
 	conflictDelay = 20 * time.Millisecond
+	// hubWait is how long a router that follows a hub waits for it to report a version as recorded.
+	hubWait = time.Second
 	// learnInterval is the minimum time between two reads of the record for streams that clients resume.
 	learnInterval = time.Second
 )
@@ -90,6 +96,12 @@
 	return nil
 }
 
+// Record has the recorder record the listed versions at once.
+func (r *Recorder) Record() {
+	r.urgent.Store(true)
+	r.Wake()
+}
+
 // Wake has the recorder check at once whether the record is to be written.
 func (r *Recorder) Wake() {
 	select {
@@ -119,7 +131,7 @@
 // update reads the record if this router needs it, and writes it if it says less than this router knows.
 func (r *Recorder) update(ctx context.Context) (err error) {
 	maintains := r.Maintains() && r.History.Began()
-	if !maintains && !r.History.Waiting(r.Required) {
+	if !maintains && !r.mustRecord(time.Now()) {
 		return nil
 	}
 	if !r.acquire(ctx) {
@@ -148,6 +160,19 @@
 	return err
 }
 
+// mustRecord reports whether a version waits that no other router is expected to record.
+func (r *Recorder) mustRecord(now time.Time) bool {
+	if !r.History.Waiting(r.Required) {
+		r.urgent.Store(false)
+		r.waitingSince = time.Time{}
+		return false
+	}
+	if r.waitingSince.IsZero() {
+		r.waitingSince = now
+	}
+	return r.urgent.Load() || now.Sub(r.waitingSince) >= hubWait
+}
+
 func (r *Recorder) acquire(ctx context.Context) (ok bool) {
 	select {
 	case r.busy <- struct{}{}:
--- a/io/versionlog/recorder_test.go
+++ b/io/versionlog/recorder_test.go
@@ -110,7 +110,7 @@
 		entries = append(entries, directory.Entry{ID: "e" + v, Service: "models", Version: v})
 	}
 	r.history.SetListed(entries, time.Now())
-	r.Wake()
+	r.Record()
 }
 
 func (r *router) kill() { _ = r.Stop(context.Background()) }
