io/command: routers that are known from the store's list only do not count as running

The list of routers in the store keeps VMs that are gone. One that a router of an earlier release had written, which did not say that it records versions, would have counted as running for ever, so that the record would never have covered any time: no stream would have gone on at the only version of its service after a loss of all routers. Found in reading; a router that runs is known by its own reports, which give its start.

--- a/io/command/entryversions.go
+++ b/io/command/entryversions.go
@@ -14,7 +14,7 @@
 	vm.versions = versionlog.Recorder{
 		Topic: t, History: vm.endpoints.Versions(), Required: vm.resumesStreams, OnOffered: vm.endpoints.Recheck, Logger: vm.logger,
 		Maintains:    func() bool { return vm.hub.ReadsStore() },
-		OlderRouters: func() bool { return slices.ContainsFunc(vm.otherRouters(), recordsNoVersions) },
+		OlderRouters: func() bool { return slices.ContainsFunc(vm.otherRouters(), runsWithoutRecording) },
 		OlderRoutersListed: func(ctx context.Context) (older bool, err error) {
 			listed, err := l.All(ctx)
 			return slices.ContainsFunc(listed, recordsNoVersions), err
@@ -27,6 +27,9 @@
 
 func recordsNoVersions(m members.Member) bool { return !m.RecordsVersions }
 
+// runsWithoutRecording leaves out routers that are known from the list in the store only, which keeps those of VMs that are gone.
+func runsWithoutRecording(m members.Member) bool { return m.Started > 0 && recordsNoVersions(m) }
+
 // resumesStreams reports whether clients may resume streams of the service, as far as this router knows.
 func (vm *entryVM) resumesStreams(service string) bool {
 	t := vm.configTracker.Current()
