io/versionlog, io/hub: routers of an earlier release that ran before are noticed, although their entries are written over

Whether routers ran that write no record was concluded from the list of routers as it is now, and each starting router had written over its own entry before. A router that was rolled back found its entry on the list and did not write it again.

Change: the record has where the list of routers ended when it was last looked at. An entry since then of a router that records nothing, or more writes since then than entries, proves that one may have run. A router that records versions states a rank one higher than before, so that one of an earlier release does not take the entry for its own and writes it again; in a mixed fleet on equal VMs one that records is the root. A VM that is gone from before does no harm: its entry is older.

One more read of the list whenever the record is read.

--- a/core/versionrecord/record.go
+++ b/core/versionrecord/record.go
@@ -16,6 +16,8 @@
 	Generation int64 `json:"generation"`
 	// WrittenAt is when it was written, in Unix milliseconds by the writer's clock.
 	WrittenAt int64 `json:"writtenAt"`
+	// RoutersEnd is where the store's list of routers ended when its entries were last looked at.
+	RoutersEnd int64 `json:"routersEnd"`
 	// CoveredMs is for how long before, in milliseconds and at the least, no stream can have begun at a version that is not in
 	// the record.
 	CoveredMs int64 `json:"coveredMs"`
@@ -70,6 +72,8 @@
 	Old Unusable = "old"
 	// Missing means that the store has no record, although it has had one or came back from an older copy.
 	Missing Unusable = "missing"
+	// OlderRouters means that routers that write no record may have run since the record was written.
+	OlderRouters Unusable = "olderRouters"
 	// Unreadable means that the record is not one that a router has written.
 	Unreadable Unusable = "unreadable"
 	// Early means that the record was written by a clock that is ahead of this one by more than clocks may differ.
--- a/io/command/allrouterslost_test.go
+++ b/io/command/allrouterslost_test.go
@@ -57,9 +57,9 @@
 
 // beginAtAll begins streams, spread over the routers, and returns once all have their first event. The clients leave when their
 // router ends, which ended waits for.
-func (f *entryFleet) beginAtAll(n int) (streams []*stream, ended *sync.WaitGroup) {
+func (f *entryFleet) beginAtAll() (streams []*stream, ended *sync.WaitGroup) {
 	ended = &sync.WaitGroup{}
-	for i := range n {
+	for i := range streamsAtLoss {
 		s := &stream{first: fmt.Sprint("s", requestCount.Add(1)), versions: map[string]bool{}}
 		streams = append(streams, s)
 		ended.Go(func() { f.attempt(s, f.vms[i%len(f.vms)]) })
@@ -186,7 +186,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newLossFleet(t, 3, tc.versions...)
-			streams, ended := f.beginAtAll(streamsAtLoss)
+			streams, ended := f.beginAtAll()
 			tc.before(f)
 			<-time.After(tc.pause)
 			f.replaceAll(tc.away, func() { tc.down(f) })
@@ -206,7 +206,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newLossFleet(t, 3, "v1", "v2")
-			streams, ended := f.beginAtAll(streamsAtLoss)
+			streams, ended := f.beginAtAll()
 			left := 4
 			if leaves {
 				f.remove(0)
@@ -231,7 +231,7 @@
 			f := newLossFleet(t, 3, "v1")
 			f.addEngine("new", "v1", age)
 			f.awaitRouters(f.vms, 3)
-			streams, ended := f.beginAtAll(streamsAtLoss)
+			streams, ended := f.beginAtAll()
 			f.replaceAll(0, func() {})
 			ended.Wait()
 			f.awaitRouters(f.vms, 3)
--- a/io/command/entrystore.go
+++ b/io/command/entrystore.go
@@ -51,7 +51,7 @@
 		Self: members.Member{
 			Name: vm.settings.VM().Name(), Address: vm.settings.AdvertisedAddress(), FailureDomain: vm.settings.VM().FailureDomain(),
 			Started: time.Now().UnixMilli(), RecordsVersions: true,
-			Bears: members.VM{Cores: vm.settings.Cores(), MemoryMB: vm.settings.MemoryMB(), LinkMbps: vm.settings.LinkMbps()}.FollowerCapacity(),
+			Bears: recordingRank + members.VM{Cores: vm.settings.Cores(), MemoryMB: vm.settings.MemoryMB(), LinkMbps: vm.settings.LinkMbps()}.FollowerCapacity(),
 		},
 		ListenAddress: vm.settings.PeerAddress(),
 		Members:       &vm.members, Split: vm.splitPeers, Register: vm.origins.Register, Configuration: configurationFollower, CurrentRecord: vm.configTracker.Record,
--- a/io/hub/routerlist.go
+++ b/io/hub/routerlist.go
@@ -58,3 +58,23 @@
 	}
 	return routers, nil
 }
+
+// Unrecording reports whether a router that records no versions may have written its entry at the offset or later, and returns
+// where the list ends. A later entry of the same router hides an earlier one, but not that there were two.
+func (l RouterList) Unrecording(ctx context.Context, since int64) (may bool, end int64, err error) {
+	defer annotate.Error(&err, "read the list of routers")
+	p, err := l.topic.Newest(ctx)
+	if err != nil {
+		return false, 0, err
+	}
+	seen := int64(0)
+	for _, r := range p.Records {
+		if r.Offset < since {
+			continue
+		}
+		seen++
+		var m members.Member
+		may = may || json.Unmarshal(r.Value, &m) != nil || !m.RecordsVersions
+	}
+	return may || p.LogEnd-since > seen, p.LogEnd, nil
+}
--- a/io/versionlog/recorder.go
+++ b/io/versionlog/recorder.go
@@ -37,8 +37,9 @@
 	Maintains func() bool
 	// OlderRouters reports whether routers that write no record are running, as far as this router knows.
 	OlderRouters func() bool
-	// OlderRoutersListed reports whether the store's list of routers has one that writes no record.
-	OlderRoutersListed func(ctx context.Context) (older bool, err error)
+	// OlderRoutersListed reports whether routers that write no record may have written to the store's list of routers at the
+	// offset or later, and where the list ends.
+	OlderRoutersListed func(ctx context.Context, since int64) (older bool, end int64, err error)
 	// OnOffered is called after versions were found in the record, or written to it.
 	OnOffered func()
 	Logger    log.Logger
@@ -55,6 +56,7 @@
 	known      bool
 	end        int64
 	generation int64
+	routersEnd int64
 	learnedAt  time.Time
 	failing    bool
 }
@@ -149,6 +151,7 @@
 		r.History.Uncover(time.Now())
 	}
 	record, due := r.History.NextRecord(r.generation, time.Now())
+	record.RoutersEnd = r.routersEnd
 	needed := r.History.Waiting(r.Required) || maintains && due
 	if !needed {
 		return nil
@@ -210,12 +213,16 @@
 		r.known = false
 		return err
 	}
-	record, reason, err := r.judge(ctx, page, sent)
+	record, reason := r.judge(page, sent)
+	older, routersEnd, err := r.OlderRoutersListed(ctx, record.RoutersEnd)
 	if err != nil {
 		r.known = false
 		return err
 	}
-	r.known, r.end, r.generation = true, page.LogEnd, page.Generation
+	if older && reason == "" {
+		reason = versionrecord.OlderRouters
+	}
+	r.known, r.end, r.generation, r.routersEnd = true, page.LogEnd, page.Generation, routersEnd
 	r.History.SetRecord(record, sent, reason == "")
 	_ = r.Logger.Log(field.Event, event.VersionsRead, field.Offset, page.LogEnd, field.Generation, page.Generation, field.Versions, record.Versions(),
 		field.CoveredMs, record.CoveredMs, field.Reason, reason)
@@ -223,26 +230,22 @@
 }
 
 // judge returns the record that a page holds, and why it proves nothing about the time before the read, if so.
-func (r *Recorder) judge(ctx context.Context, page compactedlog.Page, now time.Time) (record versionrecord.Record, reason versionrecord.Unusable, err error) {
+func (r *Recorder) judge(page compactedlog.Page, now time.Time) (record versionrecord.Record, reason versionrecord.Unusable) {
 	for _, stored := range page.Records {
 		if stored.Key != recordKey {
 			continue
 		}
-		record, err = versionrecord.Decode(stored.Value)
+		record, err := versionrecord.Decode(stored.Value)
 		if err != nil {
 			_ = r.Logger.Log(field.Event, event.VersionsUnreadable, field.Offset, stored.Offset, field.Err, err)
-			return versionrecord.Record{}, versionrecord.Unreadable, nil
+			return versionrecord.Record{}, versionrecord.Unreadable
 		}
-		return record, record.Check(page.Generation, now), nil
+		return record, record.Check(page.Generation, now)
 	}
 	if page.LogEnd > 0 || page.Generation > firstGeneration {
-		return versionrecord.Record{}, versionrecord.Missing, nil
-	}
-	older, err := r.OlderRoutersListed(ctx)
-	if older {
-		reason = versionrecord.Missing
+		return versionrecord.Record{}, versionrecord.Missing
 	}
-	return versionrecord.Complete(page.Generation, now), reason, err
+	return versionrecord.Complete(page.Generation, now), ""
 }
 
 // firstGeneration is the generation of a store that has never come back from an older copy.
--- a/io/versionlog/recorder_test.go
+++ b/io/versionlog/recorder_test.go
@@ -95,7 +95,7 @@
 	r = &router{maintains: maintains}
 	r.Recorder = versionlog.Recorder{
 		Topic: f, History: &r.history, Required: func(service string) bool { return service == "models" }, Maintains: func() bool { return r.maintains },
-		OlderRouters: func() bool { return r.older }, OlderRoutersListed: func(context.Context) (bool, error) { return r.olderListed, nil },
+		OlderRouters: func() bool { return r.older }, OlderRoutersListed: func(context.Context, int64) (bool, int64, error) { return r.olderListed, 1, nil },
 		OnOffered: func() {}, Logger: log.NewNopLogger(),
 	}
 	r.Init()
@@ -242,6 +242,7 @@
 		"copy that never had it":      func(f *fakeTopic, _ *router) { f.generation, f.records = f.generation+1, nil },
 		"older routers run":           func(_ *fakeTopic, r *router) { r.older = true },
 		"never written, older listed": func(f *fakeTopic, r *router) { f.records, r.olderListed = nil, true },
+		"older routers ran":           func(_ *fakeTopic, r *router) { r.olderListed = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
