io/registry, core/versionhistory: a complete list after a gap says nothing of what came and went in it

A router that was cut off for 30 s from the store and its hub, and then got a complete list of endpoints, took the one version in it for the only one of the last 20 s, by lists that it had had itself, and told others so. A version that came and left meanwhile is in neither list, so that streams that began at it may be joined.

What was not listed in the meantime was concluded from the lists before and after.

Change: a complete list that arrives more than five seconds after the last sign that nothing was missing begins a new history; the record in the store, which is read again, tells of the time before.

--- a/core/versionhistory/history.go
+++ b/core/versionhistory/history.go
@@ -136,6 +136,16 @@
 	return !h.began.IsZero()
 }
 
+// Missed records that endpoints may have come and gone unseen until now: what this router has seen before says nothing of that
+// time, and the record has to be read again.
+func (h *History) Missed(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.began.IsZero() {
+		h.began, h.record.covered = now, false
+	}
+}
+
 // Knows reports whether all versions of the window are known.
 func (h *History) Knows(window time.Duration, now time.Time) bool {
 	h.mu.Lock()
--- a/core/versionhistory/recorded.go
+++ b/core/versionhistory/recorded.go
@@ -76,6 +76,13 @@
 	}
 }
 
+// Covered reports whether the record was read since this router last missed changes.
+func (h *History) Covered() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.record.covered
+}
+
 // Uncover records that streams may have begun until now at versions that are not in the record.
 func (h *History) Uncover(now time.Time) {
 	h.mu.Lock()
--- a/io/registry/recordfirst_test.go
+++ b/io/registry/recordfirst_test.go
@@ -14,7 +14,7 @@
 	"savoryfall/io/registry"
 )
 
-// recordingRouter is a tracker whose router records versions of the service "s", and what it has in use and waits for.
+// recordingRouter is a tracker whose router records versions of the service "models", and what it has in use and waits for.
 type recordingRouter struct {
 	*registry.Tracker
 	usable   []directory.Entry
@@ -29,22 +29,15 @@
 	return r
 }
 
-// versionDecoder decodes entries whose value is the version.
-type versionDecoder struct{}
-
-func (versionDecoder) Decode(r compactedlog.Record) (e directory.Entry, err error) {
-	return entryOf(r.Key, string(r.Value)), nil
-}
-
 func entryOf(id, version string) directory.Entry {
-	return directory.Entry{ID: id, Service: "s", Version: version, Born: 1}
+	return directory.Entry{ID: id, Service: "models", Version: version, Born: 1}
 }
 
 // record has the router find the versions in the record.
 func (r *recordingRouter) record(versions ...string) {
 	record := versionrecord.Record{AbsentMs: map[string]map[string]int64{}}
 	for _, v := range versions {
-		record.SetAbsent("s", v, 0)
+		record.SetAbsent("models", v, 0)
 	}
 	r.Versions().SetRecord(record, time.Now(), true)
 	r.Recheck()
--- a/io/registry/tracker.go
+++ b/io/registry/tracker.go
@@ -75,6 +75,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	if complete {
+		t.noteGap(now)
+	}
 	changed := complete && t.directory.Replace(usableEntries(changes), now)
 	for _, c := range changes {
 		t.versions.Saw(c.Entry, now)
@@ -96,6 +99,17 @@
 	t.publish(changed || t.waiting, sourceHub)
 }
 
+// unseenLimit is after how long without a read a complete list does not show what came and went in between. Lists of routers
+// that are in touch with the store differ by less.
+const unseenLimit = 5 * time.Second
+
+// noteGap is called when a complete list has arrived, in place of what has changed.
+func (t *Tracker) noteGap(now time.Time) {
+	if !t.readAt.IsZero() && now.Sub(t.readAt) > unseenLimit {
+		t.versions.Missed(now)
+	}
+}
+
 // MarkLeaving records that a process has answered that it is leaving. Its entry may show that much later, and not at
 // all while the store is away.
 func (t *Tracker) MarkLeaving(e directory.Entry) {
@@ -117,6 +131,7 @@
 func (t *Tracker) Replace(records []compactedlog.Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.noteGap(time.Now())
 	var entries []directory.Entry
 	for _, r := range records {
 		e, err := t.decoder.Decode(r)
--- a/io/versionlog/recorder.go
+++ b/io/versionlog/recorder.go
@@ -140,7 +140,7 @@
 		return ctx.Err()
 	}
 	defer r.release()
-	if !r.known || r.Topic.Generation() > r.generation {
+	if !r.known || !r.History.Covered() || r.Topic.Generation() > r.generation {
 		err = r.read(ctx)
 		if err != nil {
 			return err
