io/registry: endpoints in use wait when a configuration lets streams of their service be resumed

An endpoint that was in use stayed so although its version was not in the record, which lets streams begin there that a router that starts later knows nothing of. Shown by a unit test, found in a review.

Change: no exception for endpoints in use. So that none has to wait in calm, other routers are told when a version of any service has been recorded, not only of those that must.

--- a/io/registry/tracker.go
+++ b/io/registry/tracker.go
@@ -33,11 +33,10 @@
 
 	mu        sync.Mutex
 	directory directory.Directory
-	// published are the listed endpoints as passed on to other routers, and used the versions of those in use, by id.
+	// published are the listed endpoints as passed on to other routers.
 	published map[string]fleetload.Change
-	used      map[string]string
-	// waiting is set while an endpoint waits for its version to be recorded.
-	waiting bool
+	// unrecorded is set while the version of a listed endpoint is not recorded, as far as this router knows.
+	unrecorded bool
 	// readAt is when a read of the registry, by this router or another, last showed that nothing is missing here.
 	readAt time.Time
 	// coldUnknown holds, for each endpoint whose entry does not say how long it is cold, the start time of the
@@ -57,11 +56,11 @@
 	t.recordFirst, t.onWaiting = required, onWaiting
 }
 
-// Recheck passes on the endpoints that need no longer wait.
+// Recheck passes on the endpoints whose versions have been recorded since.
 func (t *Tracker) Recheck() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.publish(t.waiting, sourceRegistry)
+	t.publish(t.unrecorded, sourceRecord)
 }
 
 // Changes returns the changes to send to routers that follow the endpoints through this one.
@@ -96,7 +95,7 @@
 			t.versions.Offer(c.Entry.Service, c.Entry.Version)
 		}
 	}
-	t.publish(changed || t.waiting, sourceHub)
+	t.publish(changed || t.unrecorded, sourceHub)
 }
 
 // unseenLimit is after how long without a read a complete list does not show what came and went in between. Lists of routers
@@ -228,6 +227,7 @@
 	sourceRegistry source = "registry"
 	sourceHub      source = "hub"
 	sourceAnswer   source = "answer"
+	sourceRecord   source = "record"
 )
 
 // publish passes on the usable endpoints, and records and logs those that were added, changed or removed.
@@ -266,22 +266,20 @@
 	t.changed(t.recorded(listed, from))
 }
 
-// recorded returns the endpoints that need not wait for their version to be recorded. One that is in use stays so.
+// recorded returns the endpoints that need not wait for their version to be recorded.
 func (t *Tracker) recorded(listed []directory.Entry, from source) (usable []directory.Entry) {
 	if t.recordFirst == nil {
 		return listed
 	}
-	used := map[string]string{}
+	t.unrecorded = false
 	for _, e := range listed {
-		version, inUse := t.used[e.ID]
-		if inUse && version == e.Version || !t.recordFirst(e.Service) || t.versions.Offered(e.Service, e.Version) {
+		offered := t.versions.Offered(e.Service, e.Version)
+		t.unrecorded = t.unrecorded || !offered
+		if offered || !t.recordFirst(e.Service) {
 			usable = append(usable, e)
-			used[e.ID] = e.Version
 		}
 	}
-	t.used = used
-	t.waiting = len(usable) < len(listed)
-	if t.waiting && from == sourceRegistry {
+	if len(usable) < len(listed) && from != sourceHub {
 		t.onWaiting()
 	}
 	return usable
--- a/io/registry/versions_test.go
+++ b/io/registry/versions_test.go
@@ -45,3 +45,17 @@
 		assert.Assert(t, !ok, "%s is taken for the only version", only)
 	})
 }
+
+// Guards against streams that begin at a version that is not in the record, because its endpoint was in use before the
+// configuration made streams of the service resumable.
+func TestEndpointInUseWaitsOnceVersionsMustBeRecorded(t *testing.T) {
+	var usable []directory.Entry
+	required := false
+	tr := registry.New(versionDecoder{}, func(list []directory.Entry) { usable = list }, log.NewNopLogger())
+	tr.RecordFirst(func(string) bool { return required }, func() {})
+	tr.Replace([]compactedlog.Record{{Key: "a", Value: []byte("v1")}})
+	assert.Equal(t, len(usable), 1)
+	required = true
+	tr.Recheck()
+	assert.Assert(t, len(usable) == 0 || tr.Versions().Offered("models", "v1"), "in use and not recorded")
+}
