io/versionlog: a router that maintains the record looks every five seconds whether another one has written it

Two routers whose lists differ for 28 s: one recorded a version as absent for all that time, while the other offered it and noticed only at its own next write, up to 30 s later. A router that started after both were killed took the other version for the only one of the last 20 s, so that streams that began at the first may be joined. Shown by a unit test, found in a review; how lists can differ for so long is only suspected (a store that serves a router one topic and not the other).

Change: routers that read the store for others read the record every five seconds, and again whole if it has grown.

--- a/io/versionlog/recorder.go
+++ b/io/versionlog/recorder.go
@@ -57,6 +57,7 @@
 	end        int64
 	generation int64
 	routersEnd int64
+	verifiedAt time.Time
 	learnedAt  time.Time
 	failing    bool
 }
@@ -64,6 +65,9 @@
 const (
 	// recordKey is the key of the record. All services share one, so that it is read and written whole.
 	recordKey = "versions"
+	// verifyInterval is how often a router that maintains the record looks whether another one has written it: one that lists other
+	// endpoints may have recorded a version as absent that this one offers.
+	verifyInterval = 5 * time.Second
 	// checkInterval is how often a router checks whether the record is to be written.
 	checkInterval = time.Second
 	// callTimeout limits a call to the store.
@@ -140,6 +144,7 @@
 		return ctx.Err()
 	}
 	defer r.release()
+	r.verify(ctx)
 	if !r.known || !r.History.Covered() || r.Topic.Generation() > r.generation {
 		err = r.read(ctx)
 		if err != nil {
@@ -176,6 +181,18 @@
 	return r.urgent.Load() || now.Sub(r.waitingSince) >= hubWait
 }
 
+// verify finds out whether another router has written the record since this one last read or wrote it.
+func (r *Recorder) verify(ctx context.Context) {
+	if !r.known || time.Since(r.verifiedAt) < verifyInterval {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	page, err := r.Topic.Newest(ctx)
+	r.verifiedAt = time.Now()
+	r.known = err != nil || page.LogEnd == r.end && page.Generation == r.generation
+}
+
 func (r *Recorder) acquire(ctx context.Context) (ok bool) {
 	select {
 	case r.busy <- struct{}{}:
@@ -222,7 +239,7 @@
 	if older && reason == "" {
 		reason = versionrecord.OlderRouters
 	}
-	r.known, r.end, r.generation, r.routersEnd = true, page.LogEnd, page.Generation, routersEnd
+	r.known, r.end, r.generation, r.routersEnd, r.verifiedAt = true, page.LogEnd, page.Generation, routersEnd, sent
 	r.History.SetRecord(record, sent, reason == "")
 	_ = r.Logger.Log(field.Event, event.VersionsRead, field.Offset, page.LogEnd, field.Generation, page.Generation, field.Versions, record.Versions(),
 		field.CoveredMs, record.CoveredMs, field.Reason, reason)
@@ -265,7 +282,7 @@
 		r.known = false
 		return err
 	}
-	r.end = end
+	r.end, r.verifiedAt = end, sent
 	r.History.RecordWritten(record, sent)
 	_ = r.Logger.Log(field.Event, event.VersionsRecorded, field.Offset, end, field.Generation, record.Generation, field.Versions, record.Versions(),
 		field.CoveredMs, record.CoveredMs)
