io/versionlog: each call for the record has two seconds

What callers saw: while the store answered after 600 or 800 ms, a router that had started refused all requests of a service whose streams may be resumed, for as long as the store was slow. Other services were served. Found in a review.

Cause: the record and the list of routers were read in the time of one call, one second.

Change: two seconds for each call, as for other reads of a slow store.

Result: TestEndpointsAreUsedWhileStoreIsSlow fails before at 600 and 800 ms and passes.

--- a/io/versionlog/recorder.go
+++ b/io/versionlog/recorder.go
@@ -70,8 +70,8 @@
 	verifyInterval = 5 * time.Second
 	// checkInterval is how often a router checks whether the record is to be written.
 	checkInterval = time.Second
-	// callTimeout limits a call to the store.
-	callTimeout = time.Second
+	// callTimeout limits a call to the store, which may be slow.
+	callTimeout = 2 * time.Second
 	// retryMin and retryMax bound the delay after a call that failed, and conflictDelay the one after another router's write.
 	retryMin      = 50 * time.Millisecond
 	retryMax      = time.Second
@@ -186,9 +186,7 @@
 	if !r.known || time.Since(r.verifiedAt) < verifyInterval {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	page, err := r.Topic.Newest(ctx)
+	page, err := r.readTopic(ctx)
 	r.verifiedAt = time.Now()
 	r.known = err != nil || page.LogEnd == r.end && page.Generation == r.generation
 }
@@ -222,16 +220,14 @@
 
 // read reads the record.
 func (r *Recorder) read(ctx context.Context) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	sent := time.Now()
-	page, err := r.Topic.Newest(ctx)
+	page, err := r.readTopic(ctx)
 	if err != nil {
 		r.known = false
 		return err
 	}
 	record, reason := r.judge(page, sent)
-	older, routersEnd, err := r.OlderRoutersListed(ctx, record.RoutersEnd)
+	older, routersEnd, err := r.readRouters(ctx, record.RoutersEnd)
 	if err != nil {
 		r.known = false
 		return err
@@ -246,6 +242,18 @@
 	return nil
 }
 
+func (r *Recorder) readTopic(ctx context.Context) (p compactedlog.Page, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.Topic.Newest(ctx)
+}
+
+func (r *Recorder) readRouters(ctx context.Context, since int64) (older bool, end int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.OlderRoutersListed(ctx, since)
+}
+
 // judge returns the record that a page holds, and why it proves nothing about the time before the read, if so.
 func (r *Recorder) judge(page compactedlog.Page, now time.Time) (record versionrecord.Record, reason versionrecord.Unusable) {
 	for _, stored := range page.Records {
