core/versionhistory: a router without news for five seconds does not know which versions there are

30 s after its last read or news of its hub, a router took the version that it listed for the only one of the last 20 s, although others may have begun streams at another since. Requests with a key are refused by then, since the lease on the configuration has lapsed; those of public routes were not.

Change: the only version is known for as long as nothing is missing, or for five seconds after. In an outage of the store that lasts longer, the router that reads it refuses streams whose beginning nobody knows.

--- a/core/versionhistory/history.go
+++ b/core/versionhistory/history.go
@@ -12,10 +12,12 @@
 // that wrote the record in the store. A service with one version needs no record of where streams began. The zero value is
 // empty.
 type History struct {
-	mu       sync.Mutex
-	began    time.Time
-	services map[string]*service
-	record   recordState
+	mu    sync.Mutex
+	began time.Time
+	// confirmed is when it was last known that no change was missing. It is zero for a history that is not told.
+	confirmed time.Time
+	services  map[string]*service
+	record    recordState
 }
 
 type service struct {
@@ -94,7 +96,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.services[name]
-	if s == nil || !h.knows(window, now) {
+	if s == nil || h.outdated(now) || !h.knows(window, now) {
 		return "", false
 	}
 	return s.only(window, now)
@@ -136,6 +138,18 @@
 	return !h.began.IsZero()
 }
 
+// Confirm records that no change is missing.
+func (h *History) Confirm(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.confirmed = now
+}
+
+// outdated reports whether other routers may know of versions that have come since this one last read or was told of changes.
+func (h *History) outdated(now time.Time) bool {
+	return !h.confirmed.IsZero() && now.Sub(h.confirmed) > listLag
+}
+
 // Missed records that endpoints may have come and gone unseen until now: what this router has seen before says nothing of that
 // time, and the record has to be read again.
 func (h *History) Missed(now time.Time) {
--- a/io/registry/tracker.go
+++ b/io/registry/tracker.go
@@ -194,6 +194,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.readAt = time.Now()
+	t.versions.Confirm(t.readAt)
 	t.publish(t.directory.ExpireVanished(time.Now()), sourceRegistry)
 }
 
