io/entry: a stopping router refuses what it cannot answer in its grace

Callers: in a planned stop of one router, in calm, requests that came in the third of the grace in which the router serves on were passed on, ran, and were cut at the end of the grace without an answer. Callers of requests that may not be repeated could not tell whether they had run.

Cause: the router serves on for a third of the grace, whatever the request's deadline and the time that such requests take. The deadline was not compared with what is left.

Change: from the signal on, a request whose deadline lies beyond the end of the grace is refused at once, before its body is read and again before each attempt: 503, not run, retry after 50 ms, connection closed, reason graceTooShort. It is passed on if the longest answer of its route at its service in the last one to two minutes, and a tenth more, fits into what is left (core/answertimes, ten answers at least). With fewer answers known, a request that may not be repeated is refused, since a refusal costs its caller a round trip and a cut one its outcome. An idempotent one is then passed on, as it may be sent again, and gets 504 at the end of the grace rather than nothing. Resumable streams are passed on as before: their clients take them up elsewhere, and a refusal would delay every first event. A stream that cannot be resumed counts as any request that may not be repeated. Requests whose deadline ends within the grace, and routers that are not stopping, see no change.

--- a/core/field/field.go
+++ b/core/field/field.go
@@ -115,6 +115,8 @@
 	TargetMs Name = "targetMs"
 	// LeftMs is how long the client still waited when an endpoint was to be chosen.
 	LeftMs Name = "leftMs"
+	// GraceLeftMs is how long a router that stops could still answer.
+	GraceLeftMs Name = "graceLeftMs"
 	// LoadsAgeMs is the age of the load data of the other routers.
 	LoadsAgeMs Name = "loadsAgeMs"
 	// AccountDemand is how many requests a second the account sends to the service at this rank, by all routers.
--- a/core/request/problem.go
+++ b/core/request/problem.go
@@ -20,10 +20,12 @@
 	NoConfiguration Reason = "noConfiguration"
 	StaleKeys       Reason = "staleKeys"
 	Stopping        Reason = "stopping"
-	NoEndpoint      Reason = "noEndpoint"
-	Paused          Reason = "paused"
-	Full            Reason = "full"
-	Reserved        Reason = "reserved"
+	// GraceTooShort means that this router stops before the request is expected to be answered.
+	GraceTooShort Reason = "graceTooShort"
+	NoEndpoint    Reason = "noEndpoint"
+	Paused        Reason = "paused"
+	Full          Reason = "full"
+	Reserved      Reason = "reserved"
 	// Infeasible means that no endpoint was expected to serve the request in time.
 	Infeasible  Reason = "infeasible"
 	Refused     Reason = "refused"
--- a/io/entry/attempt.go
+++ b/io/entry/attempt.go
@@ -71,6 +71,9 @@
 // chooseEndpoint selects the endpoint for the next attempt, for which the request may wait. If there is none, the problem gives the
 // reason.
 func (x *exchange) chooseEndpoint() (a *attempt, p *request.Problem) {
+	if p = x.checkGrace(time.Now()); p != nil {
+		return nil, p
+	}
 	q := x.query()
 	d, reason := x.handler.Dispatcher.Choose(q, time.Now())
 	if d == nil && q.Origin != x.origin.Load() {
@@ -212,7 +215,7 @@
 
 func (x *exchange) endpointRequest(a *attempt, lastEvent string) (s request.EndpointRequest) {
 	s = request.EndpointRequest{
-		ID: x.request.ID, Endpoint: a.Endpoint().ID, Remaining: time.Until(x.deadline), LastEventID: lastEvent, FetchFrom: a.FetchSource(),
+		ID: x.request.ID, Endpoint: a.Endpoint().ID, Remaining: time.Until(x.answerBy()), LastEventID: lastEvent, FetchFrom: a.FetchSource(),
 		Account: x.accountName(),
 	}
 	if len(x.request.Prompt) > 0 {
@@ -249,10 +252,12 @@
 	if x.ctx.Err() != nil {
 		v = dispatch.Abandoned
 	}
-	took, first := a.End(v, time.Now())
+	now := time.Now()
+	took, first := a.End(v, now)
 	if !first {
 		return
 	}
+	x.recordAnswerTime(v, took, now)
 	x.handler.Metrics.recordAttempt(x.service, v, took)
 	switch {
 	case v == dispatch.Broken:
@@ -321,7 +326,7 @@
 // allowAttempt reports whether another attempt is allowed by the route's maximum number of attempts, the deadline, the
 // crashes under parts of the prompt, and this router's share of the retry budget. A retry that is allowed is counted.
 func (x *exchange) allowAttempt(now time.Time) bool {
-	if x.sends >= x.route.MaxAttempts || x.deadline.Sub(now) < minAttemptTime {
+	if x.sends >= x.route.MaxAttempts || x.answerBy().Sub(now) < minAttemptTime {
 		return false
 	}
 	if x.sends == x.retriesCounted {
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -67,6 +67,8 @@
 	infeasible *infeasible
 	// lostConnection is set if an attempt has ended without the complete response.
 	lostConnection bool
+	// graceLeft is set if the request could not be answered before the router stops.
+	graceLeft *graceLeft
 	// hasWaited is set if the request has waited for a place, and waited is for how long.
 	hasWaited bool
 	waited    time.Duration
@@ -149,7 +151,7 @@
 		}
 	}
 	x.deadline = x.began.Add(x.timeout())
-	return nil
+	return x.checkGrace(time.Now())
 }
 
 // staleKeysOr keeps a router whose configuration may be out of date from denying what the newest one may allow.
@@ -178,7 +180,7 @@
 // forward sends the request to endpoints until one of them has answered it.
 func (x *exchange) forward() *request.Problem {
 	_ = http.NewResponseController(x.w).SetWriteDeadline(x.deadline.Add(writeSlack))
-	x.service = x.route.ChooseService(routeFraction(x.request.ID))
+	x.service = x.serviceFor()
 	p := x.findOrigin()
 	if p == nil {
 		p = x.checkQuarantine()
@@ -201,5 +203,13 @@
 // delivered late rather than not at all, but a client that has stopped reading must not block the request forever.
 const writeSlack = 5 * time.Second
 
+// serviceFor returns the service that serves the request.
+func (x *exchange) serviceFor() string {
+	if x.service != "" {
+		return x.service
+	}
+	return x.route.ChooseService(routeFraction(x.request.ID))
+}
+
 // routeFraction maps a request id to a number in [0, 1), by which requests are distributed over the targets of a route.
 func routeFraction(id string) float64 { return float64(xxhash.Sum64String(id)>>11) / (1 << 53) }
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"go.opentelemetry.io/otel/trace"
 
+	"savoryfall/core/answertimes"
 	"savoryfall/core/background"
 	"savoryfall/core/bodybudget"
 	"savoryfall/core/bytebudget"
@@ -119,8 +120,12 @@
 type Handler struct {
 	Config
 	phase atomic.Int32
-	open  atomic.Int64
-	began time.Time
+	// answersEnd is when the last answers must be given because the router stops, nil while it does not.
+	answersEnd atomic.Pointer[time.Time]
+	// answerTimes are how long answers of endpoints take.
+	answerTimes answertimes.History
+	open        atomic.Int64
+	began       time.Time
 	// processes finds out whether processes of endpoints have ended.
 	processes process.Checker
 	stated    statedTimes
@@ -204,6 +209,11 @@
 	h.waiters.close()
 }
 
+// stopping reports whether the router has been told to stop.
+func (h *Handler) stopping() bool {
+	return h.phase.Load() != phaseServing || h.answersEnd.Load() != nil
+}
+
 // ActiveRequests returns the number of requests in progress.
 func (h *Handler) ActiveRequests() int64 { return h.open.Load() }
 
--- a/io/entry/header.go
+++ b/io/entry/header.go
@@ -46,7 +46,7 @@
 // request's context is cancelled but the client can still be answered: net/http has cancelled the context of the whole
 // connection, so that the client of each later request would appear to have left.
 func (x *exchange) setConnectionClose(h http.Header) {
-	if x.handler.phase.Load() != phaseServing || x.ctx.Err() != nil {
+	if x.handler.stopping() || x.ctx.Err() != nil {
 		h.Set("Connection", "close")
 	}
 }
--- a/io/entry/memory.go
+++ b/io/entry/memory.go
@@ -14,11 +14,7 @@
 	if h.Memory == nil || x.route == nil {
 		return false
 	}
-	service := x.service
-	if service == "" {
-		service = x.route.ChooseService(routeFraction(x.request.ID))
-	}
-	return h.Dispatcher.OverloadControl(service, time.Now())
+	return h.Dispatcher.OverloadControl(x.serviceFor(), time.Now())
 }
 
 // checkMemory refuses a stream that would begin when memory is almost used up, because streams hold memory for as long as their
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -115,11 +115,15 @@
 const firstAttemptDivisor = 3
 
 // attemptDeadline returns when the next attempt is given up.
-func (x *exchange) attemptDeadline() time.Time {
+func (x *exchange) attemptDeadline() (at time.Time) {
+	at = x.deadline.Add(responseSlack)
 	if x.route.Kind.Repeatable() && x.sends+1 < x.route.MaxAttempts {
-		return time.Now().Add(time.Until(x.deadline) / firstAttemptDivisor)
+		at = time.Now().Add(time.Until(x.deadline) / firstAttemptDivisor)
 	}
-	return x.deadline.Add(responseSlack)
+	if end := x.answerBy(); end.Before(x.deadline) && end.Before(at) {
+		return end
+	}
+	return at
 }
 
 // writeResponse sends the endpoint's response to the client unchanged.
--- a/io/entry/refuse.go
+++ b/io/entry/refuse.go
@@ -102,6 +102,9 @@
 	if p.Reason == request.Infeasible && x.infeasible != nil {
 		line = append(line, x.infeasible.logFields()...)
 	}
+	if p.Reason == request.GraceTooShort && x.graceLeft != nil {
+		line = append(line, x.graceLeft.logFields()...)
+	}
 	if p.Reason == request.Unreachable && x.handler.Connections != nil {
 		line = append(line, x.handler.Connections.LogFields(x.service)...)
 	}
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -129,6 +129,7 @@
 	part := func(share float64) time.Duration { return time.Duration(share * float64(grace)) }
 	ctx, cancel := context.WithTimeout(context.Background(), part(DrainShare))
 	defer cancel()
+	s.handler.AnswerBy(time.Now().Add(part(DrainShare)))
 	s.handler.SetUnready()
 	time.Sleep(part(leaveShare))
 	s.handler.RefuseNew()
--- a/io/entry/wait.go
+++ b/io/entry/wait.go
@@ -61,7 +61,7 @@
 			if p = x.admitAgain(); p != nil {
 				w.leave(k.place)
 				result = waitWithdrawn
-				if p.Reason == request.Stopping {
+				if p.Reason == request.Stopping || p.Reason == request.GraceTooShort {
 					result = waitStopped
 				}
 				return nil, reason, p
