io/origins: a router that neither another one nor the store answers concludes nothing from the versions that it knows

Found in a review.

Cause: the class of the incident: what others see now is concluded from what this router last saw. A lease bounds that to some seconds for requests with a key.

Change: that a service has had one version only is believed if another router has answered the question where the stream began, or if the record of versions could be read just now (every 200 ms at the most), and if this router has had news within 1.5 s.

A lone router refuses streams whose beginning it does not know while the store is away.

--- a/core/versionhistory/history.go
+++ b/core/versionhistory/history.go
@@ -96,7 +96,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.services[name]
-	if s == nil || h.outdated(now) || !h.knows(window, now) {
+	if s == nil || !h.knows(window, now) {
 		return "", false
 	}
 	return s.only(window, now)
@@ -147,9 +147,13 @@
 
 // outdated reports whether other routers may know of versions that have come since this one last read or was told of changes.
 func (h *History) outdated(now time.Time) bool {
-	return !h.confirmed.IsZero() && now.Sub(h.confirmed) > listLag
+	return !h.confirmed.IsZero() && now.Sub(h.confirmed) > maxAge
 }
 
+// maxAge is after how long without a read or news a router may not know of a version at which others begin streams. News come several
+// times a second.
+const maxAge = 1500 * time.Millisecond
+
 // Missed records that endpoints may have come and gone unseen until now: what this router has seen before says nothing of that
 // time, and the record has to be read again.
 func (h *History) Missed(now time.Time) {
@@ -171,7 +175,7 @@
 // the record in the store. The endpoints that are listed now say nothing of those that were listed before.
 func (h *History) knows(window time.Duration, now time.Time) bool {
 	from := now.Add(-window)
-	if h.began.IsZero() {
+	if h.began.IsZero() || h.outdated(now) {
 		return false
 	}
 	return !h.began.After(from) || h.record.covers(from)
--- a/core/versionhistory/recorded.go
+++ b/core/versionhistory/recorded.go
@@ -42,6 +42,10 @@
 	h.record.coveredSince = sent
 	if known {
 		h.record.coveredSince = sent.Add(-r.Covered())
+		if !h.confirmed.IsZero() {
+			// The record has all versions at which streams have begun until then.
+			h.confirmed = later(h.confirmed, sent)
+		}
 	}
 	if h.began.IsZero() || sent.Before(h.began) {
 		// What was recorded and left between the read and this router's first list is in neither.
@@ -50,6 +54,13 @@
 	h.setRecord(r, sent)
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // RecordWritten takes over the record that this router has written with a call that was sent at the given time.
 func (h *History) RecordWritten(r versionrecord.Record, sent time.Time) {
 	h.mu.Lock()
--- /dev/null
+++ b/io/command/readonlystore_test.go
@@ -0,0 +1,42 @@
+package command
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a service that is lost for as long as the store refuses writes, because its versions are not in the record.
+func TestEndpointsAreUsedWhileStoreRefusesWrites(t *testing.T) {
+	t.Parallel()
+	for _, status := range []int{503, 507} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			t.Parallel()
+			f := newEntryFleet(t, 0)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/api/log-append" {
+					w.WriteHeader(status)
+					return
+				}
+				f.store.ServeHTTP(w, r)
+			}))
+			t.Cleanup(s.Close)
+			f.storeAddress = strings.TrimPrefix(s.URL, "http://")
+			f.start(0)
+			vm := f.vms[0]
+			f.waitFor("ready", func() bool { return vm.handler.Ready() && f.get(vm, "/read/x", "good").Status == 200 })
+			began, got := time.Now(), 0
+			for got != 200 && time.Since(began) < 15*time.Second {
+				got = f.send(vm, "POST", "/draft/x", "good", fmt.Sprint("r", requestCount.Add(1))).Status
+				<-time.After(50 * time.Millisecond)
+			}
+			t.Logf("status %d after %v", got, time.Since(began))
+			assert.Equal(t, got, 200)
+		})
+	}
+}
--- a/io/origins/find.go
+++ b/io/origins/find.go
@@ -37,23 +37,21 @@
 
 // Find returns where the stream began. ok is false if this is not known.
 func (k *Keeper) Find(q Query) (o origin.Origin, from Source, ok bool) {
-	if !q.HasKey {
-		if version, ok := k.History.Only(q.Service, q.Window, time.Now()); ok {
-			return origin.Origin{Service: q.Service, Version: version}, k.only(q.Window), true
-		}
-	} else if r, ok := k.table.Find(q.Key, time.Now()); ok {
+	if r, ok := k.table.Find(q.Key, time.Now()); ok && q.HasKey {
 		return r.Origin, Own, true
 	}
 	patience := askTimeout
 	if _, known := k.History.Only(q.Service, q.Window, time.Now()); known {
 		patience = callTimeout
 	}
-	r, only, ok := k.ask(q, patience)
+	r, only, answered, ok := k.ask(q, patience)
 	if ok {
 		k.table.Put(r, time.Now())
 		return r.Origin, Router, true
 	}
-	k.learn(q.Window)
+	if !k.inTouch(q.Window, answered) {
+		return origin.Origin{}, "", false
+	}
 	now := time.Now()
 	from = k.only(q.Window)
 	version, ok := k.History.Only(q.Service, q.Window, now)
@@ -76,19 +74,21 @@
 	return OnlyVersionByRecord
 }
 
-// learn reads the record of versions if this router does not know for itself which ones there were within the window.
-func (k *Keeper) learn(window time.Duration) {
-	if k.Learn == nil || k.History.Knows(window, time.Now()) {
-		return
+// inTouch reports whether this router may conclude something from the versions that it knows: one that neither another router nor the
+// store answers may be cut off, and others may have begun streams at versions that it has not heard of. The record of versions is
+// read if this router does not know for itself which ones there were within the window.
+func (k *Keeper) inTouch(window time.Duration, answered bool) (ok bool) {
+	if k.Learn == nil || answered && k.History.Knows(window, time.Now()) {
+		return true
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	k.Learn(ctx)
+	return k.Learn(ctx) || answered
 }
 
 // ask asks the routers that may have the record. If none has it, only is the version of all endpoints that the service has
-// had, if one of them knows.
-func (k *Keeper) ask(q Query, patience time.Duration) (r origintable.Record, only string, ok bool) {
+// had, if one of them knows. answered is set if one has answered at all.
+func (k *Keeper) ask(q Query, patience time.Duration) (r origintable.Record, only string, answered, ok bool) {
 	k.awaitRouters()
 	peers := k.ranked(q.Key)
 	peers = peers[:min(candidates, len(peers))]
@@ -98,7 +98,7 @@
 			// A reply that comes too late is still written to, so it must not be used.
 			reply := &FindReply{}
 			if p.call("Find", &FindArgs{Key: q.Key, Service: q.Service, Window: q.Window}, reply, patience) != nil {
-				reply = &FindReply{}
+				reply = nil
 			}
 			replies <- reply
 		}()
@@ -107,6 +107,10 @@
 	for range peers {
 		select {
 		case reply := <-replies:
+			if reply == nil {
+				continue
+			}
+			answered = true
 			if reply.Proven {
 				only = reply.Only
 			}
@@ -120,10 +124,10 @@
 				late = time.After(moreReplies)
 			}
 		case <-late:
-			return r, "", true
+			return r, "", true, true
 		}
 	}
-	return r, only, ok
+	return r, only, answered, ok
 }
 
 const (
--- a/io/origins/keeper.go
+++ b/io/origins/keeper.go
@@ -37,9 +37,9 @@
 	// Dial connects to another router.
 	Dial    func(ctx context.Context, address string) (net.Conn, error)
 	History *versionhistory.History
-	// Learn reads the record of software versions, which may tell this router which ones there were before it started. It may be
-	// nil.
-	Learn func(ctx context.Context)
+	// Learn reads the record of software versions, which may tell this router which ones there were before it started, and reports
+	// whether the store has answered. It may be nil.
+	Learn func(ctx context.Context) (ok bool)
 	Meter *traffic.Meter
 
 	table     origintable.Table
--- a/io/versionlog/recorder.go
+++ b/io/versionlog/recorder.go
@@ -48,6 +48,7 @@
 	// urgent is set while a version waits that no hub reports as recorded, and waitingSince is since when one waits.
 	urgent       atomic.Bool
 	waitingSince time.Time
+	hubWait      time.Duration
 	cancel       context.CancelFunc
 	goroutines   background.Group
 	// busy holds a value while a call to the store is made for the record. It guards the fields below.
@@ -59,6 +60,7 @@
 	routersEnd int64
 	verifiedAt time.Time
 	learnedAt  time.Time
+	learned    bool
 	failing    bool
 }
 
@@ -76,15 +78,18 @@
 	retryMin      = 50 * time.Millisecond
 	retryMax      = time.Second
 	conflictDelay = 20 * time.Millisecond
-	// hubWait is how long a router that follows a hub waits for it to report a version as recorded.
-	hubWait = time.Second
+	// minHubWait and maxHubWait bound how long a router that follows a hub waits for it to report a version as recorded. They differ
+	// by router, so that not all of them write at once beside a hub that reports nothing.
+	minHubWait = time.Second
+	maxHubWait = 2 * time.Second
 	// learnInterval is the minimum time between two reads of the record for streams that clients resume.
-	learnInterval = time.Second
+	learnInterval = 200 * time.Millisecond
 )
 
 // Init prepares the recorder. It must be called before any other method.
 func (r *Recorder) Init() {
 	r.wake, r.busy = make(chan struct{}, 1), make(chan struct{}, 1)
+	r.hubWait = minHubWait + rand.N(maxHubWait-minHubWait)
 }
 
 // Start keeps the record in the background until Stop.
@@ -178,7 +183,7 @@
 	if r.waitingSince.IsZero() {
 		r.waitingSince = now
 	}
-	return r.urgent.Load() || now.Sub(r.waitingSince) >= hubWait
+	return r.urgent.Load() || now.Sub(r.waitingSince) >= r.hubWait
 }
 
 // verify finds out whether another router has written the record since this one last read or wrote it.
@@ -202,20 +207,23 @@
 
 func (r *Recorder) release() { <-r.busy }
 
-// Learn reads the record for a router that does not know for itself which versions there were, unless it has just done so.
-func (r *Recorder) Learn(ctx context.Context) {
+// Learn reads the record for a router that does not know for itself which versions there were, unless it has just done so, and reports
+// whether the store has answered.
+func (r *Recorder) Learn(ctx context.Context) (ok bool) {
 	if !r.acquire(ctx) {
-		return
+		return false
 	}
 	defer r.release()
 	if time.Since(r.learnedAt) < learnInterval {
-		return
+		return r.learned
 	}
 	r.learnedAt = time.Now()
 	err := r.read(ctx)
 	if err != nil {
 		r.logUnread(err)
 	}
+	r.learned = err == nil
+	return r.learned
 }
 
 // read reads the record.
