--- a/core/origintable/table.go
+++ b/core/origintable/table.go
@@ -29,6 +29,9 @@
 	record Record
 	// began is set if the stream began at this router, and shared once other routers were given the record.
 	began, shared bool
+	// final is set once the client may have events of the stream, so that no later attempt takes the record's place, and logged
+	// once the record was appended to the log.
+	final, logged bool
 	expires       time.Time
 }
 
@@ -112,6 +115,32 @@
 	return records
 }
 
+// Finalize records that the client is about to get the first event of the stream, from the endpoint of the record. logged tells
+// whether the record is in the log.
+func (t *Table) Finalize(r Record, logged bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.byKey[r.Key]
+	if e != nil && e.began && e.record.Origin == r.Origin {
+		e.final, e.logged = true, e.logged || logged
+	}
+}
+
+// TakeUnlogged returns the final records of the service's streams that began here and are not in the log, and counts them as
+// logged.
+func (t *Table) TakeUnlogged(service string, now time.Time) (records []Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sweep(now)
+	for _, e := range t.byKey {
+		if e.final && !e.logged && e.record.Origin.Service == service {
+			e.logged = true
+			records = append(records, e.remaining(now))
+		}
+	}
+	return records
+}
+
 // Shared returns all records that are shared between routers.
 func (t *Table) Shared(now time.Time) (records []Record) {
 	t.mu.Lock()
--- a/core/origintable/table_test.go
+++ b/core/origintable/table_test.go
@@ -63,3 +63,24 @@
 	assert.Equal(t, len(table.TakeUnshared("models", now)), 0)
 	assert.Equal(t, len(table.Shared(now)), 3)
 }
+
+// Guards against records of attempts that another attempt may take the place of, and against records that are appended twice.
+func TestTakeUnloggedReturnsFinalRecords(t *testing.T) {
+	var x origintable.Table
+	now := time.Unix(1000, 0)
+	rec := func(key uint64, version string) origintable.Record {
+		return origintable.Record{Key: key, Origin: origin.Origin{Service: "models", Version: version}, Remaining: time.Minute}
+	}
+	for key := range uint64(4) {
+		x.Begin(rec(key, "v1"), false, now)
+	}
+	x.Put(rec(4, "v1"), now)
+	x.Finalize(rec(1, "v1"), false)
+	x.Finalize(rec(2, "v1"), true)
+	x.Finalize(rec(3, "v2"), false)
+	x.Finalize(rec(4, "v1"), false)
+	x.Finalize(rec(5, "v1"), false)
+	assert.Equal(t, len(x.TakeUnlogged("plain", now)), 0)
+	assert.DeepEqual(t, x.TakeUnlogged("models", now), []origintable.Record{rec(1, "v1")})
+	assert.Equal(t, len(x.TakeUnlogged("models", now)), 0)
+}
