--- a/core/field/field.go
+++ b/core/field/field.go
@@ -241,12 +241,14 @@
 	Serving Name = "serving"
 	// Listener is the section of the settings with the address that was connected to.
 	Listener Name = "listener"
-	// Count is the number of dropped lines, or of closed connections.
+	// Count is the number of dropped lines, of closed connections, or of records of origins.
 	Count Name = "count"
 	// Versions is how many software versions the record of versions has.
 	Versions Name = "versions"
 	// CoveredMs is for how long, in milliseconds, the record of versions has all of them.
 	CoveredMs Name = "coveredMs"
+	// Call is the kind of a call to the store.
+	Call Name = "call"
 	// Err is the text of an error.
 	Err Name = "err"
 )
--- a/io/command/lognames_test.go
+++ b/io/command/lognames_test.go
@@ -256,7 +256,7 @@
 	files, packages := loggingFiles(t, checker.fset)
 	assert.DeepEqual(t, packages, []string{
 		"core/loganalysis", "io/clientconn", "io/command", "io/connect", "io/draining", "io/entry", "io/follow", "io/hub", "io/logwriter",
-		"io/registry", "io/storeconfig", "io/versionlog",
+		"io/originlog", "io/registry", "io/storeconfig", "io/versionlog",
 	})
 	for _, f := range files {
 		ast.Inspect(f, checker.visit)
