io/origins, io/command: streams go on after a loss of all routers while several versions serve

Cause: what began a stream was known by the memory of the fleet alone.

A router appends the origin of a stream to the log in the store right before its first event is forwarded, never earlier, because a retry may still begin at another version. It does so unless the service has had one version for as long as the stream may run; when a second one appears, the final records of running streams are appended. A router that finds no record at itself and the others reads the log. What the log says goes before what others have seen of the versions: it is what began this stream. Only a router whose own lists reach back far enough does not ask. Two records that differ refuse the stream.

--- a/io/command/allrouterslost_test.go
+++ b/io/command/allrouterslost_test.go
@@ -58,8 +58,13 @@
 // beginAtAll begins streams, spread over the routers, and returns once all have their first event. The clients leave when their
 // router ends, which ended waits for.
 func (f *entryFleet) beginAtAll() (streams []*stream, ended *sync.WaitGroup) {
+	return f.beginSome(streamsAtLoss)
+}
+
+// beginSome is beginAtAll for a number of streams.
+func (f *entryFleet) beginSome(n int) (streams []*stream, ended *sync.WaitGroup) {
 	ended = &sync.WaitGroup{}
-	for i := range streamsAtLoss {
+	for i := range n {
 		s := &stream{first: fmt.Sprint("s", requestCount.Add(1)), versions: map[string]bool{}}
 		streams = append(streams, s)
 		ended.Go(func() { f.attempt(s, f.vms[i%len(f.vms)]) })
--- a/io/command/entryconnections.go
+++ b/io/command/entryconnections.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"time"
 
 	"savoryfall/core/members"
 	"savoryfall/core/settings"
@@ -11,6 +12,7 @@
 	"savoryfall/io/connect"
 	"savoryfall/io/gobconn"
 	"savoryfall/io/http1"
+	"savoryfall/io/originlog"
 	"savoryfall/io/traffic"
 	"savoryfall/io/tunnel"
 )
@@ -75,11 +77,22 @@
 }
 
 // buildOrigins builds what exchanges with the other routers where streams began.
-func (vm *entryVM) buildOrigins(m *traffic.Meter) {
+func (vm *entryVM) buildOrigins(m *traffic.Meter, t originlog.Topic) {
+	vm.originLog.Topic, vm.originLog.Logger, vm.originLog.Metrics = t, vm.logger, vm.metricSet
+	vm.originLog.Routers = func() int { return int(vm.routers.Load()) }
+	vm.originLog.Init()
+	vm.manager.Register("originLog", &vm.originLog)
 	vm.origins.Others, vm.origins.Dial, vm.origins.History, vm.origins.Meter = vm.otherRouters, vm.dialRouter, vm.endpoints.Versions(), m
-	vm.origins.Learn = vm.versions.Learn
+	vm.origins.Learn, vm.origins.Log = vm.versions.Learn, &vm.originLog
 	vm.manager.Register("origins", &vm.origins)
 }
 
+// flushOrigins appends where streams began that is not in the store yet, because this router is about to stop.
+func (vm *entryVM) flushOrigins(atMost time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), atMost)
+	defer cancel()
+	_ = vm.originLog.Flush(ctx)
+}
+
 // otherRouters returns the other routers that are not known to have failed.
 func (vm *entryVM) otherRouters() []members.Member { return vm.members.Others(vm.settings.VM().Name()) }
--- a/io/command/entrystore.go
+++ b/io/command/entrystore.go
@@ -46,7 +46,7 @@
 	})
 	routerList := hub.NewRouterList(storeClient.Topic(store.RoutersTopic))
 	vm.buildVersions(storeClient.Topic(store.VersionsTopic), routerList)
-	vm.buildOrigins(meter)
+	vm.buildOrigins(meter, storeClient.Log(store.OriginsTopic))
 	vm.hub, err = hub.New(hub.Config{
 		Self: members.Member{
 			Name: vm.settings.VM().Name(), Address: vm.settings.AdvertisedAddress(), FailureDomain: vm.settings.VM().FailureDomain(),
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -41,6 +41,7 @@
 	"savoryfall/io/httpserver"
 	"savoryfall/io/hub"
 	"savoryfall/io/logwriter"
+	"savoryfall/io/originlog"
 	"savoryfall/io/origins"
 	"savoryfall/io/registry"
 	"savoryfall/io/storeconfig"
@@ -81,6 +82,7 @@
 	members       members.List
 	origins       origins.Keeper
 	versions      versionlog.Recorder
+	originLog     originlog.Log
 	hub           *hub.Agent
 	// tunnels are the connections to endpoints that this router opens for others.
 	tunnels      tunnel.Server
@@ -356,6 +358,7 @@
 	defer cancelTunnels()
 	vm.clientServer.Drain(vm.stopGrace)
 	vm.tunnels.Wait(tunnelsEnd)
+	vm.flushOrigins(handOverTimeout)
 	vm.origins.HandOver(handOverTimeout)
 	remaining := vm.clientServer.Connections().Counts()
 	_ = vm.logger.Log(field.Event, event.Stopped, field.Open, vm.handler.ActiveRequests(),
@@ -368,7 +371,8 @@
 const (
 	// stopTimeout bounds stopping the services after the last request.
 	stopTimeout = 300 * time.Millisecond
-	// handOverTimeout bounds handing over where streams began, which takes a call to each of the other routers.
+	// handOverTimeout bounds appending where streams began, which takes a call to the store, and handing it over, which takes one to
+	// each of the other routers.
 	handOverTimeout = 100 * time.Millisecond
 	// auxiliaryStopTimeout bounds stopping each of the readiness and metrics servers. They stop before the server for
 	// clients, and an idle connection to them must not use up the time for the last responses to clients.
--- a/io/entry/continued.go
+++ b/io/entry/continued.go
@@ -78,9 +78,12 @@
 		return
 	}
 	x.recorded = &a.origin
-	x.placement = x.handler.Origins.Begin(origintable.Record{
-		Key: origin.Key(x.accountName(), x.request.ID), Origin: a.origin, Attempt: len(x.tried), Remaining: x.streamWindow(),
-	}, x.placement)
+	x.placement = x.handler.Origins.Begin(x.originRecord(a), x.placement)
+}
+
+// originRecord returns the record of a stream that begins with the attempt.
+func (x *exchange) originRecord(a *attempt) origintable.Record {
+	return origintable.Record{Key: origin.Key(x.accountName(), x.request.ID), Origin: a.origin, Attempt: len(x.tried), Remaining: x.streamWindow()}
 }
 
 // preferredOrigin returns where the stream began, or where an attempt has failed to begin it, if other routers may know of
@@ -110,6 +113,9 @@
 			return false
 		}
 		x.origin.Store(&a.origin)
+		if x.recorded == &a.origin {
+			x.handler.Origins.EventForwarded(x.originRecord(a))
+		}
 	}
 	x.firstEventSent = true
 	return true
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -73,6 +73,8 @@
 	// Begin records that a stream is sent to an endpoint. earlier is the placement of the record of an earlier attempt of the
 	// same request, nil for the first one.
 	Begin(r origintable.Record, earlier *origins.Placement) *origins.Placement
+	// EventForwarded records that the first event of a stream is about to be forwarded.
+	EventForwarded(r origintable.Record)
 	// Settled reports whether the service has had a single software version for a while.
 	Settled(service string) bool
 	// Find returns where a stream began. ok is false if this is not known.
--- a/io/origins/find.go
+++ b/io/origins/find.go
@@ -23,6 +23,8 @@
 	OnlyVersionByRecord Source = "onlyVersionByRecord"
 	// OnlyVersionByRouter means the same, but for the time before this router's first list by what another router answered.
 	OnlyVersionByRouter Source = "onlyVersionByRouter"
+	// Store means that the log in the store had the record.
+	Store Source = "store"
 )
 
 // Query asks where a stream began.
@@ -54,9 +56,19 @@
 		return r.Origin, Router, true
 	}
 	k.learn(q.Window)
-	now := time.Now()
 	from = k.only(q.Window)
-	version, ok := k.History.Only(q.Service, q.Window, now)
+	version, ok := k.History.Only(q.Service, q.Window, time.Now())
+	if !ok || from != OnlyVersion {
+		var maxAge time.Duration
+		if ok {
+			maxAge = logMaxAge
+		}
+		o, found, conflict := k.findInLog(q, maxAge)
+		if found || conflict {
+			return o, Store, found
+		}
+	}
+	now := time.Now()
 	if !ok {
 		// A router that has just started may learn the rest of the window from another one.
 		version, ok = k.History.OnlySeen(q.Service, q.Window, now)
@@ -68,6 +80,19 @@
 	return origin.Origin{Service: q.Service, Version: version}, from, true
 }
 
+// logMaxAge is how old a read of the log may be where the record of versions has one version only, so that no stream can have
+// begun at another.
+const logMaxAge = 5 * time.Second
+
+// findInLog looks the stream up in the log. What it says goes before a conclusion from the versions that others have seen: it is
+// what began this stream. The lists that this router has had for as long as the stream may have run need no call.
+func (k *Keeper) findInLog(q Query, maxAge time.Duration) (o origin.Origin, ok, conflict bool) {
+	if k.Log == nil || !q.HasKey {
+		return origin.Origin{}, false, false
+	}
+	return k.Log.Find(q.Key, maxAge)
+}
+
 // only returns what this router's knowledge of the versions within the window rests on.
 func (k *Keeper) only(window time.Duration) Source {
 	if k.History.Listed(window, time.Now()) {
--- a/io/origins/keeper.go
+++ b/io/origins/keeper.go
@@ -13,6 +13,8 @@
 	"savoryfall/core/background"
 	"savoryfall/core/hashmix"
 	"savoryfall/core/members"
+	"savoryfall/core/origin"
+	"savoryfall/core/originbatch"
 	"savoryfall/core/origintable"
 	"savoryfall/core/versionhistory"
 	"savoryfall/io/traffic"
@@ -23,6 +25,8 @@
 	MaxRetention = 2 * time.Minute
 	// copies is how many other routers keep a record.
 	copies = 3
+	// settledWindow is how long ago a service may have had a second version for the streams that run to be appended.
+	settledWindow = 5 * time.Second
 	// candidates is how many routers may be given a record, and are asked for it: those that do not answer are replaced by the
 	// next ones.
 	candidates = 8
@@ -30,6 +34,14 @@
 	maxPutRecords = 2000
 )
 
+// Log is a log of where streams began, which outlives the routers.
+type Log interface {
+	// Append appends the origins of streams whose first event is about to be forwarded, in the background.
+	Append(records ...originbatch.Record)
+	// Find returns where the stream began, as of a read that is at most as old as maxAge. conflict is set if records of it differ.
+	Find(key uint64, maxAge time.Duration) (o origin.Origin, ok, conflict bool)
+}
+
 // Keeper keeps where streams began, here and at other routers. The exported fields are set before its use.
 type Keeper struct {
 	// Others returns the other routers that are not known to have failed.
@@ -40,6 +52,8 @@
 	// Learn reads the record of software versions, which may tell this router which ones there were before it started. It may be
 	// nil.
 	Learn func(ctx context.Context)
+	// Log outlives all routers. It may be nil.
+	Log   Log
 	Meter *traffic.Meter
 
 	table     origintable.Table
@@ -189,6 +203,55 @@
 // Settled reports whether the service has had a single software version for a while.
 func (k *Keeper) Settled(service string) bool { return k.History.Settled(service, time.Now()) }
 
+// EventForwarded records that the first event of the stream is about to be forwarded, so that it can go on only where the record
+// says. Earlier, a retry might still begin it at another version.
+func (k *Keeper) EventForwarded(r origintable.Record) {
+	if k.Log == nil {
+		return
+	}
+	// The record is final before the versions are looked at: one that appears meanwhile has EndpointsChanged append it.
+	k.table.Finalize(r, false)
+	if k.onlyVersion(r) {
+		return
+	}
+	if k.Learn != nil && !k.History.Knows(r.Remaining, time.Now()) {
+		// A router that has started just now may learn that a service has had one version, so that it need not append.
+		k.running.Go(func() {
+			k.learn(r.Remaining)
+			if !k.onlyVersion(r) {
+				k.append(r)
+			}
+		})
+		return
+	}
+	k.append(r)
+}
+
+// onlyVersion reports whether any router can know the version of the stream without a record, as the service has had no other.
+func (k *Keeper) onlyVersion(r origintable.Record) (ok bool) {
+	_, ok = k.History.Only(r.Origin.Service, r.Remaining, time.Now())
+	return ok
+}
+
+func (k *Keeper) append(r origintable.Record) {
+	k.table.Finalize(r, true)
+	k.Log.Append(originbatch.Record{Key: r.Key, Origin: r.Origin})
+}
+
+// appendRunning appends the records of streams that run while a second version appears.
+func (k *Keeper) appendRunning(service string, now time.Time) {
+	if k.Log == nil {
+		return
+	}
+	var records []originbatch.Record
+	for _, r := range k.table.TakeUnlogged(service, now) {
+		records = append(records, originbatch.Record{Key: r.Key, Origin: r.Origin})
+	}
+	if len(records) > 0 {
+		k.Log.Append(records...)
+	}
+}
+
 // EndpointsChanged shares the records of services that no longer have a single version.
 func (k *Keeper) EndpointsChanged() {
 	now := time.Now()
@@ -196,6 +259,9 @@
 		if k.History.Settled(service, now) {
 			continue
 		}
+		if _, only := k.History.Only(service, settledWindow, now); !only {
+			k.appendRunning(service, now)
+		}
 		if records := k.table.TakeUnshared(service, now); len(records) > 0 {
 			go k.shareAll(records)
 		}
