--- a/io/command/entryconnections.go
+++ b/io/command/entryconnections.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"net"
-	"time"
+	"sync"
 
 	"savoryfall/core/members"
 	"savoryfall/core/settings"
@@ -87,11 +87,17 @@
 	vm.manager.Register("origins", &vm.origins)
 }
 
-// flushOrigins appends where streams began that is not in the store yet, because this router is about to stop.
-func (vm *entryVM) flushOrigins(atMost time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), atMost)
-	defer cancel()
-	_ = vm.originLog.Flush(ctx)
+// handOverOrigins gives the other routers and the store what this router knows of where streams began, because it is about to
+// stop.
+func (vm *entryVM) handOverOrigins() {
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+		defer cancel()
+		_ = vm.originLog.Flush(ctx)
+	})
+	vm.origins.HandOver(handOverTimeout)
+	calls.Wait()
 }
 
 // otherRouters returns the other routers that are not known to have failed.
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -358,8 +358,7 @@
 	defer cancelTunnels()
 	vm.clientServer.Drain(vm.stopGrace)
 	vm.tunnels.Wait(tunnelsEnd)
-	vm.flushOrigins(handOverTimeout)
-	vm.origins.HandOver(handOverTimeout)
+	vm.handOverOrigins()
 	remaining := vm.clientServer.Connections().Counts()
 	_ = vm.logger.Log(field.Event, event.Stopped, field.Open, vm.handler.ActiveRequests(),
 		field.Reading, remaining.Reading(), field.Serving, remaining.Serving())
@@ -371,8 +370,7 @@
 const (
 	// stopTimeout bounds stopping the services after the last request.
 	stopTimeout = 300 * time.Millisecond
-	// handOverTimeout bounds appending where streams began, which takes a call to the store, and handing it over, which takes one to
-	// each of the other routers.
+	// handOverTimeout bounds handing over where streams began, which takes a call to each of the other routers, and one to the store.
 	handOverTimeout = 100 * time.Millisecond
 	// auxiliaryStopTimeout bounds stopping each of the readiness and metrics servers. They stop before the server for
 	// clients, and an idle connection to them must not use up the time for the last responses to clients.
