--- a/io/origins/find.go
+++ b/io/origins/find.go
@@ -23,6 +23,8 @@
 	OnlyVersionByRecord Source = "onlyVersionByRecord"
 	// OnlyVersionByRouter means the same, but for the time before this router's first list by what another router answered.
 	OnlyVersionByRouter Source = "onlyVersionByRouter"
+	// Store means that the log in the store had the record.
+	Store Source = "store"
 )
 
 // Query asks where a stream began.
@@ -49,16 +51,25 @@
 		k.table.Put(r, time.Now())
 		return r.Origin, Router, true
 	}
-	if !k.inTouch(q.Window, answered) {
-		return origin.Origin{}, "", false
+	inTouch := k.inTouch(q.Window, answered)
+	from = k.only(q.Window)
+	version, ok := k.History.Only(q.Service, q.Window, time.Now())
+	ok = ok && inTouch
+	if !ok || from != OnlyVersion {
+		var maxAge time.Duration
+		if ok {
+			maxAge = logMaxAge
+		}
+		o, found, conflict := k.findInLog(q, maxAge)
+		if found || conflict {
+			return o, Store, found
+		}
 	}
 	now := time.Now()
-	from = k.only(q.Window)
-	version, ok := k.History.Only(q.Service, q.Window, now)
 	if !ok {
 		// A router that has just started may learn the rest of the window from another one.
 		version, ok = k.History.OnlySeen(q.Service, q.Window, now)
-		ok, from = ok && version == only, OnlyVersionByRouter
+		ok, from = ok && inTouch && version == only, OnlyVersionByRouter
 	}
 	if !ok {
 		return origin.Origin{}, "", false
@@ -66,6 +77,19 @@
 	return origin.Origin{Service: q.Service, Version: version}, from, true
 }
 
+// logMaxAge is how old a read of the log may be where the record of versions has one version only, so that no stream can have
+// begun at another.
+const logMaxAge = 5 * time.Second
+
+// findInLog looks the stream up in the log. What it says goes before a conclusion from the versions that others have seen: it is
+// what began this stream. The lists that this router has had for as long as the stream may have run need no call.
+func (k *Keeper) findInLog(q Query, maxAge time.Duration) (o origin.Origin, ok, conflict bool) {
+	if k.Log == nil || !q.HasKey {
+		return origin.Origin{}, false, false
+	}
+	return k.Log.Find(q.Key, maxAge)
+}
+
 // only returns what this router's knowledge of the versions within the window rests on.
 func (k *Keeper) only(window time.Duration) Source {
 	if k.History.Listed(window, time.Now()) {
@@ -81,9 +105,14 @@
 	if k.Learn == nil || answered && k.History.Knows(window, time.Now()) {
 		return true
 	}
+	return k.learn() || answered
+}
+
+// learn reads the record of versions, and reports whether the store has answered.
+func (k *Keeper) learn() (ok bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	return k.Learn(ctx) || answered
+	return k.Learn(ctx)
 }
 
 // ask asks the routers that may have the record. If none has it, only is the version of all endpoints that the service has
