--- a/io/fleet/tls_test.go
+++ b/io/fleet/tls_test.go
@@ -1,45 +1,25 @@
 package fleet_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"fmt"
-	"math/big"
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
 	"savoryfall/io/fleet"
+	"savoryfall/io/standin/selfsigned"
 )
 
 // certificate writes a self-signed certificate for loopback, and its key.
 func certificate(t *testing.T, name string) (certFile, keyFile string) {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	certFile, keyFile, err := selfsigned.Write(t.TempDir(), name, net.IPv4(127, 0, 0, 1))
 	assert.NilError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
-		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	assert.NilError(t, err)
-	raw, err := x509.MarshalECPrivateKey(key)
-	assert.NilError(t, err)
-	certFile, keyFile = filepath.Join(t.TempDir(), "cert.pem"), filepath.Join(t.TempDir(), "key.pem")
-	assert.NilError(t, os.WriteFile(certFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
-	assert.NilError(t, os.WriteFile(keyFile, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: raw}), 0o600))
 	return certFile, keyFile
 }
 
--- /dev/null
+++ b/io/standin/selfsigned/doc.go
@@ -0,0 +1,2 @@
+// Package selfsigned makes certificates for servers on loopback, for tests.
+package selfsigned
