io/command: a test names what a router has logged that did not start

startProcess said only that the router had not started. Seen once, in a trial with GOGC=5 after crowds of 75,000 connections, and not explained for want of the output.

--- a/io/command/entry_test.go
+++ b/io/command/entry_test.go
@@ -104,12 +104,14 @@
 	assert.NilError(t, w.Close())
 	lines = bufio.NewScanner(log)
 	started := regexp.MustCompile(`event=started (?:clients|callers)=(\S+)`)
+	output := ""
 	for lines.Scan() {
 		if m := started.FindStringSubmatch(lines.Text()); m != nil {
 			return lines, log, m[1]
 		}
+		output += lines.Text() + "\n"
 	}
-	t.Fatalf("router did not start: %v", lines.Err())
+	t.Fatalf("router did not start: %v\n%s", lines.Err(), output)
 	return nil, nil, ""
 }
 
