--- a/io/command/misbehaving_test.go
+++ b/io/command/misbehaving_test.go
@@ -24,9 +24,8 @@
 const (
 	// crowdMemoryMB and crowdDescriptors are what a router under a crowd may use. Of the descriptors, a quarter is to be left for
 	// connections of its own.
-	crowdMemoryMB        = 96
-	crowdDescriptors     = 768
-	mostCrowdDescriptors = crowdDescriptors * 3 / 4
+	crowdMemoryMB    = 96
+	crowdDescriptors = 768
 	// crowdClients is how many connections a crowd keeps open, silentClients how many a crowd that sends little does.
 	crowdClients  = 450
 	silentClients = 1000
@@ -42,6 +41,7 @@
 	pid            int
 	ended          atomic.Bool
 	memoryMB       int
+	descriptors    int
 	peakMB         int
 	mostDescriptor int
 }
@@ -102,7 +102,7 @@
 func (r *crowdRouter) checkBounds() {
 	assert.Check(r.t, !r.ended.Load(), "the process has ended")
 	assert.Check(r.t, r.peakMB <= r.memoryMB, "%d MB", r.peakMB)
-	assert.Check(r.t, r.mostDescriptor <= mostCrowdDescriptors, "%d descriptors", r.mostDescriptor)
+	assert.Check(r.t, r.mostDescriptor <= r.descriptors*3/4, "%d descriptors", r.mostDescriptor)
 }
 
 // routerBinary returns the path of the program, built without the race detector, which takes several times as much memory.
@@ -115,11 +115,16 @@
 
 // startCrowdRouter starts a router that may have crowdDescriptors descriptors.
 func startCrowdRouter(t *testing.T, command, settings string, memoryMB int) (r *crowdRouter, address string) {
+	return startRouterWithin(t, command, settings, memoryMB, crowdDescriptors)
+}
+
+// startRouterWithin starts a router that may have as many descriptors.
+func startRouterWithin(t *testing.T, command, settings string, memoryMB, descriptors int) (r *crowdRouter, address string) {
 	file := filepath.Join(t.TempDir(), "settings.toml")
 	assert.NilError(t, os.WriteFile(file, []byte(settings), 0o600))
-	cmd := exec.Command("sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(crowdDescriptors), routerBinary(t), command, "--settings", file)
+	cmd := exec.Command("sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(descriptors), routerBinary(t), command, "--settings", file)
 	lines, _, address := startProcess(t, cmd)
-	r = &crowdRouter{t: t, pid: cmd.Process.Pid, memoryMB: memoryMB}
+	r = &crowdRouter{t: t, pid: cmd.Process.Pid, memoryMB: memoryMB, descriptors: descriptors}
 	go func() {
 		for lines.Scan() {
 		}
