io/clientconn: what a refused client still sends over TLS is read on

Callers over TLS whose head is beyond the limit saw their connection reset while they were still sending, and may not have received the refusal (431, or 503 for want of memory).

Cause: after a refusal, what the client still sends is read for a moment and discarded. The close reason is set before, and a read drops its bytes and fails once there is one. Without TLS the connection below is read, over TLS the tracked one.

--- a/io/clientconn/conn.go
+++ b/io/clientconn/conn.go
@@ -73,6 +73,8 @@
 	set   *Set
 	place *connbudget.Connection
 	head  headCount
+	// discarding is set while what a refused client still sends is read.
+	discarding bool
 }
 
 func newConn(c net.Conn) *Conn {
@@ -203,13 +205,14 @@
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: cause}
 }
 
-// recordRead updates the state after a read. Bytes read after this process has closed the connection are dropped.
+// recordRead updates the state after a read. Bytes read after this process has closed the connection are dropped, but for those that are
+// read to be discarded.
 func (c *Conn) recordRead(n int, err error) (int, error) {
 	c.readBlocked = false
 	if c.pendingClose != "" {
 		c.completePendingClose(n, err)
 	}
-	if c.closeReason.Local() {
+	if c.closeReason.Local() && !c.discarding {
 		return 0, c.readError(net.ErrClosed)
 	}
 	if n > 0 {
--- a/io/clientconn/head.go
+++ b/io/clientconn/head.go
@@ -113,8 +113,16 @@
 	if is && err == nil {
 		err = half.CloseWrite()
 	}
+	c.setDiscarding(true)
 	for n, total := 0, 0; err == nil && total < discardBytes; total += n {
 		n, err = w.Read(p)
 	}
+	c.setDiscarding(false)
 	return c.readError(net.ErrClosed)
 }
+
+func (c *Conn) setDiscarding(discarding bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.discarding = discarding
+}
