core/connbudget, io/clientconn, io/httpserver: what TLS holds is counted

Where descriptors do not bound callers' connections first, clients whose handshakes do not end take more than the memory of the VM.

Cause: a connection counts as 24 KB whether it has TLS or not.

Now a connection with TLS counts 24 KB more, and what TLS has received beyond a record without passing anything on counts three times, within the half of the budget for large heads. It is counted as TLS begins the next read, when all that it had has been processed: a body never counts. The client whose handshake finds no room is disconnected, since it can't be told. A limit on the length would refuse clients in calm, and is not needed beside the count.

--- a/core/connbudget/budget.go
+++ b/core/connbudget/budget.go
@@ -9,9 +9,15 @@
 const (
 	// connectionBytes is the memory in bytes of a connection: its goroutine, its buffers, and a head of up to freeHeadBytes.
 	// servingBytes is what a request takes in addition while it is served.
+	// secureBytes is what TLS takes in addition: its state, and a buffer for a record.
 	connectionBytes = 24 << 10
+	secureBytes     = 24 << 10
 	servingBytes    = 40 << 10
 	freeHeadBytes   = 4 << 10
+	// freeHandshakeBytes is how many bytes of a handshake are held in the buffer for a record. More are held handshakeCopies times: in a
+	// buffer that has grown by doubling, which stays, and as a message.
+	freeHandshakeBytes = 18 << 10
+	handshakeCopies    = 3
 	// lineBytes is the memory in bytes of a header line in addition to its text: the strings, the slice and the map entry of its
 	// name and value, with their garbage and a copy. A head as text is held once and copied once.
 	lineBytes  = 256
@@ -35,6 +41,8 @@
 	// most is the number of descriptors, 0 for no limit, and used how many of them are in use.
 	most, used int
 	open       int
+	// connection is the memory in bytes of a connection in addition to connectionBytes.
+	connection int64
 	// byState are the connections by state, those that have been in it for longest first.
 	byState [states]list.List
 	// denied is how many connections or heads found no room, or were closed for others.
@@ -45,12 +53,14 @@
 type Connection struct {
 	budget *Budget
 	// evict closes the connection unless a request has arrived on it, and reports whether it did.
-	evict   func(s State) bool
-	state   State
-	since   time.Time
-	place   *list.Element
-	head    int64
-	removed bool
+	evict func(s State) bool
+	state State
+	since time.Time
+	place *list.Element
+	head  int64
+	// connection is the memory in bytes of the connection itself, handshake what it takes for a long handshake.
+	connection, handshake int64
+	removed               bool
 }
 
 // SetLimits sets the memory in bytes and the number of descriptors that connections may take, 0 for no limit. Connections that are
@@ -61,6 +71,13 @@
 	b.size, b.most = bytes, descriptors
 }
 
+// SetSecure counts connections that are opened from now on as ones with TLS.
+func (b *Budget) SetSecure() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.connection = secureBytes
+}
+
 // Usage returns the bytes held, the limit, the number of connections, and how many were denied what they need, or closed
 // for others.
 func (b *Budget) Usage() (held, size int64, connections int, denied uint64) {
@@ -81,15 +98,16 @@
 func (b *Budget) Open(evict func(s State) bool) (c *Connection) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.makeRoom(connectionBytes, 1, nil) {
+	bytes := connectionBytes + b.connection
+	if !b.makeRoom(bytes, 1, nil) {
 		b.denied++
 		return nil
 	}
-	c = &Connection{budget: b, evict: evict, since: time.Now()}
+	c = &Connection{budget: b, evict: evict, since: time.Now(), connection: bytes}
 	c.place = b.byState[Silent].PushBack(c)
 	b.open++
 	b.used++
-	b.held += connectionBytes
+	b.held += bytes
 	return c
 }
 
@@ -215,13 +233,42 @@
 
 func (c *Connection) allows(head int64) bool {
 	b := c.budget
-	if b.size <= 0 {
+	if head <= smallHeadBytes {
+		return b.size <= 0 || b.makeRoom(head-c.head, 0, c)
+	}
+	return b.allowsLarge(head-largePart(c.head), head-c.head)
+}
+
+// GrowHandshake records how many bytes of TLS have been received that contained nothing for the reader above it, and returns false if
+// they may not be held. Those beyond a record count as a large head, for as long as the connection is open.
+func (c *Connection) GrowHandshake(bytes int) (ok bool) {
+	if bytes <= freeHandshakeBytes {
 		return true
 	}
-	if head <= smallHeadBytes {
-		return b.makeRoom(head-c.head, 0, c)
+	handshake := handshakeCopies * (int64(bytes) - freeHandshakeBytes)
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.removed || handshake <= c.handshake {
+		return true
+	}
+	if !b.allowsLarge(handshake-c.handshake, handshake-c.handshake) {
+		b.denied++
+		return false
 	}
-	return float64(b.large+head-largePart(c.head)) <= largeShare*float64(b.size) && b.fits(head-c.head, 0)
+	c.setHandshake(handshake)
+	return true
+}
+
+func (c *Connection) setHandshake(handshake int64) {
+	c.budget.held += handshake - c.handshake
+	c.budget.large += handshake - c.handshake
+	c.handshake = handshake
+}
+
+// allowsLarge reports whether there is room for that many bytes more, of which some become large.
+func (b *Budget) allowsLarge(large, bytes int64) bool {
+	return b.size <= 0 || float64(b.large+large) <= largeShare*float64(b.size) && b.fits(bytes, 0)
 }
 
 // largePart returns what of a head counts as large.
@@ -252,9 +299,10 @@
 	c.removed = true
 	b.byState[c.state].Remove(c.place)
 	c.setHead(0)
+	c.setHandshake(0)
 	b.open--
 	b.used--
-	b.held -= connectionBytes
+	b.held -= c.connection
 	if c.state == Serving {
 		b.used--
 		b.held -= servingBytes
--- a/core/connbudget/budget_test.go
+++ b/core/connbudget/budget_test.go
@@ -168,3 +168,28 @@
 		assert.Assert(t, held == 0 && open == 0 && used == 0)
 	})
 }
+
+// Guards against handshakes that are held beyond the memory, or that are counted after their connection is closed.
+func TestLongHandshakesAreCounted(t *testing.T) {
+	const secureBytes, record, message = 24 << 10, 16 << 10, 64 << 10
+	f := newFleet(600<<10, 0)
+	f.budget.SetSecure()
+	for _, name := range []string{"a", "b", "c"} {
+		assert.Assert(t, f.connect(name))
+		assert.Assert(t, f.open[name].GrowHandshake(record))
+	}
+	held, _, _, _ := f.budget.Usage()
+	assert.Equal(t, held, int64(3*(connectionBytes+secureBytes)))
+	assert.Assert(t, f.open["a"].GrowHandshake(message))
+	assert.Assert(t, f.open["b"].GrowHandshake(message))
+	assert.Assert(t, !f.open["c"].GrowHandshake(message))
+	held, _, _, _ = f.budget.Usage()
+	assert.Assert(t, held > 2*3*(message-record)-4*record && held <= 600<<10)
+	f.open["a"].SetState(connbudget.Idle)
+	assert.Assert(t, !f.open["c"].GrowHandshake(message))
+	for _, c := range f.open {
+		c.Close()
+	}
+	held, _, _, _ = f.budget.Usage()
+	assert.Equal(t, held, int64(0))
+}
--- a/io/clientconn/conn.go
+++ b/io/clientconn/conn.go
@@ -91,7 +91,10 @@
 // Read updates the state in the same critical section in which the bytes are taken from the kernel. Otherwise, the
 // goroutine could be paused between the two for as long as its VM is.
 func (c *Conn) Read(p []byte) (n int, err error) {
-	c.beginSocketRead(len(p))
+	unread := c.beginSocketRead(len(p))
+	if !c.place.GrowHandshake(unread) {
+		return 0, c.refuseHandshake()
+	}
 	if c.raw == nil || len(p) == 0 {
 		return c.readWithoutPeek(p)
 	}
@@ -134,18 +137,21 @@
 	return c.countSocketRead(p, n, err)
 }
 
-// beginSocketRead is called before a read from the socket, which is one of net/http unless there is TLS in between.
-func (c *Conn) beginSocketRead(free int) {
+// beginSocketRead is called before a read from the socket, which is one of net/http unless there is TLS in between. It returns how many
+// bytes TLS holds of what it has read before.
+func (c *Conn) beginSocketRead(free int) (unread int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.isTLS {
 		c.beginReadLocked(free)
 	}
+	return c.ahead.unread
 }
 
 func (c *Conn) recordTLS(p []byte) {
 	if c.isTLS {
 		c.ahead.records.add(p)
+		c.ahead.unread += len(p)
 	}
 }
 
--- a/io/clientconn/head.go
+++ b/io/clientconn/head.go
@@ -116,6 +116,7 @@
 	c.setDiscarding(true)
 	for n, total := 0, 0; err == nil && total < discardBytes; total += n {
 		n, err = w.Read(p)
+		c.discardedBytes()
 	}
 	c.setDiscarding(false)
 	return c.readError(net.ErrClosed)
--- a/io/clientconn/readahead.go
+++ b/io/clientconn/readahead.go
@@ -16,6 +16,9 @@
 	// bytes read from the socket may belong to something else.
 	requestStarted bool
 	records        tlsRecords
+	// unread is how many bytes TLS has read since it last passed some to net/http. When it reads again, they are a part of a record, and
+	// handshake messages beyond that.
+	unread int
 }
 
 // secured reports whether the TLS handshake is complete: net/http reads only then.
@@ -47,11 +50,19 @@
 func (c *Conn) receivedRequestBytes() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.ahead.unread = 0
 	if c.state != serving {
 		c.recordRequestBytes()
 	}
 }
 
+// discardedBytes is called when TLS has passed bytes on that net/http does not receive.
+func (c *Conn) discardedBytes() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ahead.unread = 0
+}
+
 // recordRequestBytes records that net/http holds bytes of a request that is not being served yet.
 func (c *Conn) recordRequestBytes() {
 	c.startReading()
--- a/io/clientconn/tls.go
+++ b/io/clientconn/tls.go
@@ -67,6 +67,14 @@
 	return c.Conn.ConnectionState()
 }
 
+// refuseHandshake returns the error for TLS if its messages may not be held. The client can't be told.
+func (c *Conn) refuseHandshake() (err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setCloseReason(NoMemory)
+	return c.readError(net.ErrClosed)
+}
+
 // answerPlainRequest answers a client that has sent an HTTP request without TLS.
 func answerPlainRequest(handshakeErr error) {
 	var header tls.RecordHeaderError
--- a/io/command/tlscrowd_test.go
+++ b/io/command/tlscrowd_test.go
@@ -20,7 +20,11 @@
 	"savoryfall/platform/standin/badclient"
 )
 
-const tlsAccount = "guardia"
+const (
+	tlsAccount = "guardia"
+	// manyDescriptors do not bound a crowd: the memory does.
+	manyDescriptors = 4096
+)
 
 // tlsRouter is a router under a crowd with TLS at all of its addresses, in front of a plain service.
 type tlsRouter struct {
@@ -157,3 +161,17 @@
 		})
 	}
 }
+
+// Guards against TLS connections that take more memory than is counted for them, where descriptors do not bound their number.
+func TestCrowdInTLSHandshakesWithManyDescriptors(t *testing.T) {
+	kinds := []string{"largest ClientHello, complete", "largest ClientHello, but for its end", "message after the handshake, without end"}
+	if playsAllTLSCrowds() {
+		kinds = append(kinds, "record that never ends", "handshake, then silence")
+	}
+	for _, name := range kinds {
+		t.Run(name, func(t *testing.T) {
+			kind := func(cfg *tls.Config) badclient.Client { return badclient.HandshakeKinds(cfg)[name] }
+			playTLSCrowd(t, kind, silentClients, "callers", manyDescriptors)
+		})
+	}
+}
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -70,6 +70,9 @@
 		return clientconn.Limits{Idle: idleTimeout, HeaderTimeout: o.HeaderTimeout, HeadBytes: o.MaxHeaderBytes}
 	})
 	s.conns.Budget().SetLimits(o.ConnectionBytes, o.Descriptors)
+	if o.TLS != nil {
+		s.conns.Budget().SetSecure()
+	}
 	s.conns.Attach(s.http)
 	return s, nil
 }
