io/gobconn, io/peer: handshakes at the address for routers are counted

Unknown hosts that connect to the address for routers with TLS take more than the memory of the VM, where descriptors do not bound their connections first.

Cause: io/gobconn can't follow messages that are encrypted and counted none of their bytes. crypto/tls takes certificates of up to 256 KB from each client before it verifies the first, and parses them all.

Now what a host sends counts as a handshake until its certificate is verified, which io/peer reports after it has performed the handshake; before, the first read did. Routers that have just started send some KB.

--- a/io/command/tlscrowd_test.go
+++ b/io/command/tlscrowd_test.go
@@ -175,3 +175,17 @@
 		})
 	}
 }
+
+// Guards against hosts that are not known as routers and whose handshakes take more memory than is counted for them.
+func TestCrowdInPeerHandshakesWithManyDescriptors(t *testing.T) {
+	kinds := []string{"most certificates"}
+	if playsAllTLSCrowds() {
+		kinds = append(kinds, "most certificates, but for their end", "largest ClientHello, complete", "largest ClientHello, but for its end")
+	}
+	for _, name := range kinds {
+		t.Run(name, func(t *testing.T) {
+			kind := func(cfg *tls.Config) badclient.Client { return handshakeKinds("peers", cfg)[name] }
+			playTLSCrowd(t, kind, crowdClients, "peers", manyDescriptors)
+		})
+	}
+}
--- a/io/gobconn/frames.go
+++ b/io/gobconn/frames.go
@@ -5,7 +5,7 @@
 // maxMessage is the length in bytes of a message of gob beyond which the connection is closed.
 const maxMessage = 16 << 20
 
-var errTooLong = errors.New("message of gob is too long")
+var errTooLong = errors.New("message is too long")
 
 // frames follows the framing of gob messages: a length and as many bytes. A length below maxShort is one byte; a longer one is a byte
 // with the negated number of bytes that follow, and these, the highest first.
--- a/io/gobconn/listener.go
+++ b/io/gobconn/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 
 	"savoryfall/core/connbudget"
 )
@@ -13,7 +14,8 @@
 	Budget connbudget.Budget
 	// Known reports whether a peer runs at the host, an IP address. Connections from there are not limited.
 	Known func(host string) bool
-	// Opaque is set if the messages can't be followed, because they are encrypted.
+	// Opaque is set if the messages can't be followed, because they are encrypted. What a host sends counts as a handshake until it is
+	// authenticated.
 	Opaque bool
 }
 
@@ -43,24 +45,42 @@
 	place  *connbudget.Connection
 	opaque bool
 	frames frames
+	// handshake is how many bytes were received before the host was authenticated.
+	handshake     int
+	authenticated atomic.Bool
 }
 
-// Read reads bytes, and fails if they begin a message for which there is no room.
+// Read reads bytes, and fails if they begin a message for which there is no room, or continue a handshake for which there is none.
 func (c *conn) Read(p []byte) (n int, err error) {
+	if !c.place.GrowHandshake(c.handshake) {
+		_ = c.Close()
+		return 0, errTooLong
+	}
 	n, err = c.Conn.Read(p)
 	if n == 0 {
 		return n, err
 	}
-	if !c.opaque {
-		checkErr := c.check(p[:n])
-		if checkErr != nil {
-			_ = c.Close()
-			return 0, checkErr
-		}
+	if c.opaque {
+		c.countHandshake(n)
+		return n, err
+	}
+	checkErr := c.check(p[:n])
+	if checkErr != nil {
+		_ = c.Close()
+		return 0, checkErr
 	}
 	return n, err
 }
 
+func (c *conn) countHandshake(n int) {
+	if !c.authenticated.Load() {
+		c.handshake += n
+	}
+}
+
+// Authenticated is called when the host has proved to be a peer.
+func (c *conn) Authenticated() { c.authenticated.Store(true) }
+
 func (c *conn) check(p []byte) (err error) {
 	longest, err := c.frames.add(p)
 	if err != nil {
--- a/io/gobconn/listener_test.go
+++ b/io/gobconn/listener_test.go
@@ -132,3 +132,26 @@
 	_, err := first.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, net.ErrClosed)
 }
+
+// Guards against handshakes of any length that are held for hosts that have not proved to be peers, and against counting what peers send.
+func TestLongHandshakeIsRefused(t *testing.T) {
+	const most = 150 << 10
+	for _, authenticated := range []bool{false, true} {
+		l := newListener(t, false)
+		l.Opaque = true
+		l.Budget.SetLimits(most, 0)
+		l.Budget.SetSecure()
+		ours, theirs := newPair(t, l)
+		if authenticated {
+			ours.(*conn).Authenticated()
+		}
+		go func() {
+			_, _ = theirs.Write(make([]byte, most))
+			_ = theirs.Close()
+		}()
+		_, err := io.Copy(io.Discard, ours)
+		assert.Equal(t, err == nil, authenticated, "%v", err)
+		held, _, _, _ := l.Budget.Usage()
+		assert.Assert(t, held <= most)
+	}
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -49,7 +49,7 @@
 	a.connHandlers.Go(func() {
 		c := a.Meter.CountBytes(traffic.KindPeer, raw)
 		if a.TLS != nil {
-			c = tls.Server(c, a.TLS)
+			c = a.authenticate(raw, c)
 		}
 		server.ServeConn(c)
 		a.mu.Lock()
@@ -58,6 +58,17 @@
 	})
 }
 
+// authenticate performs the TLS handshake, and reports to the connection accepted if its host has proved to be a peer. The first read
+// returns the error of a failed handshake.
+func (a *Agent) authenticate(accepted, c net.Conn) net.Conn {
+	secured := tls.Server(c, a.TLS)
+	limited, is := accepted.(interface{ Authenticated() })
+	if secured.Handshake() == nil && is {
+		limited.Authenticated()
+	}
+	return secured
+}
+
 // drainReadTimeout is for how long requests are still read after this router has announced that it is leaving: peers
 // may have sent some before the announcement reached them.
 const drainReadTimeout = 100 * time.Millisecond
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -161,6 +161,9 @@
 	limited := &gobconn.Listener{Listener: l, Known: r.isRouter, Opaque: s.Peers().Certificate() != ""}
 	c := s.Peers().Connections()
 	limited.Budget.SetLimits(c.Bytes(s.VM()), c.Descriptors(s.VM(), clientconn.MaxDescriptors()))
+	if limited.Opaque {
+		limited.Budget.SetSecure()
+	}
 	return limited
 }
 
