io/clientconn: one lock for what a read brings

Each read took the lock of its connection twice more after it had recorded its bytes: to see whether TLS is in between, and to count the head. Both now happen in the critical section that records the bytes. No change for callers; the tests of io/clientconn and io/httpserver pass. Not measured.

--- a/io/clientconn/conn.go
+++ b/io/clientconn/conn.go
@@ -98,6 +98,7 @@
 	if c.raw == nil || len(p) == 0 {
 		return c.readWithoutPeek(p)
 	}
+	var head headCount
 	failed := c.raw.Read(func(fd uintptr) (done bool) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -107,7 +108,7 @@
 			return false
 		}
 		n, err = c.recordRead(n, err)
-		c.recordTLS(p[:n])
+		head = c.recordBytes(p[:n])
 		return true
 	})
 	if failed != nil {
@@ -117,7 +118,7 @@
 	if err != nil && !errors.Is(err, io.EOF) {
 		err = c.readError(err)
 	}
-	return c.countSocketRead(p, n, err)
+	return c.refuseSocketRead(head, p, n, err)
 }
 
 // readWithoutPeek reads from a connection whose kernel can't be asked for unread bytes.
@@ -126,7 +127,7 @@
 	n, err = c.Conn.Read(p)
 	c.mu.Lock()
 	n, err = c.recordRead(n, err)
-	c.recordTLS(p[:n])
+	head := c.recordBytes(p[:n])
 	deadlineSet := c.deadlineSet
 	c.deadlineSet = nil
 	c.mu.Unlock()
@@ -134,7 +135,7 @@
 		<-deadlineSet
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
-	return c.countSocketRead(p, n, err)
+	return c.refuseSocketRead(head, p, n, err)
 }
 
 // beginSocketRead is called before a read from the socket, which is one of net/http unless there is TLS in between. It returns how many
@@ -148,13 +149,6 @@
 	return c.ahead.unread
 }
 
-func (c *Conn) recordTLS(p []byte) {
-	if c.isTLS {
-		c.ahead.records.add(p)
-		c.ahead.unread += len(p)
-	}
-}
-
 func (c *Conn) setReadBlocked(readBlocked bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/clientconn/head.go
+++ b/io/clientconn/head.go
@@ -58,32 +58,43 @@
 	NoMemory:     "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
 }
 
-// countSocketRead counts what a read from the socket has brought, unless TLS is in between.
-func (c *Conn) countSocketRead(p []byte, n int, err error) (int, error) {
-	if n == 0 || c.secured() {
-		return n, err
+// recordBytes records bytes that were read from the socket. Unless TLS is in between, net/http receives them, and head is what it has of
+// the head that they belong to. The caller holds the lock.
+func (c *Conn) recordBytes(p []byte) (head headCount) {
+	switch {
+	case len(p) == 0:
+		return headCount{}
+	case c.isTLS:
+		c.ahead.records.add(p)
+		c.ahead.unread += len(p)
+		return headCount{}
 	}
-	refused := c.countHead(p[:n])
+	return c.addToHead(p)
+}
+
+// addToHead counts bytes that net/http receives, and returns what it has of the head that they belong to, nothing if they belong to
+// none. The caller holds the lock.
+func (c *Conn) addToHead(p []byte) (head headCount) {
+	isHead := c.state == reading
+	c.head.add(p, isHead)
+	if !isHead {
+		return headCount{}
+	}
+	return c.head
+}
+
+// refuseSocketRead refuses the head that a read from the socket has continued, if it may not be held.
+func (c *Conn) refuseSocketRead(head headCount, p []byte, n int, err error) (int, error) {
+	refused := c.checkHead(head)
 	if refused == "" {
 		return n, err
 	}
 	return 0, c.refuseHead(refused, c.Conn, p)
 }
 
-func (c *Conn) secured() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isTLS
-}
-
-// countHead counts bytes that net/http receives, and returns why the head that they belong to is refused, if it is.
-func (c *Conn) countHead(p []byte) (refused CloseReason) {
-	c.mu.Lock()
-	isHead := c.state == reading
-	c.head.add(p, isHead)
-	head := c.head
-	c.mu.Unlock()
-	if !isHead {
+// checkHead returns why a head is refused, if it is. The lock must not be held: others are closed for it.
+func (c *Conn) checkHead(head headCount) (refused CloseReason) {
+	if head.bytes == 0 {
 		return ""
 	}
 	if limit := c.set.headLimit(time.Now()); limit > 0 && head.bytes > limit+headSlack {
--- a/io/clientconn/readahead.go
+++ b/io/clientconn/readahead.go
@@ -46,14 +46,15 @@
 	}
 }
 
-// receivedRequestBytes is called when TLS has passed bytes to net/http.
-func (c *Conn) receivedRequestBytes() {
+// receivedRequestBytes is called when TLS has passed bytes to net/http. It returns what net/http has of the head that they belong to.
+func (c *Conn) receivedRequestBytes(p []byte) (head headCount) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ahead.unread = 0
 	if c.state != serving {
 		c.recordRequestBytes()
 	}
+	return c.addToHead(p)
 }
 
 // discardedBytes is called when TLS has passed bytes on that net/http does not receive.
--- a/io/clientconn/tls.go
+++ b/io/clientconn/tls.go
@@ -42,8 +42,7 @@
 	if n == 0 {
 		return n, err
 	}
-	c.tracked.receivedRequestBytes()
-	refused := c.tracked.countHead(p[:n])
+	refused := c.tracked.checkHead(c.tracked.receivedRequestBytes(p[:n]))
 	if refused != "" {
 		return 0, c.tracked.refuseHead(refused, c.Conn, p)
 	}
