io/clientconn: one form of the refusals of heads

The 503 for want of memory was written in two places, as text where net/http has not received the complete head and through its ResponseWriter where it has. Both now come from one value.

--- a/io/clientconn/head.go
+++ b/io/clientconn/head.go
@@ -52,12 +52,6 @@
 	}
 }
 
-// headRefusals are the answers to requests whose head is refused. None of them has run.
-var headRefusals = map[CloseReason]string{
-	HeadTooLarge: "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-	NoMemory:     "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-}
-
 // recordBytes records bytes that were read from the socket. Unless TLS is in between, net/http receives them, and head is what it has of
 // the head that they belong to. The caller holds the lock.
 func (c *Conn) recordBytes(p []byte) (head headCount) {
@@ -119,7 +113,7 @@
 	}
 	_ = w.SetDeadline(time.Now().Add(lingerTime))
 	c.place.SetState(connbudget.Lingering)
-	_, err = io.WriteString(w, headRefusals[reason])
+	_, err = io.WriteString(w, refusals[reason].text())
 	half, is := w.(interface{ CloseWrite() error })
 	if is && err == nil {
 		err = half.CloseWrite()
--- a/io/clientconn/set.go
+++ b/io/clientconn/set.go
@@ -118,21 +118,13 @@
 			panic(http.ErrAbortHandler)
 		}
 		if c != nil && !c.holdRequest() {
-			refuseForMemory(w)
+			refusals[NoMemory].write(w)
 			return
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-// refuseForMemory answers a request that has not run.
-func refuseForMemory(w http.ResponseWriter) {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(lingerTime))
-	w.Header().Set("Retry-After", "0.5")
-	w.Header().Set("Connection", "close")
-	w.WriteHeader(http.StatusServiceUnavailable)
-}
-
 // connKey is the key of a connection in the context of its requests.
 type connKey struct{}
 
