io/standin/procmemory: one reading of a process's memory for tests

The soak's anonymousMB repeated residentMB of io/command's tests. Both now use one function; what they check and their bounds are unchanged: a process that can't be read still fails a test of io/command and is passed over by the soak.

--- a/io/command/memoryfleet_test.go
+++ b/io/command/memoryfleet_test.go
@@ -5,9 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"savoryfall/io/standin/procmemory"
 	"savoryfall/platform/standin/fakeendpoint"
 	"savoryfall/platform/standin/fakestore"
 	"savoryfall/platform/standin/testclient"
@@ -100,14 +99,7 @@
 
 // residentMB returns the resident memory of a process that belongs to no file.
 func residentMB(t *testing.T, pid int) (mb int) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	mb, err := procmemory.AnonymousMB(pid)
 	assert.NilError(t, err)
-	for line := range strings.Lines(string(data)) {
-		if rest, is := strings.CutPrefix(line, "RssAnon:"); is {
-			kb, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(rest), " kB"))
-			assert.NilError(t, err)
-			return kb >> 10
-		}
-	}
-	return 0
+	return mb
 }
--- /dev/null
+++ b/io/standin/procmemory/doc.go
@@ -0,0 +1,2 @@
+// Package procmemory tells how much memory another process holds, for tests.
+package procmemory
--- a/soak/badclients_test.go
+++ b/soak/badclients_test.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
+	"savoryfall/io/standin/procmemory"
 	"savoryfall/platform/standin/badclient"
 )
 
@@ -70,27 +67,11 @@
 			r.mu.Lock()
 			pid, running := r.cmd.Process.Pid, !r.stopRequested
 			r.mu.Unlock()
-			mb := anonymousMB(pid)
-			if running && mb > memoryMB && !found[pid] {
+			mb, err := procmemory.AnonymousMB(pid)
+			if err == nil && running && mb > memoryMB && !found[pid] {
 				found[pid] = true
 				h.addViolation("%s holds %d MB", r.name, mb)
 			}
 		}
 	}
 }
-
-// anonymousMB returns the resident memory in MB of a process that belongs to no file, 0 if the process has ended.
-func anonymousMB(pid int) (mb int) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(data)) {
-		rest, is := strings.CutPrefix(line, "RssAnon:")
-		if is {
-			kb, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(rest), " kB"))
-			return kb >> 10
-		}
-	}
-	return 0
-}
