--- a/io/clientconn/conn.go
+++ b/io/clientconn/conn.go
@@ -73,6 +73,8 @@
 	set   *Set
 	place *connbudget.Connection
 	head  headCount
+	// discarding is set while what a refused client still sends is read.
+	discarding bool
 }
 
 func newConn(c net.Conn) *Conn {
@@ -89,10 +91,14 @@
 // Read updates the state in the same critical section in which the bytes are taken from the kernel. Otherwise, the
 // goroutine could be paused between the two for as long as its VM is.
 func (c *Conn) Read(p []byte) (n int, err error) {
-	c.beginSocketRead(len(p))
+	unread := c.beginSocketRead(len(p))
+	if !c.place.GrowHandshake(unread) {
+		return 0, c.refuseHandshake()
+	}
 	if c.raw == nil || len(p) == 0 {
 		return c.readWithoutPeek(p)
 	}
+	var head headCount
 	failed := c.raw.Read(func(fd uintptr) (done bool) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -102,7 +108,7 @@
 			return false
 		}
 		n, err = c.recordRead(n, err)
-		c.recordTLS(p[:n])
+		head = c.recordBytes(p[:n])
 		return true
 	})
 	if failed != nil {
@@ -112,7 +118,7 @@
 	if err != nil && !errors.Is(err, io.EOF) {
 		err = c.readError(err)
 	}
-	return c.countSocketRead(p, n, err)
+	return c.refuseSocketRead(head, p, n, err)
 }
 
 // readWithoutPeek reads from a connection whose kernel can't be asked for unread bytes.
@@ -121,7 +127,7 @@
 	n, err = c.Conn.Read(p)
 	c.mu.Lock()
 	n, err = c.recordRead(n, err)
-	c.recordTLS(p[:n])
+	head := c.recordBytes(p[:n])
 	deadlineSet := c.deadlineSet
 	c.deadlineSet = nil
 	c.mu.Unlock()
@@ -129,22 +135,18 @@
 		<-deadlineSet
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
-	return c.countSocketRead(p, n, err)
+	return c.refuseSocketRead(head, p, n, err)
 }
 
-// beginSocketRead is called before a read from the socket, which is one of net/http unless there is TLS in between.
-func (c *Conn) beginSocketRead(free int) {
+// beginSocketRead is called before a read from the socket, which is one of net/http unless there is TLS in between. It returns how many
+// bytes TLS holds of what it has read before.
+func (c *Conn) beginSocketRead(free int) (unread int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.isTLS {
 		c.beginReadLocked(free)
 	}
-}
-
-func (c *Conn) recordTLS(p []byte) {
-	if c.isTLS {
-		c.ahead.records.add(p)
-	}
+	return c.ahead.unread
 }
 
 func (c *Conn) setReadBlocked(readBlocked bool) {
@@ -203,13 +205,14 @@
 	return &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: cause}
 }
 
-// recordRead updates the state after a read. Bytes read after this process has closed the connection are dropped.
+// recordRead updates the state after a read. Bytes read after this process has closed the connection are dropped, but for those that are
+// read to be discarded.
 func (c *Conn) recordRead(n int, err error) (int, error) {
 	c.readBlocked = false
 	if c.pendingClose != "" {
 		c.completePendingClose(n, err)
 	}
-	if c.closeReason.Local() {
+	if c.closeReason.Local() && !c.discarding {
 		return 0, c.readError(net.ErrClosed)
 	}
 	if n > 0 {
--- a/io/clientconn/readahead.go
+++ b/io/clientconn/readahead.go
@@ -16,6 +16,9 @@
 	// bytes read from the socket may belong to something else.
 	requestStarted bool
 	records        tlsRecords
+	// unread is how many bytes TLS has read since it last passed some to net/http. When it reads again, they are a part of a record, and
+	// handshake messages beyond that.
+	unread int
 }
 
 // secured reports whether the TLS handshake is complete: net/http reads only then.
@@ -43,13 +46,22 @@
 	}
 }
 
-// receivedRequestBytes is called when TLS has passed bytes to net/http.
-func (c *Conn) receivedRequestBytes() {
+// receivedRequestBytes is called when TLS has passed bytes to net/http. It returns what net/http has of the head that they belong to.
+func (c *Conn) receivedRequestBytes(p []byte) (head headCount) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.ahead.unread = 0
 	if c.state != serving {
 		c.recordRequestBytes()
 	}
+	return c.addToHead(p)
+}
+
+// discardedBytes is called when TLS has passed bytes on that net/http does not receive.
+func (c *Conn) discardedBytes() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ahead.unread = 0
 }
 
 // recordRequestBytes records that net/http holds bytes of a request that is not being served yet.
--- a/io/clientconn/tls.go
+++ b/io/clientconn/tls.go
@@ -42,8 +42,7 @@
 	if n == 0 {
 		return n, err
 	}
-	c.tracked.receivedRequestBytes()
-	refused := c.tracked.countHead(p[:n])
+	refused := c.tracked.checkHead(c.tracked.receivedRequestBytes(p[:n]))
 	if refused != "" {
 		return 0, c.tracked.refuseHead(refused, c.Conn, p)
 	}
@@ -67,6 +66,14 @@
 	return c.Conn.ConnectionState()
 }
 
+// refuseHandshake returns the error for TLS if its messages may not be held. The client can't be told.
+func (c *Conn) refuseHandshake() (err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setCloseReason(NoMemory)
+	return c.readError(net.ErrClosed)
+}
+
 // answerPlainRequest answers a client that has sent an HTTP request without TLS.
 func answerPlainRequest(handshakeErr error) {
 	var header tls.RecordHeaderError
