--- a/io/command/readonlystore_test.go
+++ b/io/command/readonlystore_test.go
@@ -6,7 +6,6 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -28,15 +27,7 @@
 			t.Cleanup(s.Close)
 			f.storeAddress = strings.TrimPrefix(s.URL, "http://")
 			f.start(0)
-			vm := f.vms[0]
-			f.waitFor("ready", func() bool { return vm.handler.Ready() && f.get(vm, "/read/x", "good").Status == 200 })
-			began, got := time.Now(), 0
-			for got != 200 && time.Since(began) < 15*time.Second {
-				got = f.send(vm, "POST", "/draft/x", "good", fmt.Sprint("r", requestCount.Add(1))).Status
-				<-time.After(50 * time.Millisecond)
-			}
-			t.Logf("status %d after %v", got, time.Since(began))
-			assert.Equal(t, got, 200)
+			assert.Equal(t, f.streamStatus(f.vms[0]), 200)
 		})
 	}
 }
--- a/io/command/slowstore_test.go
+++ b/io/command/slowstore_test.go
@@ -18,15 +18,20 @@
 			f := newEntryFleet(t, 0)
 			f.store.SetDelay(delay)
 			f.start(0)
-			vm := f.vms[0]
-			f.waitFor("ready", func() bool { return vm.handler.Ready() && f.get(vm, "/read/x", "good").Status == 200 })
-			began, status := time.Now(), 0
-			for status != 200 && time.Since(began) < 15*time.Second {
-				status = f.send(vm, "POST", "/draft/x", "good", fmt.Sprint("r", requestCount.Add(1))).Status
-				<-time.After(50 * time.Millisecond)
-			}
-			t.Logf("status %d, %v after the first request of a service whose streams are not resumed was served", status, time.Since(began))
-			assert.Equal(t, status, 200)
+			assert.Equal(t, f.streamStatus(f.vms[0]), 200)
 		})
 	}
 }
+
+// streamStatus waits until the router serves a service whose streams are not resumed, and returns the status of a resumable stream: 200, or
+// what it still gets after 15 s.
+func (f *entryFleet) streamStatus(vm *entryVM) (status int) {
+	f.waitFor("ready", func() bool { return vm.handler.Ready() && f.get(vm, "/read/x", "good").Status == 200 })
+	began := time.Now()
+	for status != 200 && time.Since(began) < 15*time.Second {
+		status = f.send(vm, "POST", "/draft/x", "good", fmt.Sprint("r", requestCount.Add(1))).Status
+		<-time.After(50 * time.Millisecond)
+	}
+	f.t.Logf("status %d after %v", status, time.Since(began))
+	return status
+}
