--- a/soak/variants_test.go
+++ b/soak/variants_test.go
@@ -54,6 +54,9 @@
 	"versionsAreIgnored": {
 		"core/origin/origin.go", "if o.Service != e.Service {\n\t\treturn false", "if o.Service != e.Service || o.Version != e.Version {\n\t\treturn true",
 	},
+	"versionsThatLeftAreForgotten": {
+		"core/versionhistory/history.go", "if now.Sub(r.lastListed) <= window {", "if now.Sub(r.lastListed) <= window && s.listed[v] {",
+	},
 	"crashesAreIgnored": {
 		"core/quarantine/record.go", "const MaxCrashes = 3", "const MaxCrashes = 300",
 	},
