--- a/io/entry/connection_test.go
+++ b/io/entry/connection_test.go
@@ -19,10 +19,34 @@
 	t.Helper()
 	c = s.connect()
 	c.sendAsync(bookingRequest(""))
+	wantStatus(t, s, c, http.StatusOK)
+	return c
+}
+
+// wantStatus reads the next response, which must have the status.
+func wantStatus(t *testing.T, s *testServer, c *testClient, want int) {
+	t.Helper()
 	status, err := c.readResponse()
+	t.Logf("status %d, %v\n%s", status, err, &s.logLines)
 	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusOK)
-	return c
+	assert.Equal(t, status, want)
+}
+
+// sendInHalves sends a booking with a pause within its header.
+func sendInHalves(c *testClient, pause time.Duration) {
+	text := bookingRequest("")
+	const half = 30
+	c.sendAsync(text[:half])
+	time.Sleep(pause)
+	c.sendAsync(text[half:])
+}
+
+// wantRefusedWithinGrace reads the refusal of a router that stops, and waits until it has.
+func wantRefusedWithinGrace(t *testing.T, s *testServer, c *testClient, stopped <-chan time.Duration) {
+	t.Helper()
+	wantStatus(t, s, c, http.StatusServiceUnavailable)
+	took := <-stopped
+	assert.Assert(t, took < grace, "stopped after %v\n%s", took, &s.logLines)
 }
 
 // An idle connection was closed after a request had been read from it and before its goroutine went on to parse it, as
@@ -96,12 +120,7 @@
 	s.onRead.Store(&hook)
 	time.Sleep(refuseAfter - 500*time.Millisecond)
 	c.sendAsync(bookingRequest(markHeader))
-	status, err := c.readResponse()
-	took := <-stopped
-	t.Logf("status %d, %v, stopped after %v\n%s", status, err, took, &s.logLines)
-	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusServiceUnavailable)
-	assert.Assert(t, took < grace, "%v", took)
+	wantRefusedWithinGrace(t, s, c, stopped)
 }
 
 // Half of a booking's header has arrived when the router stops. The router used to close the connection as idle. It
@@ -113,17 +132,8 @@
 		c := idleClient(t, s)
 		stopped := drainAndStop(s)
 		time.Sleep(refuseAfter - 500*time.Millisecond)
-		text := bookingRequest("")
-		const half = 30
-		c.sendAsync(text[:half])
-		time.Sleep(time.Second)
-		c.sendAsync(text[half:])
-		status, err := c.readResponse()
-		took := <-stopped
-		t.Logf("status %d, %v, stopped after %v\n%s", status, err, took, &s.logLines)
-		assert.NilError(t, err)
-		assert.Equal(t, status, http.StatusServiceUnavailable)
-		assert.Assert(t, took < grace, "%v", took)
+		sendInHalves(c, time.Second)
+		wantRefusedWithinGrace(t, s, c, stopped)
 	})
 }
 
@@ -149,15 +159,8 @@
 		defer s.shutdown()
 		c := idleClient(t, s)
 		time.Sleep(9 * time.Minute)
-		text := bookingRequest("")
-		const half = 30
-		c.sendAsync(text[:half])
-		time.Sleep(25 * time.Second)
-		c.sendAsync(text[half:])
-		status, err := c.readResponse()
-		t.Logf("status %d, %v\n%s", status, err, &s.logLines)
-		assert.NilError(t, err)
-		assert.Equal(t, status, http.StatusOK)
+		sendInHalves(c, 25*time.Second)
+		wantStatus(t, s, c, http.StatusOK)
 	})
 }
 
@@ -223,14 +226,10 @@
 		table := s.table.Swap(nil)
 		c := s.connect()
 		c.sendAsync(bookingRequest("Content-Length: 4\r\n") + "some")
-		status, err := c.readResponse()
-		assert.NilError(t, err)
-		assert.Equal(t, status, http.StatusServiceUnavailable)
+		wantStatus(t, s, c, http.StatusServiceUnavailable)
 		s.table.Store(table)
 		c.sendAsync(bookingRequest("Content-Length: 4\r\n") + "more")
-		status, err = c.readResponse()
-		assert.NilError(t, err)
-		assert.Equal(t, status, http.StatusOK)
+		wantStatus(t, s, c, http.StatusOK)
 	})
 }
 
@@ -245,11 +244,9 @@
 		c.sendAsync(bookingRequest("Content-Length: 8\r\n") + "some")
 		time.Sleep(3020 * time.Millisecond)
 		c.sendAsync("more")
-		status, err := c.readResponse()
-		assert.NilError(t, err)
-		assert.Equal(t, status, http.StatusRequestTimeout)
+		wantStatus(t, s, c, http.StatusRequestTimeout)
 		c.sendAsync(bookingRequest(""))
-		status, err = c.readResponse()
+		status, err := c.readResponse()
 		t.Logf("status %d, %v\n%s", status, err, &s.logLines)
 		assert.Assert(t, err != nil, "the connection was kept")
 		assert.Equal(t, s.arrived.Load(), int64(0))
--- a/io/entry/learned_test.go
+++ b/io/entry/learned_test.go
@@ -24,9 +24,7 @@
 	c := s.connect()
 	defer func() { _ = c.Close() }()
 	c.sendAsync(text)
-	status, err := c.readResponse()
-	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusOK)
+	wantStatus(t, s, c, http.StatusOK)
 }
 
 // Guards against streams that pass without the dispatcher learning what they tell: the speed of the endpoint, the length of the answer and
