soak: all routers are lost only after a router was isolated

Cause: the losses began with the fault phase and killed the router that isolateRouter keeps from learning of withdrawn keys.

The random source no longer has the number of that of answerWithoutEnd.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -78,10 +78,14 @@
 // injectFaults starts faults at random moments, so that they occur in series and overlap.
 func (h *harness) injectFaults() {
 	var running sync.WaitGroup
-	running.Go(h.isolateRouter)
+	isolated := make(chan struct{})
+	running.Go(func() {
+		defer close(isolated)
+		h.isolateRouter()
+	})
 	running.Go(h.resetEndpoints)
 	running.Go(h.answerWithoutEnd)
-	running.Go(h.loseAllRouters)
+	running.Go(func() { h.loseAllRouters(isolated) })
 	for end := time.Now().Add(faultPhase); time.Now().Before(end); {
 		kinds := endpointPartition
 		if h.partitions {
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -155,7 +155,7 @@
 // newHarness starts a store, endpoints and routers.
 func newHarness(t *testing.T, binary string, seed uint64, partitions bool) (h *harness) {
 	h = &harness{
-		t: t, dir: runDir(t, seed), binary: binary, seed: seed, partitions: partitions, runIndex: runs.Add(1), random: rand.New(rand.NewPCG(seed, seed)), lossRandom: rand.New(rand.NewPCG(seed, 97)), done: make(chan struct{}),
+		t: t, dir: runDir(t, seed), binary: binary, seed: seed, partitions: partitions, runIndex: runs.Add(1), random: rand.New(rand.NewPCG(seed, seed)), lossRandom: rand.New(rand.NewPCG(seed, 96)), done: make(chan struct{}),
 		keyWritten: map[string]time.Time{}, keyWithdrawn: map[string]time.Time{}, crashing: map[string]crashingRequest{},
 	}
 	s := httptest.NewServer(&h.store)
--- a/soak/routerloss_test.go
+++ b/soak/routerloss_test.go
@@ -16,6 +16,8 @@
 	releaseClients = 8
 	// maxReleaseTakeUps lets a client outlast the time in which all routers are down.
 	maxReleaseTakeUps = 60
+	// lossesPerPhase is how often all routers are lost in a fault phase.
+	lossesPerPhase = 2
 	// maxLead is how long before a loss of all routers a version leaves at most, and maxDown how long the routers stay away.
 	maxLead = 2 * time.Second
 	maxDown = 800 * time.Millisecond
@@ -48,12 +50,19 @@
 	}
 }
 
-// loseAllRouters is part of every fault phase: versions come and leave around losses of all routers.
-func (h *harness) loseAllRouters() {
-	for end := time.Now().Add(faultPhase); time.Now().Before(end); {
+// loseAllRouters is part of every fault phase: versions come and leave, and after isolated is closed all routers are lost around that.
+// Earlier, a loss would hide what an isolated router does once it can be reached again.
+func (h *harness) loseAllRouters(isolated <-chan struct{}) {
+	for losses := 0; losses < lossesPerPhase; {
 		<-time.After(upTo(500*time.Millisecond, h.lossRandom))
 		leaving := h.changeVersion(h.lossRandom)
-		h.loseRoutersAround(leaving, h.lossRandom)
+		select {
+		case <-isolated:
+			h.loseRoutersAround(leaving, h.lossRandom)
+			losses++
+		default:
+			h.removeEngines(leaving, false)
+		}
 	}
 }
 
