core/dispatch: both costs of an endpoint share what latency is not in

Cause: cost and expectedCost wrote out the same first lines: the price of failures, the spread, and that of another failure domain.

Change: baseCost. The numbers and the draws of the random source are the same, in the same order.

Result: go test -race ./core/dispatch passes.

--- a/core/dispatch/expectedchoice.go
+++ b/core/dispatch/expectedchoice.go
@@ -46,14 +46,11 @@
 // expectedCost returns the cost of an endpoint of the pool: the expected time to the first event, and what the request costs
 // the others.
 func (c *scoring) expectedCost(i int) (ms float64) {
-	e := c.pool[i]
-	ms = failureCostMs * c.effectiveFailureRate(i)
-	if c.q.Spread {
-		return ms + spreadCostMs*c.d.randomFloat()
-	}
-	if e.entry.FailureDomain != c.d.failureDomain {
-		ms += crossDomainCostMs
+	ms, whole := c.baseCost(i)
+	if whole {
+		return ms
 	}
+	e := c.pool[i]
 	w, x := &c.expectation.works[i], c.expectation.estimates[i]
 	ms += inMs(x.First) + streamWeight*inMs(x.Last-x.First)
 	if !c.engine {
--- a/core/dispatch/scoring.go
+++ b/core/dispatch/scoring.go
@@ -329,15 +329,24 @@
 	homeCacheConfidence = 0.8
 )
 
-func (c *scoring) cost(i int) (ms float64) {
-	e := c.pool[i]
+// baseCost returns the part of an endpoint's cost that its latency has no share in. whole is set if that is all.
+func (c *scoring) baseCost(i int) (ms float64, whole bool) {
 	ms = failureCostMs * c.effectiveFailureRate(i)
 	if c.q.Spread {
-		return ms + spreadCostMs*c.d.randomFloat()
+		return ms + spreadCostMs*c.d.randomFloat(), true
 	}
-	if e.entry.FailureDomain != c.d.failureDomain {
+	if c.pool[i].entry.FailureDomain != c.d.failureDomain {
 		ms += crossDomainCostMs
 	}
+	return ms, false
+}
+
+func (c *scoring) cost(i int) (ms float64) {
+	ms, whole := c.baseCost(i)
+	if whole {
+		return ms
+	}
+	e := c.pool[i]
 	if !c.engine {
 		// Requests within the slots run in parallel; those beyond wait for their turn.
 		turns := 1 + c.loads[i]/float64(max(e.entry.Slots, 1))
