soak: an endpoint that crashes ends its listener with its connections

Cause of late arrivals of requests that crash endpoints: the stand-in closed the connection of the request first and its listener a moment later, in another goroutine. A router that asked for the process in between was answered ("process=alive", silentMs=11), took the trial for one that showed nothing, and made another one 5 s later.

Change: the endpoint is ended before the handler returns, as the crash tests of io/command do. No check changes.

--- a/soak/parts_test.go
+++ b/soak/parts_test.go
@@ -44,8 +44,9 @@
 	h.crashes = append(h.crashes, time.Now())
 	h.mu.Unlock()
 	h.fault(requestCrash, "", crashedTime, false)
+	// A router that sees the connection end and asks for the process must not find its listener.
+	h.crashEndpoint(e)
 	go func() {
-		h.crashEndpoint(e)
 		if h.doneWithin(crashedTime) {
 			return
 		}
