soak: all routers are also lost once before the faults begin

Change: before each fault phase a version comes and leaves around one loss of all routers, while the store serves; then all routers must serve again. A version serves 0.2 s longer before it leaves.

--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -139,6 +139,9 @@
 	// Faults that begin before any router serves would find routers that refuse every request, and test nothing.
 	h.recover()
 	for range intFromEnv("SOAK_ROUNDS", 1) {
+		// During the faults the store may come back from an older copy, and its record of versions proves nothing for a while.
+		h.loseRoutersOnce()
+		h.recover()
 		h.injectFaults()
 		h.recover()
 		h.makePlannedChanges()
--- a/soak/routerloss_test.go
+++ b/soak/routerloss_test.go
@@ -50,18 +50,23 @@
 	}
 }
 
+// loseRoutersOnce has a version come and leave around a loss of all routers.
+func (h *harness) loseRoutersOnce() {
+	<-time.After(upTo(500*time.Millisecond, h.lossRandom))
+	h.loseRoutersAround(h.changeVersion(h.lossRandom), h.lossRandom)
+}
+
 // loseAllRouters is part of every fault phase: versions come and leave, and after isolated is closed all routers are lost around that.
 // Earlier, a loss would hide what an isolated router does once it can be reached again.
 func (h *harness) loseAllRouters(isolated <-chan struct{}) {
 	for losses := 0; losses < lossesPerPhase; {
-		<-time.After(upTo(500*time.Millisecond, h.lossRandom))
-		leaving := h.changeVersion(h.lossRandom)
 		select {
 		case <-isolated:
-			h.loseRoutersAround(leaving, h.lossRandom)
+			h.loseRoutersOnce()
 			losses++
 		default:
-			h.removeEngines(leaving, false)
+			<-time.After(upTo(500*time.Millisecond, h.lossRandom))
+			h.removeEngines(h.changeVersion(h.lossRandom), false)
 		}
 	}
 }
@@ -69,7 +74,7 @@
 // changeVersion has a version come as a canary, as a release, or as a release that is taken back, and returns the engines whose version
 // leaves with them.
 func (h *harness) changeVersion(random *rand.Rand) (leaving []*endpoint) {
-	serve := func() { <-time.After(200*time.Millisecond + upTo(600*time.Millisecond, random)) }
+	serve := func() { <-time.After(400*time.Millisecond + upTo(600*time.Millisecond, random)) }
 	defer serve()
 	serving := h.liveEndpoints(releaseService)
 	h.releases++
