io/registry: an endpoint that waited at the hub does not come back, red

Cause: since versions are recorded before use, a hub that has just started leaves endpoints out of its list until the record is written. A router that read the registry itself before removes them when it takes the hub's first list, and puts them back only for an entry with a higher sequence number; the hub passes an entry on once, with the number that it had. The endpoints are missing at this router until it reads again or is started again.

--- a/io/registry/tracker_test.go
+++ b/io/registry/tracker_test.go
@@ -12,6 +12,7 @@
 	"savoryfall/core/compactedlog"
 	"savoryfall/core/directory"
 	"savoryfall/core/fleetload"
+	"savoryfall/core/versionrecord"
 	"savoryfall/io/registry"
 )
 
@@ -90,3 +91,31 @@
 		assert.Equal(t, len(usable), 1, "no router could read, so the entry may have lapsed")
 	})
 }
+
+// Guards against an endpoint that waits at the hub for its version to be recorded, and that a router which knew it before never gets
+// back because its entry is no newer than the one that the hub's list lacked.
+func TestEndpointThatWaitedAtTheHubComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all := func(string) bool { return true }
+		record := versionrecord.Record{AbsentMs: map[string]map[string]int64{"": {"": 0}}}
+		var usable []directory.Entry
+		r := registry.New(keyDecoder{}, func(list []directory.Entry) { usable = list }, log.NewNopLogger())
+		r.RecordFirst(all, func() {})
+		r.Replace([]compactedlog.Record{{Key: "a"}})
+		r.Versions().SetRecord(record, time.Now(), true)
+		r.Recheck()
+		assert.Equal(t, len(usable), 1)
+
+		hub := registry.New(keyDecoder{}, func([]directory.Entry) {}, log.NewNopLogger())
+		hub.RecordFirst(all, func() {})
+		hub.Replace([]compactedlog.Record{{Key: "a"}})
+		list, version := hub.Changes().Since(0)
+		r.ApplyChanges(list, true)
+		hub.Versions().SetRecord(record, time.Now(), true)
+		hub.Recheck()
+		changes, _ := hub.Changes().Since(version)
+		assert.Equal(t, len(changes), 1)
+		r.ApplyChanges(changes, false)
+		assert.Equal(t, len(usable), 1)
+	})
+}
