io/origins: tests of a lost fleet wait for copies that are under way

TestOriginOutlivesTheFleet failed once in seven plays beside two busy loops: the source was router, not store. A router that is killed in the test goes on with a copy that it was about to send, which reached the router that took the place of another one; a process that is killed sends nothing.

--- a/io/origins/keeper_test.go
+++ b/io/origins/keeper_test.go
@@ -452,6 +452,8 @@
 		version, from := f.routers[3].find("s")
 		assert.Equal(t, version, "v2")
 		assert.Assert(t, from != origins.Store)
+		// A copy that is still under way would reach a router that has started since.
+		time.Sleep(time.Second)
 		f.replaceAll(l, several...)
 		version, from = f.routers[3].find("s")
 		assert.Equal(t, version, "v2")
@@ -485,6 +487,7 @@
 		}
 		appended, _ = l.counts()
 		assert.Equal(t, appended, 1)
+		time.Sleep(time.Second)
 		f.replaceAll(l, several...)
 		version, from := f.routers[1].find("s")
 		assert.Equal(t, version, "v1")
