platform/standin: what tests outside platform need not spell

Two tests of io/command named a call of the store and headers of the users' pages. The stand-in store refuses writes by itself, and the test client gives the lines that name a client's attempt and key. The tests send and assert what they did.

--- a/io/command/readonlystore_test.go
+++ b/io/command/readonlystore_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -17,15 +14,7 @@
 		t.Run(fmt.Sprint(status), func(t *testing.T) {
 			t.Parallel()
 			f := newEntryFleet(t, 0)
-			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				if r.URL.Path == "/api/log-append" {
-					w.WriteHeader(status)
-					return
-				}
-				f.store.ServeHTTP(w, r)
-			}))
-			t.Cleanup(s.Close)
-			f.storeAddress = strings.TrimPrefix(s.URL, "http://")
+			f.store.RefuseWrites(status)
 			f.start(0)
 			assert.Equal(t, f.streamStatus(f.vms[0]), 200)
 		})
--- a/io/command/stop_test.go
+++ b/io/command/stop_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"savoryfall/platform/standin/fakeendpoint"
+	"savoryfall/platform/standin/testclient"
 )
 
 const (
@@ -181,8 +182,8 @@
 	if q.form.expect {
 		framing += "Expect: 100-continue\r\n"
 	}
-	return fmt.Sprintf("POST /%s/%s/x HTTP/1.1\r\nHost: shop.example\r\nX-Savoryfall-Attempt-Id: %s\r\nAuthorization: Bearer good\r\n%s\r\n%s",
-		q.kind, q.service.name, id, framing, payload)
+	identity := testclient.Request{ID: id, Key: "good"}.Identity()
+	return fmt.Sprintf("POST /%s/%s/x HTTP/1.1\r\nHost: shop.example\r\n%s%s\r\n%s", q.kind, q.service.name, identity, framing, payload)
 }
 
 // send sends the request at once on a new connection.
