--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -118,14 +118,13 @@
 	return nil
 }
 
-// freeAddress returns an address on which nothing listens.
-func freeAddress() (address string, err error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+// firstPort is the first of a router's ports, which are below those that the system hands out.
+const firstPort = 20001
+
+// routerAddress returns one of a router's addresses. The routers of a rig have loopback addresses of their own, so that nothing else takes
+// their ports.
+func routerAddress(i, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+os.Getpid()%250, 1+os.Getpid()/250%250, 1+i, firstPort+port)
 }
 
 // settings is the settings file of a router, as the template of the deploy file gives it for a small site.
@@ -166,10 +165,7 @@
 	for i := range n {
 		var addresses [4]string
 		for k := range addresses {
-			addresses[k], err = freeAddress()
-			if err != nil {
-				return err
-			}
+			addresses[k] = routerAddress(i, k)
 		}
 		name := fmt.Sprintf("edge-westvale-a-%d", i+1)
 		file := filepath.Join(r.dir, name+".conf")
