Review: a script for the search that two silent readers make late

Change: a script with ten routers, each of which meets the store at an address of its own; the store turns away the hub and the first three followers that read. The desired state changes 20 ms after that.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -17,8 +17,9 @@
 
 // cases are the cases by name. Each returns what broke its rule, nothing if the rule held.
 var cases = map[string]func(r *rig) (broken []string, err error){
-	"unmarked-refusal": unmarkedRefusal,
-	"torn-extra":       tornExtra,
+	"unmarked-refusal":    unmarkedRefusal,
+	"torn-extra":          tornExtra,
+	"readers-turned-away": readersTurnedAway,
 }
 
 func main() {
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -39,8 +39,10 @@
 	store        fakestore.Service
 	storeAddress string
 	closers      []func()
-	done         chan struct{}
-	beats        sync.WaitGroup
+	// storeFor returns the address at which a router meets the store. It defaults to storeAddress.
+	storeFor func(name string) (address string, err error)
+	done     chan struct{}
+	beats    sync.WaitGroup
 
 	mu       sync.Mutex
 	routers  []*router
@@ -169,7 +171,14 @@
 		}
 		name := fmt.Sprintf("edge-westvale-a-%d", i+1)
 		file := filepath.Join(r.dir, name+".conf")
-		text := fmt.Sprintf(settings, name, addresses[0], addresses[1], addresses[2], addresses[3], r.storeAddress)
+		store := r.storeAddress
+		if r.storeFor != nil {
+			store, err = r.storeFor(name)
+		}
+		if err != nil {
+			return err
+		}
+		text := fmt.Sprintf(settings, name, addresses[0], addresses[1], addresses[2], addresses[3], store)
 		err = os.WriteFile(file, []byte(text), 0o600)
 		if err != nil {
 			return err
