Review: a hub that is turned away for a short time keeps a server that has left

Cause: where the followers that are asked to read are turned away too, a hub's failed reads count as an outage of the whole store after 1.5 s without a read. Entries that vanish are then kept for 2.3 s more. The hub, served again, reads that a server's entry was removed and keeps it, and all routers have the servers from the hub.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,6 +20,7 @@
 	"unmarked-refusal":    unmarkedRefusal,
 	"torn-extra":          tornExtra,
 	"readers-turned-away": readersTurnedAway,
+	"server-gone":         serverGone,
 }
 
 func main() {
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -21,6 +22,11 @@
 	sequence atomic.Int64
 	running  atomic.Int64
 	served   atomic.Int64
+	// gone is set when the server has left, at goneAt, and writes no more entries. runs are the times at which it began to work on
+	// requests.
+	gone   atomic.Bool
+	goneAt time.Time
+	runs   sync.Map
 	// answer answers a request that has run. It defaults to a whole answer with status 200.
 	answer func(w http.ResponseWriter, s *server, id string)
 }
@@ -49,6 +55,9 @@
 }
 
 func (s *server) register() {
+	if s.gone.Load() {
+		return
+	}
 	entry, err := json.Marshal(map[string]any{
 		"service": s.service, "address": s.address, "zone": "westvale-a", "version": "v1", "slots": s.slots, "state": "ready",
 		"cold_left_ms": 0, "sequence": s.sequence.Add(1), "born": s.born,
@@ -83,6 +92,7 @@
 		return
 	}
 	s.rig.ran(id, s.id)
+	s.runs.Store(id, time.Now())
 	time.Sleep(s.work)
 	h.Set("X-Savoryfall-Server-Signature", "3e1b.07.5a2."+s.id)
 	s.served.Add(1)
