io/entry: a status that only seems to guarantee that a request has not run is not forwarded

Callers saw a 503 for a booking that an endpoint had run and then failed.

Cause: tryPlain and forwardNonStream forwarded every answer without the header "not executed", whatever its status. Endpoints give the guarantee by that header alone.

Both paths now read answers in one function, which asks whether the answer may be forwarded. Idempotent requests get the answer unchanged, since their clients may repeat them after any failure.

--- a/core/request/problem.go
+++ b/core/request/problem.go
@@ -31,6 +31,9 @@
 	Refused     Reason = "refused"
 	Unreachable Reason = "unreachable"
 	Broken      Reason = "broken"
+	// UnconfirmedRefusal means that the status of the endpoint's response guarantees clients that the request has not run, and the
+	// response does not.
+	UnconfirmedRefusal Reason = "unconfirmedRefusal"
 	// NoVersion means that no endpoint of the software version that began the stream can take it, and UnknownVersion that it
 	// is not known which version that was.
 	NoVersion      Reason = "noVersion"
--- a/io/entry/handler.go
+++ b/io/entry/handler.go
@@ -37,6 +37,9 @@
 type ClientProtocol interface {
 	Decode(r *http.Request) (req request.Request, err error)
 	EncodeRefusal(p *request.Problem, h http.Header) (status int)
+	// GuaranteesNotExecuted reports whether clients take a response with the status as a guarantee that their request was not
+	// executed.
+	GuaranteesNotExecuted(status int) bool
 }
 
 // EndpointProtocol implements the protocol of the endpoints.
--- a/io/entry/plain.go
+++ b/io/entry/plain.go
@@ -70,8 +70,28 @@
 	if a.reply.NotExecuted {
 		return nil, x.refusedByEndpoint(a)
 	}
+	response, p = x.receive(a)
+	if p != nil {
+		return nil, p
+	}
+	v := dispatch.Served
+	if response.status >= http.StatusInternalServerError {
+		v = dispatch.Failed
+	}
+	x.finishAttempt(a, v)
+	return response, nil
+}
+
+// receive reads the complete response of the attempt. If it may not be forwarded, receive finishes the attempt and returns the
+// problem.
+func (x *exchange) receive(a *attempt) (response *plainResponse, p *request.Problem) {
+	if !x.mayForward(a.response.Status) {
+		a.response.Discard()
+		x.finishAttempt(a, dispatch.Failed)
+		return nil, request.Unknown(request.UnconfirmedRefusal)
+	}
 	body, err := x.readAnswer(a)
-	if err != nil && x.handler.ended.Err() != nil {
+	if err != nil && x.handler.ended.Err() != nil && a.ctx.Err() != nil {
 		return nil, x.giveUp(a)
 	}
 	if err != nil {
@@ -81,13 +101,13 @@
 		x.finishAttempt(a, dispatch.Broken)
 		return nil, request.Unknown(request.Broken)
 	}
-	v := dispatch.Served
-	if a.response.Status >= http.StatusInternalServerError {
-		v = dispatch.Failed
-	}
-	response = &plainResponse{status: a.response.Status, header: a.response.Header, body: body}
-	x.finishAttempt(a, v)
-	return response, nil
+	return &plainResponse{status: a.response.Status, header: a.response.Header, body: body}, nil
+}
+
+// mayForward reports whether the client may get a response with the status from an endpoint that does not say that it has not
+// executed the request. Of a request that must not run twice, a client would take some for that guarantee and send it again.
+func (x *exchange) mayForward(status int) bool {
+	return x.route.Kind.Repeatable() || !x.handler.ClientProtocol.GuaranteesNotExecuted(status)
 }
 
 // refusedByEndpoint finishes an attempt that the endpoint refused to run.
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -76,14 +76,9 @@
 // forwardNonStream handles a response that is not a stream.
 func (s *relay) forwardNonStream(a *attempt) (done bool, p *request.Problem) {
 	x := s.x
-	body, err := x.readAnswer(a)
-	if err != nil {
-		return false, x.answerNotRead(a, err, x.answer.counted)
-	}
-	response := &plainResponse{status: a.response.Status, header: a.response.Header, body: body}
-	if !x.fromEndpoint(a) {
-		x.finishAttempt(a, dispatch.Broken)
-		return false, request.Unknown(request.Broken)
+	response, p := x.receive(a)
+	if p != nil {
+		return false, p
 	}
 	x.finishAttempt(a, dispatch.Failed)
 	if s.headerWritten || x.worthRetrying(response) && x.sends < x.route.MaxAttempts {
--- a/io/entry/testserver_test.go
+++ b/io/entry/testserver_test.go
@@ -138,6 +138,10 @@
 	}, nil
 }
 
+func (clientProtocol) GuaranteesNotExecuted(status int) bool {
+	return status == http.StatusServiceUnavailable
+}
+
 func (clientProtocol) EncodeRefusal(p *request.Problem, _ http.Header) (status int) {
 	switch {
 	case p.Outcome != outcome.NotRun:
