io/follow, io/hub: routers read by themselves when the reads of their hub are old

Cause: a hub that answers counted as one that has readers, so that its followers never read because of age, however old its reads were. They waited for its search, two routers at a time and 0.9 s each.

Routers now read by themselves once what they know is older than three quarters of the bound, whether or not their hub answers: all of a fleet of up to 16, and 16 that all routers choose alike of a larger one, so many that one of them is served. A read that fails is repeated after 2 s, or 50 ms for each router of the fleet if that is longer. Weighed: a search that asks more routers at once finds a reader as late as its first failed read; all routers of a large fleet reading would cost 600 calls and more at 300.

So that many readers do not leave their hub all at once: a hub that is followed is left only if it was offered the newer reads for 0.4 s and they do not help it. The hub asks two of those that offer, and does not hold the report of a router that is to bring its data.

--- a/core/members/list.go
+++ b/core/members/list.go
@@ -141,6 +141,23 @@
 	return hashes
 }
 
+// InSample reports whether the router is one of n that all routers choose alike, whatever their VMs bear. If there are no more
+// than n, all are.
+func (l *List) InSample(name string, n int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.ranked) <= n {
+		return true
+	}
+	own, before := Hash(name), 0
+	for _, k := range l.ranked {
+		if k.hash < own {
+			before++
+		}
+	}
+	return before < n
+}
+
 // Contains returns whether the router is known with the same values, ignoring the start time of its process.
 func (l *List) Contains(m Member) bool {
 	l.mu.Lock()
--- a/core/readrotation/rotation.go
+++ b/core/readrotation/rotation.go
@@ -22,7 +22,9 @@
 
 // assignment is the state of a router that was assigned to read.
 type assignment struct {
-	active      bool
+	active bool
+	// delivers is set if the router had newer data when it was assigned, or has delivered some since.
+	delivers    bool
 	startedAt   time.Duration
 	deliveredAt time.Duration
 }
@@ -76,21 +78,25 @@
 		}
 		return current.active
 	}
-	if !router.HasNewer && !r.mayAssign(current, hub, now) {
+	if !r.mayAssign(router, current, hub, now) {
 		return false
 	}
 	if r.assignments == nil {
 		r.assignments = map[string]*assignment{}
 	}
-	r.assignments[router.Name] = &assignment{active: true, startedAt: now, deliveredAt: now}
+	r.assignments[router.Name] = &assignment{active: true, delivers: router.HasNewer, startedAt: now, deliveredAt: now}
 	r.active++
 	r.assigned++
 	r.lastAssignedAt = now
 	return true
 }
 
-// mayAssign returns whether a router may be assigned, given its last assignment, or nil if it had none.
-func (r *Rotation) mayAssign(last *assignment, hub Hub, now time.Duration) bool {
+// mayAssign returns whether a router may be assigned, given its last assignment, or nil if it had none. One that has newer data
+// is, unless enough others deliver.
+func (r *Rotation) mayAssign(router Router, last *assignment, hub Hub, now time.Duration) bool {
+	if router.HasNewer {
+		return r.delivering() < maxActive
+	}
 	if !hub.Stale || r.active >= maxActive || last != nil && now-last.startedAt < reassignDelay {
 		return false
 	}
@@ -107,8 +113,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if current := r.assignments[router]; current != nil {
-		current.deliveredAt = now
+		current.deliveredAt, current.delivers = now, true
+	}
+}
+
+// delivering returns the number of current assignments of routers that deliver.
+func (r *Rotation) delivering() (n int) {
+	for _, t := range r.assignments {
+		if t.active && t.delivers {
+			n++
+		}
 	}
+	return n
 }
 
 // expire ends the assignments of routers that deliver nothing.
--- a/core/readrotation/rotation_test.go
+++ b/core/readrotation/rotation_test.go
@@ -75,3 +75,18 @@
 	}
 	assert.Assert(t, r.ShouldRead(readrotation.Router{Name: "newer", HasNewer: true}, h, 0))
 }
+
+// Guards against a whole fleet that reads for a hub because all of its routers had newer data at the same time.
+func TestFewRoutersThatDeliverAreAssigned(t *testing.T) {
+	r := &readrotation.Rotation{}
+	h := readrotation.Hub{Failing: true, Stale: true}
+	assigned := 0
+	for i := range 10 {
+		if r.ShouldRead(readrotation.Router{Name: fmt.Sprint(i), HasNewer: true}, h, 0) {
+			assigned++
+		}
+	}
+	assert.Equal(t, assigned, 2)
+	// The two deliver nothing any more.
+	assert.Assert(t, r.ShouldRead(readrotation.Router{Name: "newer", HasNewer: true}, h, 2*time.Second))
+}
--- a/io/command/entrystore.go
+++ b/io/command/entrystore.go
@@ -29,12 +29,13 @@
 	vm.drainTracker = draining.New(evacuation.Decoder{}, vm.dispatcher, vm.logger)
 	configurationFollower := follow.New(storeClient.Topic(wiredesired.Topic), follow.Sinks{vm.drainTracker, vm.configTracker}, follow.Options{
 		Name: "configuration", PollWait: configurationPollWait, MinInterval: configurationMinInterval, Grace: hubGrace, MaxAge: staleAfter, StartupWait: startupWait,
-		Clock: bootclock.Now,
+		UnassistedInterval: vm.unassistedInterval, Clock: bootclock.Now,
 	}, vm.logger)
 	vm.manager.Register("configuration", configurationFollower)
 	vm.endpoints = registry.New(wireregistry.Decoder{}, vm.setEndpoints, vm.logger)
 	registryFollower := follow.New(storeClient.Topic(wireregistry.Topic), vm.endpoints, follow.Options{
-		Name: "registry", MinInterval: registryMinInterval, MaxAge: staleAfter, StartupWait: startupWait, Clock: bootclock.Now,
+		Name: "registry", MinInterval: registryMinInterval, MaxAge: staleAfter, StartupWait: startupWait,
+		UnassistedInterval: vm.unassistedInterval, Clock: bootclock.Now,
 	}, vm.logger)
 	vm.manager.Register("registry", registryFollower)
 	vm.metricSet.NewGauge("savoryfall_registry_age_seconds", func() float64 { return topicAge(registryFollower) })
@@ -67,6 +68,10 @@
 	return nil
 }
 
+func (vm *entryVM) unassistedInterval() time.Duration {
+	return hub.UnassistedInterval(&vm.members, vm.settings.VM().Name())
+}
+
 // addTopicGauges adds the gauges of how far behind the end of a topic this router is, and how old its newest complete read.
 func (vm *entryVM) addTopicGauges(topic string, f *follow.Follower) {
 	gauge := func(name string, value func() float64) {
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -51,8 +51,11 @@
 	// Grace is how long a router that knows of newer records waits to receive them from the hub before it reads
 	// them itself.
 	Grace time.Duration
-	// MaxAge is the age at which a router reads the topic itself, if no other router reads for it.
+	// MaxAge is the age at which a router reads the topic itself, if its hub does not answer or UnassistedInterval allows it.
 	MaxAge time.Duration
+	// UnassistedInterval returns for how long after a failed read a router whose hub answers relies on the hub, however old its
+	// data are, or 0 if it always does. The store may turn away the hub and those that read for it. It may be nil.
+	UnassistedInterval func() time.Duration
 	// StartupWait is how long a starting router without data waits for another router to send it.
 	StartupWait time.Duration
 	// Clock returns the time since boot, including time spent suspended.
@@ -83,6 +86,8 @@
 
 	failures    int
 	failedSince time.Time
+	// failedAt is the clock time of the last failed read.
+	failedAt time.Duration
 }
 
 const (
@@ -130,8 +135,8 @@
 }
 
 // HubAnswered records that the hub has just answered. As long as it does, this router does not read because its data is
-// old: if the hub cannot read, it assigns a few other routers at a time to try, and reads by hundreds of routers
-// would only make an outage worse.
+// old, unless it may read unassisted: if the hub cannot read, it assigns a few other routers at a time to try, and reads by
+// hundreds of routers would only make an outage worse.
 func (f *Follower) HubAnswered() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -206,7 +211,18 @@
 	if f.behind() {
 		return f.backlog.since + f.options.Grace - now
 	}
-	return max(f.confirmedAt, f.hubAnsweredAt) + f.options.MaxAge - now
+	due := max(f.confirmedAt, f.hubAnsweredAt) + f.options.MaxAge
+	if interval := f.unassistedInterval(); interval > 0 {
+		due = min(due, max(f.confirmedAt+f.options.MaxAge, f.failedAt+interval))
+	}
+	return due - now
+}
+
+func (f *Follower) unassistedInterval() time.Duration {
+	if f.options.UnassistedInterval == nil {
+		return 0
+	}
+	return f.options.UnassistedInterval()
 }
 
 // readOnce makes one read. If records have been trimmed unread, or the log is of another generation, it starts over from
@@ -325,6 +341,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.failures++
+	f.failedAt = f.options.Clock()
 	pause = min(retryMin<<min(f.failures-1, 8), retryMax)
 	return pause/2 + rand.N(pause/2)
 }
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -145,6 +145,8 @@
 	hubState hubState
 	// lastHubChange is when this router, unable to read the store itself, last left a hub.
 	lastHubChange time.Duration
+	// hubBehindSince is since when the hub has been behind what it was offered, 0 if it is not.
+	hubBehindSince time.Duration
 }
 
 // New returns an agent that already listens on its address, but serves and reports only once it is started.
@@ -257,6 +259,7 @@
 // leaveHub marks a hub as failed.
 func (a *Agent) leaveHub(m members.Member, err error) {
 	a.Members.MarkFailed(m.Name, time.Now())
+	a.hubBehindSince = 0
 	a.stopWaitingForHub()
 	_ = a.Logger.Log(field.Event, event.HubLost, field.Hub, m.Name, field.Err, err)
 }
--- a/io/hub/client.go
+++ b/io/hub/client.go
@@ -153,21 +153,30 @@
 // be refused.
 const minHubChangeInterval = time.Second
 
-// hubBehind reports whether the hub's reads are old and this router's own, which it makes once they are, are newer.
-// Such a hub is cut off from the store or refused by it, and its endpoint list would bring back endpoints that have
-// left. A router that can read the store leaves such a hub at once, unless the hub has just asked it for what it
-// knows. One that cannot tries other hubs one after the other, since one of them may be able to read.
+// offerGrace is how long a hub may take to ask for what it was offered, or to take it over. Several followers read at the same
+// time, of which a hub that cannot read asks a few.
+const offerGrace = 400 * time.Millisecond
+
+// hubBehind reports whether this router leaves its hub, because the hub's reads are old and this router's own, which it makes
+// once they are, are newer. Such a hub is cut off from the store or refused by it, and its endpoint list would bring back
+// endpoints that have left. A new hub is left at once unless it asks for the newer reads, and one that was offered them if they do
+// not help it for a while. A router that cannot read the store either tries other hubs one after the other, since one of them may be able
+// to read.
 func (a *Agent) hubBehind(r *Reply, offer *Offer, sent time.Duration) bool {
-	configurationNewer, configurationReadable := a.compareFreshness(r.Configuration, a.Configuration, sent)
-	registryNewer, registryReadable := a.compareFreshness(r.Registry, a.Registry, sent)
-	offered := offer.Given != nil || len(offer.Changes) > 0
-	if r.Read && !offered {
+	followed := r.Epoch == a.hubState.epoch
+	configurationNewer, configurationReadable := a.compareFreshness(r.Configuration, a.readAt(a.Configuration, offer.Configuration, followed), sent)
+	registryNewer, registryReadable := a.compareFreshness(r.Registry, a.readAt(a.Registry, offer.Registry, followed), sent)
+	if !configurationNewer && !registryNewer {
+		a.hubBehindSince = 0
 		return false
 	}
+	if a.hubBehindSince == 0 {
+		a.hubBehindSince = sent
+	}
 	if configurationReadable || registryReadable {
-		return true
+		return !followed && !r.Read || a.Clock()-a.hubBehindSince >= offerGrace
 	}
-	if !configurationNewer && !registryNewer || sent-a.lastHubChange < minHubChangeInterval {
+	if sent-a.lastHubChange < minHubChangeInterval {
 		return false
 	}
 	a.lastHubChange = sent
@@ -184,14 +193,30 @@
 	return !r.Failing && r.Configuration.Known && r.Registry.Known && max(r.Configuration.Age, r.Registry.Age) > maxAge
 }
 
+// ownRead is up to where this router knows a topic by a read sent at the given time since boot.
+type ownRead struct {
+	known bool
+	end   compactedlog.Position
+	sent  time.Duration
+}
+
+// readAt returns what a hub that is followed was offered of a topic, and else what this router knows of it.
+func (a *Agent) readAt(f TopicReader, offered Known, followed bool) (read ownRead) {
+	if followed {
+		return ownRead{known: offered.Known, end: offered.end(), sent: a.hubState.receivedAt + offered.After}
+	}
+	read.end, read.sent, read.known = f.Position()
+	return read
+}
+
 // compareFreshness reports whether the hub's reads are old and this router's are newer, and whether these are recent
 // enough to show that this router can read the store.
-func (a *Agent) compareFreshness(position TopicPosition, f TopicReader, sent time.Duration) (newer, canRead bool) {
-	end, known, ok := f.Position()
-	if !ok || !position.Known || position.Age <= a.StaleAfter || end.Before(position.end()) {
+func (a *Agent) compareFreshness(position TopicPosition, own ownRead, sent time.Duration) (newer, canRead bool) {
+	if !own.known || !position.Known || position.Age <= a.StaleAfter || own.end.Before(position.end()) {
 		return false, false
 	}
-	return known > sent-position.Age+minFreshnessGain, sent-known <= a.StaleAfter
+	newer = own.sent > sent-position.Age+minFreshnessGain
+	return newer, newer && sent-own.sent <= a.StaleAfter
 }
 
 // applyReply applies a reply to a report that was sent at the given time since boot. A reply that does not continue
--- a/io/hub/hubtest/fakestore/store.go
+++ b/io/hub/hubtest/fakestore/store.go
@@ -29,6 +29,7 @@
 	// seen is the highest generation that was answered to each router, with any topic.
 	seen     map[string]*atomic.Int64
 	refused  func(router string) bool
+	silent   func(router string) bool
 	calls    int
 	lastSent time.Time
 	newsCh   chan struct{}
@@ -75,6 +76,14 @@
 	s.refused = refused
 }
 
+// Silence makes the store not answer the calls of the routers for which silent returns true, or answer all if it is nil. silent is
+// asked once a call, one call after the other.
+func (s *Store) Silence(silent func(router string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
 // Restore replaces the store's contents by a copy that lacks the last records of each topic, and writes the newest record
 // of each key among them again, as the operator and the endpoints do.
 func (s *Store) Restore(lost map[string]int) { s.Rewrite(s.LoseRecords(lost)) }
@@ -169,12 +178,17 @@
 	s.mu.Lock()
 	s.calls++
 	refused := s.refused != nil && s.refused(s.router)
+	silent := s.silent != nil && s.silent(s.router)
 	s.mu.Unlock()
 	select {
 	case <-time.After(storeLatency):
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if refused {
 		return errRefused
 	}
--- a/io/hub/hubtest/fleet.go
+++ b/io/hub/hubtest/fleet.go
@@ -36,6 +36,8 @@
 	net     *fakenetwork.Network
 	routers []*router
 	drains  draining.Decoder
+	// bound is the time within which a change must be known to all routers.
+	bound time.Duration
 	// newState returns the state of a router that starts. It is nil if the routers do not share their states.
 	newState func(name string) hub.FleetState
 }
@@ -98,12 +100,21 @@
 // New starts n routers within 0.3 s, the first largeVMs of them on large VMs, and waits until they have
 // found each other. The decoder reads the records that drain failure domains.
 func New(t *testing.T, n int, drains draining.Decoder) *Fleet {
-	return NewWithStates(t, n, drains, nil)
+	return start(t, n, &Fleet{drains: drains, bound: PropagationBound})
+}
+
+// NewWithin starts a fleet of which every router must know a change within the bound.
+func NewWithin(t *testing.T, n int, drains draining.Decoder, bound time.Duration) *Fleet {
+	return start(t, n, &Fleet{drains: drains, bound: bound})
 }
 
 // NewWithStates starts a fleet whose routers share the states that newState returns.
 func NewWithStates(t *testing.T, n int, drains draining.Decoder, newState func(name string) hub.FleetState) *Fleet {
-	f := &Fleet{t: t, began: time.Now(), store: fakestore.New(), net: fakenetwork.New(), drains: drains, newState: newState}
+	return start(t, n, &Fleet{drains: drains, bound: PropagationBound, newState: newState})
+}
+
+func start(t *testing.T, n int, f *Fleet) *Fleet {
+	f.t, f.began, f.store, f.net = t, time.Now(), fakestore.New(), fakenetwork.New()
 	f.store.Put(fakestore.ConfigurationTopic, "config", "1")
 	for e := range EndpointCount {
 		f.PutEndpoint(e, false)
@@ -131,11 +142,16 @@
 	f.store.Put(fakestore.RegistryTopic, entry.ID, string(data))
 }
 
+// RemoveEndpoint removes the registry entry of an endpoint.
+func (f *Fleet) RemoveEndpoint(e int) { f.store.Put(fakestore.RegistryTopic, fmt.Sprint("e", e), "") }
+
 // Start starts a router.
 func (f *Fleet) Start(m members.Member, bootstrap bool) {
 	m.Started = time.Now().UnixNano()
 	r := &router{self: m, meter: metrics.NewSet()}
-	options := follow.Options{Grace: 400 * time.Millisecond, MaxAge: PropagationBound * 3 / 4, StartupWait: 1200 * time.Millisecond, Clock: f.Clock}
+	options := follow.Options{Grace: 400 * time.Millisecond, MaxAge: f.bound * 3 / 4, StartupWait: 1200 * time.Millisecond, Clock: f.Clock}
+	routers := &members.List{}
+	options.UnassistedInterval = func() time.Duration { return hub.UnassistedInterval(routers, m.Name) }
 	configured, entered := options, options
 	configured.Name, configured.PollWait, configured.MinInterval = "configuration", 500*time.Millisecond, 50*time.Millisecond
 	entered.Name, entered.MinInterval = "registry", 600*time.Millisecond
@@ -144,10 +160,10 @@
 	r.endpoints = registry.New(entryDecoder{}, func([]directory.Entry) {}, log.NewNopLogger())
 	r.registry = follow.New(f.store.ForRouter(m.Name, fakestore.RegistryTopic), r.endpoints, entered, log.NewNopLogger())
 	config := hub.Config{
-		Self: m, ListenAddress: m.Address, Members: &members.List{}, Configuration: r.configuration, CurrentRecord: r.configurationSink.record, OtherRecords: r.drains.Records,
+		Self: m, ListenAddress: m.Address, Members: routers, Configuration: r.configuration, CurrentRecord: r.configurationSink.record, OtherRecords: r.drains.Records,
 		Registry: r.registry, Endpoints: r.endpoints, Loads: &r.work, Parts: &r.parts, RouterList: hub.NewRouterList(f.store.ForRouter(m.Name, fakestore.RoutersTopic)),
 		Bootstrap: bootstrap, Network: f.net.ForRouter(m.Address), Meter: traffic.New(r.meter), Logger: log.NewNopLogger(),
-		Clock: f.Clock, StaleAfter: PropagationBound * 3 / 4, OnRoutersChanged: func(routers []uint64) { r.parts.SetFleet(coldlimit.New(members.Hash(m.Name), routers)) },
+		Clock: f.Clock, StaleAfter: f.bound * 3 / 4, OnRoutersChanged: func(routers []uint64) { r.parts.SetFleet(coldlimit.New(members.Hash(m.Name), routers)) },
 	}
 	if f.newState != nil {
 		config.FleetState = f.newState(m.Name)
@@ -226,8 +242,7 @@
 func (f *Fleet) AssertKnown(version string, usable int, age time.Duration) {
 	f.t.Helper()
 	for _, r := range f.routers {
-		assert.Equal(f.t, r.configurationSink.version(), version, r.self.Name)
-		assert.Equal(f.t, r.Usable(), usable, r.self.Name)
+		f.assertContents(r, version, usable)
 		for _, topic := range []*follow.Follower{r.configuration, r.registry} {
 			_, sent, ok := topic.Position()
 			assert.Assert(f.t, ok, r.self.Name)
@@ -236,6 +251,23 @@
 	}
 }
 
+// AssertServed checks that every router that the store serves has the newest configuration version and the number of usable
+// endpoints.
+func (f *Fleet) AssertServed(served func(name string) bool, version string, usable int) {
+	f.t.Helper()
+	for _, r := range f.routers {
+		if served(r.self.Name) {
+			f.assertContents(r, version, usable)
+		}
+	}
+}
+
+func (f *Fleet) assertContents(r *router, version string, usable int) {
+	f.t.Helper()
+	assert.Equal(f.t, r.configurationSink.version(), version, r.self.Name)
+	assert.Equal(f.t, r.Usable(), usable, r.self.Name)
+}
+
 // Usable returns the number of endpoints that the router may use.
 func (r *router) Usable() (n int) {
 	changes, _ := r.endpoints.Changes().Since(0)
--- /dev/null
+++ b/io/hub/hubtest/turnedaway/turnedaway_test.go
@@ -0,0 +1,105 @@
+package turnedaway_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"savoryfall/io/hub/hubtest"
+	"savoryfall/io/hub/hubtest/fakestore"
+)
+
+// away are the routers that the store does not answer: at first the hub, and then those that read first, up to a number.
+type away struct {
+	names   map[string]bool
+	further int
+	served  map[string]bool
+}
+
+func turnAway(f *hubtest.Fleet, further int) *away {
+	a := &away{names: map[string]bool{}, further: further, served: map[string]bool{}}
+	for _, r := range f.Routers() {
+		if r.HubName() == r.Self().Name {
+			a.names[r.Self().Name] = true
+		}
+	}
+	f.Store().Silence(a.silent)
+	return a
+}
+
+// silent is called by the store for each call, one after the other.
+func (a *away) silent(name string) bool {
+	if !a.names[name] && !a.served[name] && a.further > 0 {
+		a.names[name] = true
+		a.further--
+	}
+	a.served[name] = !a.names[name]
+	return a.names[name]
+}
+
+func (a *away) serves(name string) bool { return !a.names[name] }
+
+// fleets are the sizes of fleets, the time within which each of their routers must know a change, and how many routers the store
+// turns away besides the hub.
+var fleets = []struct {
+	routers int
+	bound   time.Duration
+	further int
+}{{6, 2 * time.Second, 2}, {10, 2 * time.Second, 3}}
+
+// Guards against routers that stay on an old configuration, although the store serves them, because it turns away their hub and the
+// first routers that read for it.
+func TestServedRoutersLearnOfChangesInTime(t *testing.T) {
+	for _, c := range fleets {
+		for shift := range 6 {
+			t.Run(fmt.Sprintf("%d routers, %d", c.routers, shift), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleetWithin(t, c.routers, c.bound)
+					defer f.Stop()
+					time.Sleep(time.Duration(shift) * 100 * time.Millisecond)
+					a := turnAway(f, c.further)
+					time.Sleep(20 * time.Millisecond)
+					f.Store().Put(fakestore.ConfigurationTopic, "config", "2")
+					f.RemoveEndpoint(0)
+					time.Sleep(c.bound)
+					f.AssertServed(a.serves, "2", hubtest.EndpointCount-1)
+				})
+			})
+		}
+	}
+}
+
+// Guards against changes that reach the routers of a large fleet late, because the store turns away two in five of them and the hub.
+func TestServedRoutersOfLargeFleetsLearnOfChangesInTime(t *testing.T) {
+	for _, c := range []struct {
+		routers int
+		bound   time.Duration
+		seeds   []uint64
+	}{
+		// With most seeds one of the routers asked first can read; with these none can.
+		{82, 3 * time.Second, []uint64{15, 23, 43, 54}},
+		{300, 4 * time.Second, []uint64{15, 23}},
+	} {
+		for _, seed := range c.seeds {
+			t.Run(fmt.Sprintf("%d routers, seed %d", c.routers, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleetWithin(t, c.routers, c.bound)
+					defer f.Stop()
+					random := rand.New(rand.NewPCG(seed, seed))
+					a := &away{names: map[string]bool{}, served: map[string]bool{}}
+					for _, r := range f.Routers() {
+						a.names[r.Self().Name] = r.HubName() == r.Self().Name || random.Float64() < 0.4
+					}
+					f.Store().Silence(a.silent)
+					time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+					f.Store().Put(fakestore.ConfigurationTopic, "config", "2")
+					f.RemoveEndpoint(0)
+					time.Sleep(c.bound)
+					f.AssertServed(a.serves, "2", hubtest.EndpointCount-1)
+				})
+			})
+		}
+	}
+}
--- a/io/hub/input_test.go
+++ b/io/hub/input_test.go
@@ -136,7 +136,8 @@
 	r := Report{From: members.Member{Name: "x", Address: "a"}, Epoch: 5, Numbers: Numbers{Changes: 7}}
 	r.Offer.Registry = Known{Known: true, Next: math.MaxInt64}
 	r.Offer.Changes = []fleetload.Change{knownEndpoint}
-	assert.Assert(t, !s.agent.applyOffer(&r))
+	newer, incomplete := s.agent.applyOffer(&r)
+	assert.Assert(t, !newer && !incomplete)
 	var reply Reply
 	assert.NilError(t, s.Report(&r, &reply))
 	assert.Equal(t, reply.Since, Numbers{})
--- a/io/hub/offer.go
+++ b/io/hub/offer.go
@@ -6,6 +6,7 @@
 	"savoryfall/core/compactedlog"
 	"savoryfall/core/event"
 	"savoryfall/core/field"
+	"savoryfall/core/members"
 	"savoryfall/core/readrotation"
 )
 
@@ -38,11 +39,11 @@
 	return Known{Known: ok && h.replyStamp > 0, Next: end.Offset, Generation: end.Generation, After: sent - h.receivedAt}
 }
 
-// applyOffer takes over what the reporting router has read and this one has not, and reports whether that router had
-// a newer read.
-func (a *Agent) applyOffer(args *Report) (newer bool) {
+// applyOffer takes over what the reporting router has read and this one has not. It reports whether that router had a newer
+// read, and whether the report lacks the data that was read.
+func (a *Agent) applyOffer(args *Report) (newer, incomplete bool) {
 	if args.Epoch != a.epoch {
-		return false
+		return false, false
 	}
 	o := &args.Offer
 	configurationResult := a.applyOfferedTopic(o.Configuration, a.Configuration, o.Stamp, o.Given != nil, func(sent time.Duration) {
@@ -55,7 +56,8 @@
 	if configurationResult == offerApplied || registryResult == offerApplied {
 		a.readers.Delivered(args.From.Name, a.Clock())
 	}
-	return configurationResult != offerStale || registryResult != offerStale
+	newer = configurationResult != offerStale || registryResult != offerStale
+	return newer, configurationResult == offerIncomplete || registryResult == offerIncomplete
 }
 
 // applyCompressed takes over the configuration that another router has read up to the position.
@@ -99,6 +101,24 @@
 	return offerApplied
 }
 
+const (
+	// unassistedReaders is how many routers read the store by themselves when the reads of their hub are old: so many that one of
+	// them is served even if the store turns away two in five.
+	unassistedReaders = 16
+	// minUnassistedInterval and unassistedIntervalPerRouter bound their reads in an outage of the store.
+	minUnassistedInterval       = 2 * time.Second
+	unassistedIntervalPerRouter = 50 * time.Millisecond
+)
+
+// UnassistedInterval returns for how long after a failed read the router relies on its hub, however old the hub's reads are, or 0
+// if it always does.
+func UnassistedInterval(routers *members.List, name string) time.Duration {
+	if !routers.InSample(name, unassistedReaders) {
+		return 0
+	}
+	return max(minUnassistedInterval, time.Duration(routers.Len())*unassistedIntervalPerRouter)
+}
+
 // outdatedAge is the age of a hub's data above which the hub asks other routers to read the store for it.
 const outdatedAge = 900 * time.Millisecond
 
--- a/io/hub/server.go
+++ b/io/hub/server.go
@@ -83,8 +83,11 @@
 	a.mu.Lock()
 	a.pendingReads = append(a.pendingReads, fresh...)
 	a.mu.Unlock()
-	newer := a.applyOffer(args)
-	a.awaitNews(args)
+	newer, incomplete := a.applyOffer(args)
+	if !incomplete {
+		// Otherwise the router learns at once that it is to bring the data.
+		a.awaitNews(args)
+	}
 	err = a.fillReply(args, reply, arrived)
 	if err != nil {
 		return err
