io/hub, io/follow: a router is not dismissed as reader for a failure from before

Cause: the report of a router that was asked said that its last read had failed, which still was one of the outage, as followers read nothing in between. The hub held that report for longer than it ignores failures after an assignment. Besides, a router that was waiting after a failed read, for up to 2 s, went on waiting when it was asked, and a hub gives up after 0.9 s.

A report counts failures since the router was asked only, and a router that is asked reads at once, with the delays of the first failures.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -71,6 +71,8 @@
 	cancel     context.CancelFunc
 	goroutines background.Group
 	wake       chan struct{}
+	// led wakes up a router that waits after a failed read and is to read for others now.
+	led chan struct{}
 
 	mu sync.Mutex
 	// position is up to where the topic is known.
@@ -111,7 +113,7 @@
 
 // New returns a follower that passes the records it reads to the sink.
 func New(t Topic, s Sink, o Options, logger log.Logger) *Follower {
-	return &Follower{topic: t, sink: s, options: o, logger: logger, wake: make(chan struct{}, 1)}
+	return &Follower{topic: t, sink: s, options: o, logger: logger, wake: make(chan struct{}, 1), led: make(chan struct{}, 1)}
 }
 
 // Start follows the topic in the background until Stop.
@@ -153,20 +155,34 @@
 }
 
 // SetLeader sets whether this router reads for others. A leader reads continuously; other routers read only what they
-// do not receive from the hub.
+// do not receive from the hub. A router that becomes a leader reads at once, also if it is waiting after a failed read.
 func (f *Follower) SetLeader(leader bool) {
 	f.mu.Lock()
-	changed := f.leader != leader
+	began := leader && !f.leader
 	f.leader = leader
+	if began {
+		f.failures = min(f.failures, 1)
+	}
 	f.mu.Unlock()
-	if changed && leader {
+	if began {
 		f.signal()
+		signal(f.led)
 	}
 }
 
-func (f *Follower) signal() {
+// dropLed takes back the wake-up of a router that reads already.
+func (f *Follower) dropLed() {
 	select {
-	case f.wake <- struct{}{}:
+	case <-f.led:
+	default:
+	}
+}
+
+func (f *Follower) signal() { signal(f.wake) }
+
+func signal(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
 	default:
 	}
 }
@@ -179,6 +195,7 @@
 			continue
 		}
 		began := time.Now()
+		f.dropLed()
 		err := f.readOnce(ctx)
 		if ctx.Err() != nil {
 			return
@@ -186,7 +203,7 @@
 		if err != nil {
 			// The wake channel is not used here: a request for newer records must not shorten the delay after a
 			// failure.
-			background.Sleep(ctx, f.recordFailure(err), nil)
+			background.Sleep(ctx, f.recordFailure(err), f.led)
 			continue
 		}
 		f.recordSuccess()
@@ -373,3 +390,10 @@
 
 // Failing returns whether this router's own reads fail.
 func (f *Follower) Failing() bool { return f.failureCount() > 0 }
+
+// FailedSince returns whether this router's own reads fail and the last one has failed since the given time since boot.
+func (f *Follower) FailedSince(t time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failures > 0 && f.failedAt >= t
+}
--- a/io/hub/agent.go
+++ b/io/hub/agent.go
@@ -31,6 +31,7 @@
 	HubAnswered()
 	EndStartupWait()
 	Failing() bool
+	FailedSince(t time.Duration) bool
 }
 
 // ConfigurationReader is the reader of the configuration topic, whose newest record a router may have to request from
@@ -135,6 +136,8 @@
 	stopped        bool
 	// readsStore is set if this router reads the store, because it has no hub or its hub asked it to.
 	readsStore bool
+	// readsSince is the time since boot from which on this router reads the store.
+	readsSince time.Duration
 	// hubFailing is set if no router that reads for the hub can read the store.
 	hubFailing bool
 	// pendingReads and joinedRouters were received here and have not been accepted by a hub yet.
@@ -334,6 +337,9 @@
 	a.hubFailing = hubFailing
 	changed, readingChanged := a.hubName != hub, a.readsStore != readsStore
 	a.hubName, a.readsStore = hub, readsStore
+	if readingChanged && readsStore {
+		a.readsSince = a.Clock()
+	}
 	if changed && hub == a.Self.Name {
 		a.nextListRead = time.Now().Add(firstListReadDelay)
 	}
--- a/io/hub/agent_test.go
+++ b/io/hub/agent_test.go
@@ -81,6 +81,8 @@
 	return f.failing
 }
 
+func (f *fakeTopic) FailedSince(time.Duration) bool { return f.Failing() }
+
 func (f *fakeTopic) ApplySnapshot(records []compactedlog.Record, end compactedlog.Position, _ time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/hub/epoch_test.go
+++ b/io/hub/epoch_test.go
@@ -22,10 +22,11 @@
 func (unreadTopic) Position() (end compactedlog.Position, sent time.Duration, ok bool) {
 	return end, 0, false
 }
-func (unreadTopic) Behind() bool    { return false }
-func (unreadTopic) Failing() bool   { return false }
-func (unreadTopic) HubAnswered()    {}
-func (unreadTopic) EndStartupWait() {}
+func (unreadTopic) Behind() bool                   { return false }
+func (unreadTopic) Failing() bool                  { return false }
+func (unreadTopic) FailedSince(time.Duration) bool { return false }
+func (unreadTopic) HubAnswered()                   {}
+func (unreadTopic) EndStartupWait()                {}
 
 // fakeEndpoints holds changes of endpoints and ignores the changes applied to it.
 type fakeEndpoints struct{ changes fleetload.ChangeLog }
--- a/io/hub/message.go
+++ b/io/hub/message.go
@@ -108,7 +108,7 @@
 	Stamp         time.Duration
 	Configuration Known
 	Registry      Known
-	// Failing says that this router's last reads failed.
+	// Failing says that this router's last reads failed, since it was asked to read.
 	Failing bool
 	// Given and Changes are the configuration and all endpoints. They are set if the hub asked for them and lacks
 	// them.
--- a/io/hub/offer.go
+++ b/io/hub/offer.go
@@ -16,7 +16,7 @@
 	state := &a.hubState
 	o = Offer{
 		Stamp: state.replyStamp, Configuration: state.offered(a.Configuration), Registry: state.offered(a.Registry),
-		Failing: a.Configuration.Failing() || a.Registry.Failing(),
+		Failing: a.failedToRead(),
 	}
 	if !state.askedToRead {
 		return o
@@ -34,6 +34,15 @@
 	return o
 }
 
+// failedToRead reports whether this router's reads have failed since it was asked to read. What failed before says nothing of
+// whether the store serves it now.
+func (a *Agent) failedToRead() bool {
+	a.mu.Lock()
+	readsStore, since := a.readsStore, a.readsSince
+	a.mu.Unlock()
+	return readsStore && (a.Configuration.FailedSince(since) || a.Registry.FailedSince(since))
+}
+
 func (h *hubState) offered(f TopicReader) Known {
 	end, sent, ok := f.Position()
 	return Known{Known: ok && h.replyStamp > 0, Next: end.Offset, Generation: end.Generation, After: sent - h.receivedAt}
