io/registry: entries that vanish are kept only if the store may have been away for endpoints

Cause: every failed read of the hub, once no router had read for 1.5 s, began a grace of 2.3 s in which vanished entries stay in use, since endpoints cannot renew them in an outage. It asked whether a read failed here, and not whether entries can have lapsed: an endpoint lapses after three heartbeats of silence. The other way round, a hub that goes on reporting its last read of before an outage counted as news at its followers, so that one of them that read first afterwards removed all entries that had lapsed.

Now the grace begins if a read failed here and no router is known to have read since two heartbeats, by the time at which reads were sent; it is asked again when a list is read. The heartbeat is a setting that the platform fills in. Weighed: counting what endpoints wrote meanwhile, which also shows it, needs their usual rate.

--- a/core/settings/entry.go
+++ b/core/settings/entry.go
@@ -15,6 +15,7 @@
 	linkMbps      float64
 	changesWithin time.Duration
 	drainedWithin time.Duration
+	heartbeat     time.Duration
 	cold          ColdLimits
 	clients       string
 	connections   Connections
@@ -90,6 +91,7 @@
 	const announced = "announced"
 	s.changesWithin = readChangesWithin(t.Table("store"))
 	s.drainedWithin = readDrainedWithin(t.Table("store"))
+	s.heartbeat = t.Table("store").Duration("heartbeat", time.Second, 10*time.Millisecond, time.Hour)
 	s.announced = validateAddress(t.Table("peers"), announced, t.Table("peers").String(announced, s.peers))
 	return s, doc.Err()
 }
@@ -138,6 +140,9 @@
 // DrainedWithin returns how long it may take until the drain of a failure domain is in force on every router.
 func (s *Entry) DrainedWithin() time.Duration { return s.drainedWithin }
 
+// Heartbeat returns about how often endpoints write their entries.
+func (s *Entry) Heartbeat() time.Duration { return s.heartbeat }
+
 // ChangesWithin returns how long a change in the store may take until it is in force on every router. It is the minimum
 // of the limits for configuration changes, leaving endpoints and drained failure domains.
 func (s *Entry) ChangesWithin() time.Duration { return s.changesWithin }
--- a/io/command/entrystore.go
+++ b/io/command/entrystore.go
@@ -33,6 +33,7 @@
 	}, vm.logger)
 	vm.manager.Register("configuration", configurationFollower)
 	vm.endpoints = registry.New(wireregistry.Decoder{}, vm.setEndpoints, vm.logger)
+	vm.endpoints.SetHeartbeat(vm.settings.Heartbeat())
 	registryFollower := follow.New(storeClient.Topic(wireregistry.Topic), vm.endpoints, follow.Options{
 		Name: "registry", MinInterval: registryMinInterval, MaxAge: staleAfter, StartupWait: startupWait,
 		UnassistedInterval: vm.unassistedInterval, Clock: bootclock.Now,
--- a/io/hub/hubtest/turnedaway/turnedaway_test.go
+++ b/io/hub/hubtest/turnedaway/turnedaway_test.go
@@ -71,6 +71,32 @@
 	}
 }
 
+// Guards against a hub that the store turned away for a short time and that keeps, for all, an endpoint which has left meanwhile.
+func TestEndpointThatLeavesWhileHubIsTurnedAwayIsNotKept(t *testing.T) {
+	for _, c := range fleets {
+		for shift := range 6 {
+			t.Run(fmt.Sprintf("%d routers, %d", c.routers, shift), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleetWithin(t, c.routers, c.bound)
+					defer f.Stop()
+					time.Sleep(time.Duration(shift) * 100 * time.Millisecond)
+					a := turnAway(f, c.further)
+					time.Sleep(20 * time.Millisecond)
+					f.RemoveEndpoint(0)
+					left := time.Now()
+					time.Sleep(1680 * time.Millisecond)
+					f.Store().Silence(nil)
+					for ; time.Since(left) < 7*time.Second; time.Sleep(50 * time.Millisecond) {
+						if time.Since(left) >= c.bound {
+							f.AssertServed(a.serves, "1", hubtest.EndpointCount-1)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // Guards against changes that reach the routers of a large fleet late, because the store turns away two in five of them and the hub.
 func TestServedRoutersOfLargeFleetsLearnOfChangesInTime(t *testing.T) {
 	for _, c := range []struct {
@@ -103,3 +129,34 @@
 		}
 	}
 }
+
+// Guards against routers that stay on an old configuration after an outage of the store, although it serves them, because their hub
+// is turned away right after it and dismisses or loses the routers that could read for it.
+func TestServedRoutersLearnOfChangesAfterOutage(t *testing.T) {
+	for _, routers := range []int{6, 10} {
+		for shift := range 10 {
+			t.Run(fmt.Sprintf("%d routers, %d", routers, shift), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleetWithin(t, routers, 2*time.Second)
+					defer f.Stop()
+					time.Sleep(time.Duration(shift) * 60 * time.Millisecond)
+					f.Store().Refuse(func(string) bool { return true })
+					time.Sleep(2500 * time.Millisecond)
+					f.Store().Refuse(nil)
+					back := time.Now()
+					time.Sleep(400 * time.Millisecond)
+					a := turnAway(f, 0)
+					f.Store().Silence(nil)
+					f.Store().Refuse(a.silent)
+					for version, after := range []time.Duration{500 * time.Millisecond, 700 * time.Millisecond, time.Second} {
+						time.Sleep(time.Until(back.Add(after)))
+						f.Store().Put(fakestore.ConfigurationTopic, "config", fmt.Sprint(version+2))
+					}
+					// From then on the store counts as back.
+					time.Sleep(time.Until(back.Add(3 * time.Second)))
+					f.AssertServed(a.serves, "4", hubtest.EndpointCount)
+				})
+			})
+		}
+	}
+}
--- a/io/registry/tracker.go
+++ b/io/registry/tracker.go
@@ -39,6 +39,8 @@
 	unrecorded bool
 	// readAt is when a read of the registry, by this router or another, last showed that nothing is missing here.
 	readAt time.Time
+	// outage is what shows whether the store may have been away for endpoints.
+	outage outage
 	// coldUnknown holds, for each endpoint whose entry does not say how long it is cold, the start time of the
 	// process for which that was logged.
 	coldUnknown map[string]int64
@@ -131,6 +133,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.noteGap(time.Now())
+	t.keepLapsed(time.Now())
 	var entries []directory.Entry
 	for _, r := range records {
 		e, err := t.decoder.Decode(r)
@@ -149,6 +152,7 @@
 func (t *Tracker) Apply(records []compactedlog.Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.keepLapsed(time.Now())
 	changed := false
 	for _, r := range records {
 		changed = t.apply(r) || changed
@@ -190,10 +194,11 @@
 }
 
 // Read removes the entries that have not come back after an outage.
-func (t *Tracker) Read(time.Duration) {
+func (t *Tracker) Read(sent time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.readAt = time.Now()
+	t.outage.recordRead(sent, t.readAt)
 	t.versions.Confirm(t.readAt)
 	t.publish(t.directory.ExpireVanished(time.Now()), sourceRegistry)
 }
@@ -205,17 +210,21 @@
 	t.directory.ReadFailed(time.Now())
 }
 
-// servedWithin is how recent a read must be to show that the store is available, although it does not serve this router.
-// Routers read in turn for one that is not served, about every second; an entry takes longer to lapse.
-const servedWithin = 1500 * time.Millisecond
+// SetHeartbeat sets about how often endpoints write their entries. It must be called before any other method.
+func (t *Tracker) SetHeartbeat(d time.Duration) { t.outage.heartbeat = d }
 
-// Failed keeps vanished entries for a while, since endpoints cannot renew them during an outage. If the store serves other
-// routers it is no outage, and an entry that vanishes is that of an endpoint that leaves.
+// Failed keeps vanished entries for a while if the store may be away for endpoints too: they cannot renew them then. If the store
+// serves other routers, an entry that vanishes is that of an endpoint that leaves.
 func (t *Tracker) Failed(error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
-	if now.Sub(t.readAt) >= servedWithin {
+	t.outage.recordFailure()
+	t.keepLapsed(time.Now())
+}
+
+// keepLapsed keeps entries that vanish in use for a while if they may have lapsed in an outage of the store.
+func (t *Tracker) keepLapsed(now time.Time) {
+	if t.outage.mayHaveLapsed(now) {
 		t.directory.ReadFailed(now)
 	}
 }
