io/resetconn, io/http1: a reset that a write has taken is no end of an answer

Cause: the kernel reports a connection's error once. The goroutine that writes the upload takes it, and the read after it sees the end of the stream, which ends a body that ends with its connection.

A connection that is read and written by two goroutines is now wrapped: at the end of the stream its Read gives up a write that is under way, waits for it, and reports a failure of any write in place of the end. Answers with a length or chunks need none of this.

--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -15,6 +15,7 @@
 	"savoryfall/core/header"
 	"savoryfall/core/outcome"
 	"savoryfall/core/report"
+	"savoryfall/io/resetconn"
 	"savoryfall/io/tracing"
 )
 
@@ -46,7 +47,7 @@
 
 func transport(fresh bool) *http.Transport {
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
@@ -55,6 +56,15 @@
 	}
 }
 
+// dial opens a connection whose end shows that the endpoint has ended it: a body may end with its connection.
+func dial(ctx context.Context, network, address string) (c net.Conn, err error) {
+	raw, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return resetconn.New(raw), nil
+}
+
 // Call is one attempt at one endpoint.
 type Call struct {
 	Endpoint      string
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"savoryfall/core/annotate"
+	"savoryfall/io/resetconn"
 )
 
 // Pool keeps idle connections to endpoints, by address. The zero value is an empty pool that is ready to use.
@@ -55,7 +56,7 @@
 
 // conn is a connection with its read buffer.
 type conn struct {
-	net.Conn
+	*resetconn.Conn
 	r       *bufio.Reader
 	head    headLimiter
 	address string
@@ -120,7 +121,8 @@
 	p.mu.Lock()
 	p.connectionsOpened++
 	p.mu.Unlock()
-	c = &conn{Conn: raw, address: address, head: headLimiter{from: raw, budget: &p.heads}}
+	tracked := resetconn.New(raw)
+	c = &conn{Conn: tracked, address: address, head: headLimiter{from: tracked, budget: &p.heads}}
 	c.r = bufio.NewReaderSize(&c.head, readBufferSize)
 	return c, nil
 }
@@ -154,7 +156,7 @@
 	if c.r.Buffered() > 0 {
 		return false
 	}
-	sc, is := c.Conn.(syscall.Conn)
+	sc, is := c.Conn.Conn.(syscall.Conn)
 	if !is {
 		return true
 	}
@@ -173,7 +175,7 @@
 
 // singleUse reports whether the connection must not be kept for another request.
 func (c *conn) singleUse() bool {
-	_, is := c.Conn.(interface{ SingleUse() })
+	_, is := c.Conn.Conn.(interface{ SingleUse() })
 	return is
 }
 
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"savoryfall/io/resetconn"
 )
 
 const (
@@ -153,6 +155,7 @@
 		return Unreachable
 	}
 	defer func() { _ = to.Close() }()
+	to = resetconn.New(to)
 	_, err = raw.Write(encodeLine(accepted))
 	if err != nil {
 		return ""
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -289,3 +289,24 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(received), "ok")
 }
+
+// Guards against an answer that is reset while its request is still being carried, and looks complete at the near end.
+func TestResetDuringUploadDoesNotLookComplete(t *testing.T) {
+	f := newFixture(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "a part")
+		reset(c)
+	})
+	for range 200 {
+		c, err := f.open()
+		if err != nil {
+			// The endpoint may have reset the connection before it counted as open.
+			continue
+		}
+		var upload sync.WaitGroup
+		upload.Go(func() { _, _ = c.Write(make([]byte, 1<<20)) })
+		received, err := io.ReadAll(c)
+		assert.Assert(t, err != nil, "%q looks complete", received)
+		_ = c.Close()
+		upload.Wait()
+	}
+}
