io/http1: heads of responses are read by the grammar

Callers got as answers what is none (the users' reports, MIXED): a status 000 or 099 (their connection was closed without an answer, since the handler panicked), a body that was not the endpoint's after "Content-Length : 5" or "Transfer-Encoding : chunked" (what came until the close, with the framing in it), lines whose names have blanks.

Cause: http.ReadResponse is lenient. A name with a blank becomes a field of its own, so that the length or framing it means is not seen; the status is what is left of three bytes; and a line that was broken off goes on in the next one.

One reader of heads (head.go) now takes them by RFC 9110 and RFC 9112, for answers, refusals, interim responses, responses to others and reports: status 100 to 599, names that are tokens, values without control bytes, one framing, no continued lines, and no status line within a value or a reason. What fails it is an attempt of unknown outcome, whose connection is closed. The body is read by it too, and fields after it. A response with two ids belongs to no request. Clients that read with net/http ask CheckLenient what it let pass: the own interface, probes, and the stand-in of clients.

--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -15,6 +15,7 @@
 	"savoryfall/core/header"
 	"savoryfall/core/outcome"
 	"savoryfall/core/report"
+	"savoryfall/io/http1"
 	"savoryfall/io/resetconn"
 	"savoryfall/io/tracing"
 )
@@ -216,6 +217,10 @@
 
 // checkResponse returns an error for a response that must not reach the client.
 func checkResponse(call Call, resp *http.Response) *AttemptError {
+	err := http1.CheckLenient(resp)
+	if err != nil {
+		return &AttemptError{Outcome: outcome.Unknown, Cause: err}
+	}
 	got := resp.Header.Get(header.Attempt)
 	if call.Echoes && got != call.Attempt || got != "" && got != call.Attempt {
 		return &AttemptError{Outcome: outcome.Unknown, Cause: MismatchError{Want: call.Attempt, Got: got}}
--- a/io/http1/check.go
+++ b/io/http1/check.go
@@ -50,13 +50,13 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	resp, err := c.readHead(http.MethodGet) //nolint:bodyclose // Closing the body would read it to its end.
+	h, err := c.readHead(http.MethodGet)
 	if err != nil {
 		return 0, nil, err
 	}
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxCheckBytes+1))
-	if err == nil && (resp.Close || len(body) > maxCheckBytes) {
+	body, err = io.ReadAll(io.LimitReader(newBody(h, c.r), maxCheckBytes+1))
+	if err == nil && (h.closes || !h.framed() || len(body) > maxCheckBytes) {
 		err = io.ErrUnexpectedEOF
 	}
-	return resp.StatusCode, body, err
+	return h.status, body, err
 }
--- a/io/http1/exchange.go
+++ b/io/http1/exchange.go
@@ -60,10 +60,12 @@
 	Status int
 	Header http.Header
 	// Length is the length of the body, or -1 if it is not known in advance.
-	Length      int64
-	pool        *Pool
-	conn        *conn
-	raw         *http.Response
+	Length int64
+	pool   *Pool
+	conn   *conn
+	head   *head
+	body   io.Reader
+	// writeResult receives the result of writing the request.
 	writeResult chan error
 	stop        func() bool
 	complete    bool
@@ -119,15 +121,15 @@
 		}
 	}
 	writeResult := writeRequest(c, r)
-	raw, err := readResponse(c, r) //nolint:bodyclose // Response.Close closes the body with its connection.
+	h, err := readResponse(c, r)
 	if err != nil {
 		stop()
 		_ = c.Close()
 		return nil, &AttemptError{MaybeSent: true, Timeout: isTimeout(err), Err: err}
 	}
 	return &Response{
-		Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength,
-		pool: p, conn: c, raw: raw, writeResult: writeResult, stop: stop,
+		Status: h.status, Header: h.header, Length: h.length,
+		pool: p, conn: c, head: h, body: newBody(h, c.r), writeResult: writeResult, stop: stop,
 	}, nil
 }
 
@@ -179,22 +181,22 @@
 
 // readResponse reads the header of the response. Responses to other requests may precede it if an endpoint has answered
 // one of them twice. They are read completely and dropped.
-func readResponse(c *conn, r Request) (resp *http.Response, err error) {
+func readResponse(c *conn, r Request) (h *head, err error) {
 	for range maxUnmatched + 1 {
-		resp, err = c.readHead(r.Method)
+		h, err = c.readHead(r.Method)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if h.status < http.StatusOK {
 			continue
 		}
-		if r.Matches(resp.Header) {
-			return resp, nil
+		if r.Matches(h.header) {
+			return h, nil
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || resp.ContentLength > maxUnmatchedBytes {
+		if !h.framed() || h.length > maxUnmatchedBytes {
 			return nil, errUnmatched
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxUnmatchedBytes+1))
+		n, err := io.Copy(io.Discard, io.LimitReader(newBody(h, c.r), maxUnmatchedBytes+1))
 		if err != nil {
 			return nil, err
 		}
@@ -207,7 +209,7 @@
 
 // Read reads the body. It returns io.EOF only if the body is complete.
 func (r *Response) Read(p []byte) (n int, err error) {
-	n, err = r.raw.Body.Read(p)
+	n, err = r.body.Read(p)
 	if errors.Is(err, io.EOF) {
 		r.complete = true
 		return n, io.EOF
@@ -277,7 +279,7 @@
 // bodyLength returns the length of the body that follows the head, -1 if it is not known. The response to a HEAD request
 // states that of another one.
 func (r *Response) bodyLength() int64 {
-	if r.raw.Body == http.NoBody {
+	if r.head.noBody {
 		return 0
 	}
 	return r.Length
@@ -302,18 +304,16 @@
 	}
 	c := r.conn
 	r.conn = nil
-	if !r.stop() || c.singleUse() || !r.complete || r.readFailed || r.raw.Close || !r.framed() || !r.requestWritten() || c.r.Buffered() > 0 {
+	if !r.stop() || c.singleUse() || !r.complete || r.readFailed || r.head.closes || !r.head.framed() || !r.requestWritten() || c.r.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
 	_ = c.SetDeadline(time.Time{})
-	r.pool.put(c, keepAliveTimeout(r.raw.Header))
+	r.pool.put(c, keepAliveTimeout(r.Header))
 }
 
 // EndsWithConnection reports whether the body has neither a length nor chunks, so that it ends with the connection.
-func (r *Response) EndsWithConnection() bool { return !r.framed() }
-
-func (r *Response) framed() bool { return r.raw.ContentLength >= 0 || len(r.raw.TransferEncoding) > 0 }
+func (r *Response) EndsWithConnection() bool { return !r.head.framed() }
 
 // requestWritten reports whether the whole request was sent. An endpoint may respond before it has read a long body and
 // read the rest later: it would take the next request on the connection for a part of that body.
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -58,7 +58,7 @@
 type conn struct {
 	*resetconn.Conn
 	r       *bufio.Reader
-	head    headLimiter
+	limit   headLimiter
 	address string
 	reused  bool
 	expires time.Time
@@ -122,8 +122,8 @@
 	p.connectionsOpened++
 	p.mu.Unlock()
 	tracked := resetconn.New(raw)
-	c = &conn{Conn: tracked, address: address, head: headLimiter{from: tracked, budget: &p.heads}}
-	c.r = bufio.NewReaderSize(&c.head, readBufferSize)
+	c = &conn{Conn: tracked, address: address, limit: headLimiter{from: tracked, budget: &p.heads}}
+	c.r = bufio.NewReaderSize(&c.limit, readBufferSize)
 	return c, nil
 }
 
--- a/io/probe/prober.go
+++ b/io/probe/prober.go
@@ -21,6 +21,7 @@
 	"savoryfall/core/report"
 	"savoryfall/core/retryafter"
 	"savoryfall/io/endpoint"
+	"savoryfall/io/http1"
 	"savoryfall/io/traffic"
 )
 
@@ -234,6 +235,10 @@
 	r.Header.Set("User-Agent", "")
 	sentAt := time.Now()
 	resp, err := p.client.Do(r)
+	if err == nil {
+		err = http1.CheckLenient(resp)
+		defer resp.Body.Close()
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			p.health.Failed(name, true, time.Now())
@@ -241,7 +246,6 @@
 		}
 		return
 	}
-	defer resp.Body.Close()
 	var response report.Report
 	err = json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&response)
 	if err != nil {
--- a/io/probe/prober_test.go
+++ b/io/probe/prober_test.go
@@ -138,3 +138,21 @@
 	p.RecordAnswer("engine-01", report.Report{Incarnation: "two"}, time.Now(), time.Now())
 	assert.Equal(t, h.State("engine-01", time.Now()), health.Up, "the pause is the earlier process's")
 }
+
+// Guards against an endpoint that counts as up by bytes that are no response.
+func TestMalformedResponseIsNoAnswerToProbe(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, buffered, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_, _ = buffered.WriteString("HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\n{}")
+			_ = buffered.Flush()
+			_ = c.Close()
+		}
+	}))
+	defer s.Close()
+	p, h := newProber(t, s, longPeriod)
+	p.RecordAnswer("engine-01", report.Report{Incarnation: "one"}, time.Now(), time.Now())
+	assert.Equal(t, h.State("engine-01", time.Now()), health.Up)
+	p.ProbeNow("engine-01")
+	waitForState(t, h, health.Down)
+}
