--- a/io/http1/head_test.go
+++ b/io/http1/head_test.go
@@ -20,7 +20,7 @@
 	return NewPool(func(context.Context, string) (net.Conn, error) {
 		here, there := net.Pipe()
 		go func() {
-			defer there.Close()
+			defer func() { _ = there.Close() }()
 			req, err := http.ReadRequest(newConn(there).r)
 			if err == nil {
 				_, _ = io.Copy(io.Discard, req.Body)
--- a/io/http1/reset_test.go
+++ b/io/http1/reset_test.go
@@ -14,7 +14,7 @@
 func TestUploadThatIsAnsweredAndReset(t *testing.T) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	go func() {
 		for {
 			c, err := l.Accept()
--- a/io/resetconn/conn_test.go
+++ b/io/resetconn/conn_test.go
@@ -15,7 +15,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	raw, err := net.Dial("tcp4", l.Addr().String())
 	assert.NilError(t, err)
 	accepted, err := l.Accept()
@@ -48,7 +48,7 @@
 		assert.NilError(t, there.Close())
 		_, err = io.ReadAll(here)
 		assert.Assert(t, err != nil)
-		<-ended
+		assert.Assert(t, <-ended != nil)
 	}
 }
 
