io/follow: a router that is asked again and again does not read more

Cause, of: hubs of subtrees learn from others what is newer, so the root asks them to read and dismisses them in turn, about 15 times in 8 s. Each time they read at once and with the short delays of first failures. Found by counting the calls by router, and how often SetLeader began with failures.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -88,8 +88,9 @@
 
 	failures    int
 	failedSince time.Time
-	// failedAt is the clock time of the last failed read.
-	failedAt time.Duration
+	// failedAt is the clock time of the last failed read, hurriedAt that of the last time this router began to read for others
+	// without a delay.
+	failedAt, hurriedAt time.Duration
 }
 
 const (
@@ -106,6 +107,9 @@
 	// day were made during the store's outages.
 	followerRetryMin = 600 * time.Millisecond
 	followerRetryMax = 2 * time.Second
+	// hurryInterval is the minimum time between two times that a router which is to read for others does without its delay. A hub
+	// that learns from it what others have read asks it again and again, though its own reads fail.
+	hurryInterval = 5 * time.Second
 	// slowAnswerTimeout is the read timeout after repeated failures, in case the store is slow rather than
 	// unavailable.
 	slowAnswerTimeout = 2 * time.Second
@@ -155,21 +159,35 @@
 }
 
 // SetLeader sets whether this router reads for others. A leader reads continuously; other routers read only what they
-// do not receive from the hub. A router that becomes a leader reads at once, also if it is waiting after a failed read.
+// do not receive from the hub. A router that becomes a leader reads at once, also if it is waiting after a failed read, unless
+// it became one within hurryInterval before.
 func (f *Follower) SetLeader(leader bool) {
 	f.mu.Lock()
 	began := leader && !f.leader
 	f.leader = leader
-	if began {
+	hurried := began && f.mayHurry()
+	if hurried {
 		f.failures = min(f.failures, 1)
 	}
 	f.mu.Unlock()
 	if began {
 		f.signal()
+	}
+	if hurried {
 		signal(f.led)
 	}
 }
 
+// mayHurry reports whether this router may read before its delay after failed reads has passed, and counts that it does.
+func (f *Follower) mayHurry() bool {
+	now := f.options.Clock()
+	if f.hurriedAt > 0 && now < f.hurriedAt+hurryInterval {
+		return false
+	}
+	f.hurriedAt = now
+	return true
+}
+
 // dropLed takes back the wake-up of a router that reads already.
 func (f *Follower) dropLed() {
 	select {
--- a/io/follow/led_test.go
+++ b/io/follow/led_test.go
@@ -42,3 +42,22 @@
 		assert.Assert(t, f.FailedSince(asked))
 	})
 }
+
+// Guards against a router that reads the store ten times a second, although its reads fail, because its hub asks it again and again.
+func TestRouterThatIsAskedRepeatedlyDoesNotReadMore(t *testing.T) {
+	withFollower(t, func(f *follow.Follower, tp *fakeTopic, _ *fakeSink, _ func() time.Duration) {
+		time.Sleep(10 * time.Millisecond)
+		tp.setFailure(errCutOff, false)
+		time.Sleep(5 * time.Second)
+		tp.takeReadCount()
+		for range 16 {
+			f.SetLeader(true)
+			time.Sleep(200 * time.Millisecond)
+			f.SetLeader(false)
+			time.Sleep(50 * time.Millisecond)
+		}
+		// In four seconds: five reads with the first, short delays and at most one per 0.4 s after that.
+		reads := tp.takeReadCount()
+		assert.Assert(t, reads <= 15, "%d reads", reads)
+	})
+}
