--- a/io/hub/hubtest/turnedaway/turnedaway_test.go
+++ b/io/hub/hubtest/turnedaway/turnedaway_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 
 // away are the routers that the store does not answer: at first the hub, and then those that read first, up to a number.
 type away struct {
+	mu      sync.Mutex
 	names   map[string]bool
 	further int
 	served  map[string]bool
@@ -29,8 +31,9 @@
 	return a
 }
 
-// silent is called by the store for each call, one after the other.
 func (a *away) silent(name string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if !a.names[name] && !a.served[name] && a.further > 0 {
 		a.names[name] = true
 		a.further--
@@ -39,7 +42,11 @@
 	return a.names[name]
 }
 
-func (a *away) serves(name string) bool { return !a.names[name] }
+func (a *away) serves(name string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.names[name]
+}
 
 // fleets are the sizes of fleets, the time within which each of their routers must know a change, and how many routers the store
 // turns away besides the hub.
