--- a/core/versionhistory/history.go
+++ b/core/versionhistory/history.go
@@ -25,8 +25,8 @@
 	seen map[string]time.Time
 	// listed are the versions of the listed endpoints.
 	listed map[string]bool
-	// recorded is what the record in the store has of the version.
-	recorded map[string]recordedVersion
+	// recorded is when, by the record in the store, an endpoint of the version may last have been listed.
+	recorded map[string]time.Time
 	// offered are the listed versions at which streams may begin, because they were in the record before.
 	offered map[string]bool
 }
@@ -37,7 +37,7 @@
 	}
 	s := h.services[name]
 	if s == nil {
-		s = &service{seen: map[string]time.Time{}, listed: map[string]bool{}, recorded: map[string]recordedVersion{}, offered: map[string]bool{}}
+		s = &service{seen: map[string]time.Time{}, listed: map[string]bool{}, recorded: map[string]time.Time{}, offered: map[string]bool{}}
 		h.services[name] = s
 	}
 	return s
@@ -84,8 +84,8 @@
 				delete(s.seen, version)
 			}
 		}
-		maps.DeleteFunc(s.recorded, func(version string, r recordedVersion) bool {
-			return !s.listed[version] && now.Sub(r.lastListed) > retention
+		maps.DeleteFunc(s.recorded, func(version string, lastListed time.Time) bool {
+			return !s.listed[version] && now.Sub(lastListed) > retention
 		})
 	}
 }
@@ -120,8 +120,8 @@
 			version, found[v] = v, true
 		}
 	}
-	for v, r := range s.recorded {
-		if now.Sub(r.lastListed) <= window {
+	for v, lastListed := range s.recorded {
+		if now.Sub(lastListed) <= window {
 			version, found[v] = v, true
 		}
 	}
--- a/core/versionhistory/recorded.go
+++ b/core/versionhistory/recorded.go
@@ -25,14 +25,6 @@
 	return r.covered && !r.coveredSince.Add(listLag).After(from)
 }
 
-// recordedVersion is what the record has of a version.
-type recordedVersion struct {
-	// lastListed is the latest time at which an endpoint of the version may have been listed, as of the last read or write.
-	lastListed time.Time
-	// listed is set if the record has the version as listed.
-	listed bool
-}
-
 // SetRecord takes over the record that a read found, which was sent at the given time. known says whether the record proves
 // that no stream began, within what it covers, at a version that it does not have.
 func (h *History) SetRecord(r versionrecord.Record, sent time.Time, known bool) {
@@ -70,16 +62,10 @@
 
 func (h *History) setRecord(r versionrecord.Record, sent time.Time) {
 	h.record.last, h.record.at = r, sent
-	for _, s := range h.services {
-		for version, v := range s.recorded {
-			v.listed = false
-			s.recorded[version] = v
-		}
-	}
 	for name, versions := range r.AbsentMs {
 		s := h.service(name)
 		for version, ms := range versions {
-			s.recorded[version] = recordedVersion{lastListed: sent.Add(-time.Duration(ms) * time.Millisecond), listed: ms == 0}
+			s.recorded[version] = sent.Add(-time.Duration(ms) * time.Millisecond)
 			if ms == 0 && s.listed[version] {
 				s.offered[version] = true
 			}
@@ -153,7 +139,7 @@
 
 // absent returns for how long no endpoint of the version has been listed.
 func (s *service) absent(version string, now time.Time) time.Duration {
-	last := s.recorded[version].lastListed
+	last := s.recorded[version]
 	if at, ok := s.seen[version]; ok && at.After(last) {
 		last = at
 	}
--- a/soak/variants_test.go
+++ b/soak/variants_test.go
@@ -70,8 +70,8 @@
 		replacement: "if o.Service != e.Service || o.Version != e.Version {\n\t\treturn true",
 	},
 	"versionsThatLeftAreForgotten": {
-		file: "core/versionhistory/history.go", text: "if now.Sub(r.lastListed) <= window {",
-		replacement: "if now.Sub(r.lastListed) <= window && s.listed[v] {",
+		file: "core/versionhistory/history.go", text: "if now.Sub(lastListed) <= window {",
+		replacement: "if now.Sub(lastListed) <= window && s.listed[v] {",
 		also:        &variant{file: "io/origins/find.go", text: "if k.Log == nil || !q.HasKey {", replacement: "if k.Log == nil || q.HasKey {"},
 	},
 	"crashesAreIgnored": {
