io/follow: the test's sink takes a new list in one step

Cause: the test's Replace dropped the records and added the new ones under the lock twice, so that the check, on another thread, could see none of them in between. Sinks replace their list in one step. The check is as it was; only the sink has changed.

--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -25,14 +25,18 @@
 
 func (s *fakeSink) Replace(records []compactedlog.Record) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.keys = ""
-	s.mu.Unlock()
-	s.Apply(records)
+	s.add(records)
 }
 
 func (s *fakeSink) Apply(records []compactedlog.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.add(records)
+}
+
+func (s *fakeSink) add(records []compactedlog.Record) {
 	for _, r := range records {
 		s.keys += r.Key
 	}
