io/hub: a failed read of one's own leaves time for another within the bound

What callers saw: after a silent outage of 4.5 s, with the hub and two more of six routers turned away 0.4 s after the return, routers that the store served still sent requests to an endpoint 2.01 s after its removal (2 s are allowed), with hanging reads out of the way.

Cause: a router whose hub's data are old reads by itself at 1.5 s, and 2 s after a read of its own that failed: more than the bound is. In a larger fleet all that do so had begun at the same instant, and read at the same instants from then on, so that the store's return was noticed a whole interval late.

Change: in a fleet of up to 16, of which all read, the next read is due 0.3 s after the one that failed was sent, then 0.6 s and 1 s. A second read fits into what is left of the bound. In larger fleets the interval stays 50 ms a router. All intervals vary by a quarter.

Evidence: TestChangesReachServedRoutersAfterSilentOutage (6, 10, 16 routers, the hub and the first readers turned away 0 to 1 s after the return, ten phases each).

TestOutageCallsComeFromFewRouters holds as it is.

--- a/io/command/entrystore.go
+++ b/io/command/entrystore.go
@@ -69,8 +69,8 @@
 	return nil
 }
 
-func (vm *entryVM) unassistedInterval() time.Duration {
-	return hub.UnassistedInterval(&vm.members, vm.settings.VM().Name())
+func (vm *entryVM) unassistedInterval(failures int) time.Duration {
+	return hub.UnassistedInterval(&vm.members, vm.settings.VM().Name(), failures)
 }
 
 // addTopicGauges adds the gauges of how far behind the end of a topic this router is, and how old its newest complete read.
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -50,9 +50,10 @@
 	Grace time.Duration
 	// MaxAge is the age at which a router reads the topic itself, if its hub does not answer or UnassistedInterval allows it.
 	MaxAge time.Duration
-	// UnassistedInterval returns the time between two reads of a router whose hub answers with old data, after one that failed, or 0 if
-	// the router relies on the hub however old its data are. The store may turn away the hub and those that read for it. It may be nil.
-	UnassistedInterval func() time.Duration
+	// UnassistedInterval returns the time between two reads of a router whose hub answers with old data, after a number of reads that
+	// failed in a row, or 0 if the router relies on the hub however old its data are. The store may turn away the hub and those that
+	// read for it. It may be nil.
+	UnassistedInterval func(failures int) time.Duration
 	// StartupWait is how long a starting router without data waits for another router to send it.
 	StartupWait time.Duration
 	// Clock returns the time since boot, including time spent suspended.
@@ -240,5 +241,5 @@
 	if f.options.UnassistedInterval == nil {
 		return 0
 	}
-	return f.options.UnassistedInterval()
+	return f.options.UnassistedInterval(f.failures)
 }
--- a/io/follow/unassisted_test.go
+++ b/io/follow/unassisted_test.go
@@ -30,7 +30,7 @@
 		tp.addRecord("a")
 		f := follow.New(tp, s, follow.Options{
 			Name: "t", PollWait: 500 * time.Millisecond, MinInterval: 50 * time.Millisecond, Grace: grace, MaxAge: 1500 * time.Millisecond,
-			UnassistedInterval: func() time.Duration { return interval }, Clock: now,
+			UnassistedInterval: func(int) time.Duration { return interval }, Clock: now,
 		}, log.NewNopLogger())
 		assert.NilError(t, f.Start(context.Background()))
 		ctx, cancel := context.WithCancel(context.Background())
--- a/io/hub/hubtest/fleet.go
+++ b/io/hub/hubtest/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"savoryfall/core/coldlimit"
 	"savoryfall/core/compactedlog"
 	"savoryfall/core/directory"
+	"savoryfall/core/fleetload"
 	"savoryfall/core/members"
 	"savoryfall/core/quarantine"
 	"savoryfall/io/draining"
@@ -151,7 +153,7 @@
 	r := &router{self: m, meter: metrics.NewSet()}
 	options := follow.Options{Grace: 400 * time.Millisecond, MaxAge: f.bound * 3 / 4, StartupWait: 1200 * time.Millisecond, Clock: f.Clock}
 	routers := &members.List{}
-	options.UnassistedInterval = func() time.Duration { return hub.UnassistedInterval(routers, m.Name) }
+	options.UnassistedInterval = func(failures int) time.Duration { return hub.UnassistedInterval(routers, m.Name, failures) }
 	configured, entered := options, options
 	configured.Name, configured.PollWait, configured.MinInterval = "configuration", 500*time.Millisecond, 50*time.Millisecond
 	entered.Name, entered.MinInterval = "registry", 600*time.Millisecond
@@ -389,3 +391,19 @@
 	}
 	return ""
 }
+
+// Version returns the version of the configuration that the router has, 0 if none.
+func (r *router) Version() int {
+	record := r.configurationSink.record()
+	if record == nil {
+		return 0
+	}
+	return versionOf(*record)
+}
+
+// Uses reports whether the router may use the endpoint.
+func (r *router) Uses(endpoint int) bool {
+	id := fmt.Sprint("e", endpoint)
+	changes, _ := r.endpoints.Changes().Since(0)
+	return slices.ContainsFunc(changes, func(c fleetload.Change) bool { return c.Usable && c.Entry.ID == id })
+}
--- a/io/hub/offer.go
+++ b/io/hub/offer.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"savoryfall/core/compactedlog"
@@ -114,18 +115,27 @@
 	// unassistedReaders is how many routers read the store by themselves when the reads of their hub are old: so many that one of
 	// them is served even if the store turns away two in five.
 	unassistedReaders = 16
-	// minUnassistedInterval and unassistedIntervalPerRouter bound their reads in an outage of the store.
-	minUnassistedInterval       = 2 * time.Second
+	// minUnassistedInterval and maxSmallFleetInterval bound the time between two such reads in a fleet of which all routers make them. It
+	// doubles with each failure. A second read is still sent within two seconds of the last news.
+	minUnassistedInterval = 300 * time.Millisecond
+	maxSmallFleetInterval = time.Second
+	// unassistedIntervalPerRouter is the time between two such reads of one router in a larger fleet, for each router of it.
 	unassistedIntervalPerRouter = 50 * time.Millisecond
 )
 
-// UnassistedInterval returns for how long after a failed read the router relies on its hub, however old the hub's reads are, or 0
-// if it always does.
-func UnassistedInterval(routers *members.List, name string) time.Duration {
+// UnassistedInterval returns the time between two reads that the router makes by itself while its hub's are old, after a number of
+// failures, or 0 if it makes none. It varies by a quarter, since all begin at the same time: routers that read at
+// the same instants would all miss the return of the store for as long.
+func UnassistedInterval(routers *members.List, name string, failures int) (interval time.Duration) {
 	if !routers.InSample(name, unassistedReaders) {
 		return 0
 	}
-	return max(minUnassistedInterval, time.Duration(routers.Len())*unassistedIntervalPerRouter)
+	if n := routers.Len(); n > unassistedReaders {
+		interval = time.Duration(n) * unassistedIntervalPerRouter
+	} else {
+		interval = min(minUnassistedInterval<<min(max(failures-1, 0), 8), maxSmallFleetInterval)
+	}
+	return interval*3/4 + rand.N(interval/2)
 }
 
 // outdatedAge is the age of a hub's data above which the hub asks other routers to read the store for it.
