io/hub: all routers of a fleet with one hub read by themselves when its reads are old

Cause: in a fleet of more than 16 routers 16 read by themselves, and the hub asks eight others fast and one per 2 s after that. All of these were turned away; the 53 that were served waited for them.

Change: in a fleet of up to 100, which has one hub, all routers read by themselves, each again 36 ms a router after a failure (3 s at 82), so that all have read within the time in which a store counts as stable. Larger fleets stay as they are: 16 readers, and a search that an adversary can outlast.

Evidence: TestChangesReachServedRoutersAfterSilentOutage/82_routers fails without the change with the last change not learned at all, and has 1.9 s left now.

--- a/io/hub/hubtest/turnedaway/hanging_test.go
+++ b/io/hub/hubtest/turnedaway/hanging_test.go
@@ -83,16 +83,21 @@
 	for _, c := range []struct {
 		routers, further int
 		silent           bool
-		gap              time.Duration
+		gap, bound, step time.Duration
 	}{
-		{6, 2, true, 0}, {6, 2, false, 400 * time.Millisecond}, {6, 1, true, time.Second}, {10, 3, false, 0}, {10, 3, true, 400 * time.Millisecond}, {16, 5, true, 200 * time.Millisecond},
+		{6, 2, true, 0, 2 * time.Second, 100 * time.Millisecond},
+		{6, 2, false, 400 * time.Millisecond, 2 * time.Second, 100 * time.Millisecond},
+		{6, 1, true, time.Second, 2 * time.Second, 100 * time.Millisecond},
+		{10, 3, false, 0, 2 * time.Second, 100 * time.Millisecond},
+		{10, 3, true, 400 * time.Millisecond, 2 * time.Second, 100 * time.Millisecond},
+		{16, 5, true, 200 * time.Millisecond, 2 * time.Second, 100 * time.Millisecond},
+		{82, 28, true, time.Second, 3 * time.Second, 500 * time.Millisecond},
 	} {
 		t.Run(fmt.Sprintf("%d routers, %v after", c.routers, c.gap), func(t *testing.T) {
-			const bound = 2 * time.Second
-			worst := delays{configurationLeft: bound, endpointLeft: bound}
-			for shift := time.Duration(0); shift < time.Second; shift += 100 * time.Millisecond {
+			worst := delays{configurationLeft: c.bound, endpointLeft: c.bound}
+			for shift := time.Duration(0); shift < time.Second; shift += c.step {
 				synctest.Test(t, func(t *testing.T) {
-					f := newFleetWithin(t, c.routers, bound)
+					f := newFleetWithin(t, c.routers, c.bound)
 					defer f.Stop()
 					time.Sleep(shift)
 					f.Store().Silence(func(string) bool { return true })
@@ -105,7 +110,7 @@
 						f.Store().Silence(nil)
 						f.Store().Refuse(a.silent)
 					}
-					worst.add(watch(f, a, back, bound, 9*time.Second))
+					worst.add(watch(f, a, back, c.bound, 9*time.Second))
 				})
 			}
 			t.Logf("changes took up to %v, removed endpoints up to %v; left were %v and %v", worst.configuration, worst.endpoint, worst.configurationLeft, worst.endpointLeft)
--- a/io/hub/offer.go
+++ b/io/hub/offer.go
@@ -112,29 +112,37 @@
 }
 
 const (
-	// unassistedReaders is how many routers read the store by themselves when the reads of their hub are old: so many that one of
-	// them is served even if the store turns away two in five.
+	// maxUnassistedFleet is the largest fleet of which all routers read the store by themselves when the reads of their hub are old.
+	// Whichever routers the store turns away, each of the others is then up to date.
+	maxUnassistedFleet = 100
+	// unassistedReaders is how many routers of a larger fleet do: so many that one of them is served if the store turns away two in
+	// five, drawn at random.
 	unassistedReaders = 16
-	// minUnassistedInterval and maxSmallFleetInterval bound the time between two such reads in a fleet of which all routers make them. It
-	// doubles with each failure. A second read is still sent within two seconds of the last news.
+	// maxEagerFleet is the largest fleet whose routers repeat such a read early after a failure: first after minUnassistedInterval, and
+	// then after twice as long each time. A second read is still sent within two seconds of the last news.
+	maxEagerFleet         = 16
 	minUnassistedInterval = 300 * time.Millisecond
-	maxSmallFleetInterval = time.Second
-	// unassistedIntervalPerRouter is the time between two such reads of one router in a larger fleet, for each router of it.
-	unassistedIntervalPerRouter = 50 * time.Millisecond
+	// The time between two such reads of a router in an outage of the store grows with the fleet, from unassistedInterval.
+	unassistedInterval     = time.Second
+	unassistedIntervalEach = 36 * time.Millisecond
+	sampledIntervalEach    = 50 * time.Millisecond
 )
 
 // UnassistedInterval returns the time between two reads that the router makes by itself while its hub's are old, after a number of
 // failures, or 0 if it makes none. It varies by a quarter, since all begin at the same time: routers that read at
 // the same instants would all miss the return of the store for as long.
 func UnassistedInterval(routers *members.List, name string, failures int) (interval time.Duration) {
-	if !routers.InSample(name, unassistedReaders) {
+	n := routers.Len()
+	switch {
+	case n <= maxEagerFleet:
+		interval = min(minUnassistedInterval<<min(max(failures-1, 0), 8), unassistedInterval)
+	case n <= maxUnassistedFleet:
+		interval = max(unassistedInterval, time.Duration(n)*unassistedIntervalEach)
+	case routers.InSample(name, unassistedReaders):
+		interval = time.Duration(n) * sampledIntervalEach
+	default:
 		return 0
 	}
-	if n := routers.Len(); n > unassistedReaders {
-		interval = time.Duration(n) * unassistedIntervalPerRouter
-	} else {
-		interval = min(minUnassistedInterval<<min(max(failures-1, 0), 8), maxSmallFleetInterval)
-	}
 	return interval*3/4 + rand.N(interval/2)
 }
 
