io/caller: a stream is not continued with other weights

What callers saw: of 8 streams whose engine fails after seven tokens, 3 went on at an engine that has another version of the model's weights loaded, as one answer.

Cause: `savoryfall router` resumes a completion at any engine of the pool, and looks at no version. The probes' reports name what is loaded, but are older than the answer.

Change: engines name the version that writes an event in `system_fingerprint`, as the stand-in does now. A router remembers that of the first text, and gives an attempt up whose events name another one. Other engines are tried; if none has the version, the stream ends with an error event, and without its end mark.

Not done: choosing an engine of the same version first, so that fewer attempts are given up.

--- a/io/caller/completion.go
+++ b/io/caller/completion.go
@@ -40,14 +40,16 @@
 
 // completion delivers one complete chat completion to its client, resuming it on other engines if attempts fail.
 type completion struct {
-	x               *exchange
-	chat            *chat.Chat
-	pool            string
-	class           string
-	key             uint64
-	excluded        []string
-	content         strings.Builder
-	responseID      string
+	x          *exchange
+	chat       *chat.Chat
+	pool       string
+	class      string
+	key        uint64
+	excluded   []string
+	content    strings.Builder
+	responseID string
+	// fingerprint names what the engine of the first event runs, as the engine says, empty if it does not.
+	fingerprint     string
 	started         bool
 	generatedTokens int
 	cacheValue      float64
@@ -289,8 +291,9 @@
 type clientGoneError struct{ error }
 
 type chunk struct {
-	ID      string `json:"id"`
-	Choices []struct {
+	ID          string `json:"id"`
+	Fingerprint string `json:"system_fingerprint"`
+	Choices     []struct {
 		Delta struct {
 			Content string `json:"content"`
 		} `json:"delta"`
@@ -298,6 +301,13 @@
 	Error json.RawMessage `json:"error"`
 }
 
+// OtherWeightsError is returned for a stream that was to go on at an engine which runs other weights than the one that began it.
+type OtherWeightsError struct{ Want, Got string }
+
+func (e OtherWeightsError) Error() string {
+	return fmt.Sprintf("the stream began with weights %q, and this engine runs %q", e.Want, e.Got)
+}
+
 // readStream passes events on as they arrive. The response is complete only if the stream ends with the end marker.
 func (a *completion) readStream(resp *http.Response, at *decision.Attempt, flight *ledger.InFlight, silence *time.Timer) (err error) {
 	controller := http.NewResponseController(a.x.w)
@@ -343,6 +353,13 @@
 	if c.ID != *streamID {
 		return "", endpoint.MismatchError{Want: *streamID, Got: c.ID}
 	}
+	if a.content.Len() == 0 {
+		a.fingerprint = c.Fingerprint
+	}
+	if c.Fingerprint != a.fingerprint {
+		// Its text would go on from that of another version, and no client could tell.
+		return "", OtherWeightsError{Want: a.fingerprint, Got: c.Fingerprint}
+	}
 	if a.responseID == "" {
 		a.responseID = c.ID
 	}
--- a/io/standin/engine/completions.go
+++ b/io/standin/engine/completions.go
@@ -106,15 +106,19 @@
 }
 
 // hasModel returns whether the model itself, or any version of it, is loaded.
-func (e *Engine) hasModel(model string) bool {
+func (e *Engine) hasModel(model string) bool { return e.versionOf(model) != "" }
+
+// versionOf returns the loaded version of the model that answers, the last in order if there are several, and an empty string if none is
+// loaded.
+func (e *Engine) versionOf(model string) (id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for id := range e.loaded {
-		if name, _, _ := strings.Cut(id, "@"); name == model {
-			return true
+	for loaded := range e.loaded {
+		if name, _, _ := strings.Cut(loaded, "@"); name == model {
+			id = max(id, loaded)
 		}
 	}
-	return false
+	return id
 }
 
 // refuse rejects a request and states in a header that no part of it was executed.
@@ -194,12 +198,14 @@
 }
 
 type completion struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Created int64    `json:"created"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   *usage   `json:"usage,omitempty"`
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	Model   string `json:"model"`
+	// Fingerprint is the version of the model whose weights wrote the answer.
+	Fingerprint string   `json:"system_fingerprint,omitempty"`
+	Choices     []choice `json:"choices"`
+	Usage       *usage   `json:"usage,omitempty"`
 }
 
 type usage struct {
@@ -227,7 +233,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	c := completion{ID: "chatcmpl-" + s.attempt, Created: time.Now().Unix(), Model: req.Model}
+	c := completion{ID: "chatcmpl-" + s.attempt, Created: time.Now().Unix(), Model: req.Model, Fingerprint: e.versionOf(req.Model)}
 	text, complete := e.generateAnswer(w, r, req, s, faults, c)
 	if !complete || faults.truncate {
 		return
