--- a/core/tomldoc/document.go
+++ b/core/tomldoc/document.go
@@ -82,6 +82,14 @@
 	return faults
 }
 
+// Faults returns the errors found so far, or nil if there are none. Keys that were not read are none.
+func (d *Document) Faults() error {
+	if len(d.errors) == 0 {
+		return nil
+	}
+	return d.errors
+}
+
 func (d *Document) unknownKey(path string) Error {
 	return Error{File: d.file, Line: d.lines[path], Key: path, Got: "an unknown key", Want: d.allowedKeys(path)}
 }
--- /dev/null
+++ b/soak/routerset/doc.go
@@ -0,0 +1,2 @@
+// Package routerset runs routers as processes.
+package routerset
--- /dev/null
+++ b/soak/storegate/doc.go
@@ -0,0 +1,2 @@
+// Package storegate lets a stand-in of the store serve some routers and not others.
+package storegate
