core/lease: a router that starts after records were trimmed does not take a duty for free

What operators saw, by the test: two routers hold one duty. One that starts after a duty's records have left the log takes it for never held, accepts an acquisition that the others reject, and acts for the duty beside the holder.

Cause: whether an acquisition or a renewal is valid follows from the records before it. A router that has not read them judged as if there were none. The same happened to one that fell behind the log's retention and skipped ahead: it kept what it had read before.

Change: an acquisition by a router that knows of no record states from which offset on it has read the stream.

--- a/io/leases/manager.go
+++ b/io/leases/manager.go
@@ -197,6 +197,7 @@
 			continue
 		}
 		if r, ok := tracker.NextRecord(now); ok {
+			r.First = m.table.First()
 			records = append(records, tracker.BeginAppend(r, time.Now()))
 		}
 	}
