io/caller, io/hub/hubtest, soak/play: long files in parts

The reading of streams, the assertions of the simulated fleet, and the player's clients and verdict stand in files of their own. Nothing else changes.

--- /dev/null
+++ b/soak/play/verdict.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"savoryfall/platform/configrule"
+)
+
+// inTouch reports whether the bounds hold for the router at a time.
+func (p *play) inTouch(router string, at time.Time) bool {
+	settle := p.site.SettleTime()
+	within := func(s span) bool { return at.After(s.from) && at.Before(s.to.Add(settle)) }
+	for _, s := range p.down {
+		if within(s) {
+			return false
+		}
+	}
+	for _, s := range p.away {
+		if within(s.span) && slices.Contains(s.routers, router) {
+			return false
+		}
+	}
+	return true
+}
+
+// served reports whether the store served the router at a time, and did not turn it away shortly before.
+func (p *play) served(router string, at time.Time) bool {
+	for _, s := range p.down {
+		if at.After(s.from) && at.Before(s.to) {
+			return false
+		}
+	}
+	for _, s := range p.away {
+		if at.After(s.from) && at.Before(s.to.Add(p.site.SettleTime())) && slices.Contains(s.routers, router) {
+			return false
+		}
+	}
+	return true
+}
+
+// judge judges what was seen, and prints the margins.
+func (p *play) judge(calls int) (err error) {
+	versions, acknowledged := p.operator.snapshot()
+	j := configrule.Judge{Acknowledged: acknowledged, Within: p.site.ConfigurationWithin(), GoesBackWithin: goesBackWithin, WithdrawnWithin: withdrawnWithin, InTouch: p.inTouch}
+	slices.SortFunc(p.seen, func(a, b observation) int { return a.sent.Compare(b.sent) })
+	var greatest, greatestAtAll time.Duration
+	statuses := map[int]int{}
+	slow, late, unavailable := 0, 0, 0
+	for _, o := range p.seen {
+		if o.path == pathSlow {
+			slow++
+			if p.inTouch(o.router, o.sent) && o.ended.Sub(o.sent) > slices.Max(slowTimeouts)+slowSlack {
+				late++
+			}
+			continue
+		}
+		statuses[o.status]++
+		if o.status != http.StatusOK && o.status/100 != 4 && p.inTouch(o.router, o.sent) {
+			unavailable++
+		}
+		v := j.Judge(p.observed(o, versions))
+		if v.Judged {
+			greatest = max(greatest, v.Delay)
+		}
+		if p.served(o.router, o.sent) {
+			greatestAtAll = max(greatestAtAll, v.Delay)
+		}
+		if v.Broken != "" {
+			err = fmt.Errorf("CONFIG is broken: %s", v.Broken)
+			fmt.Fprintf(p.out, "%8.3f  %s\n", o.sent.Sub(p.began).Seconds(), v.Broken)
+		}
+	}
+	if late >= 8 && 4*late > slow {
+		err = fmt.Errorf("CONFIG is broken: %d of %d requests were not answered %v after their route's timeout", late, slow, slowSlack)
+	}
+	if ended := p.set.Ended(); len(ended) > 0 {
+		err = fmt.Errorf("routers ended by themselves: %v", ended)
+	}
+	fmt.Fprintf(p.out, "%s seed %d: %d probes, greatest delay of a change %d ms in touch, %d ms served (%d allowed); statuses %v; %d of %d slow requests late; %d answered otherwise in touch; %d calls to the store; away %v\n",
+		p.day.Name(), p.seed, len(p.seen), greatest.Milliseconds(), greatestAtAll.Milliseconds(), p.site.ConfigurationWithin().Milliseconds(), statuses, late, slow, unavailable, calls, p.awayNames())
+	return err
+}
+
+func (p *play) awayNames() (names [][]string) {
+	for _, s := range p.away {
+		names = append(names, s.routers)
+	}
+	return names
+}
+
+func (p *play) observed(o observation, versions []state) (v configrule.Observation) {
+	v = configrule.Observation{ID: o.id, Router: o.router, Sent: o.sent, Ended: o.ended, WithdrawnAt: p.operator.withdrawnAt(o.key)}
+	for _, s := range versions {
+		v.Prescribed = append(v.Prescribed, s.prescribes(o.path, o.key))
+	}
+	switch {
+	case o.service != "":
+		v.Got = configrule.Handling(o.service)
+	case slices.Contains([]int{401, 403, 404}, o.status):
+		v.Got = configrule.Handling(fmt.Sprint(o.status))
+	}
+	return v
+}
