--- a/soak/play/clients.go
+++ b/soak/play/clients.go
@@ -48,7 +48,7 @@
 }
 
 func (p *play) send(r *routerset.Router, path, key string) {
-	o := observation{id: fmt.Sprintf("p%d", p.nextID.Add(1)), router: r.Name, path: path, key: key, sent: time.Now()}
+	o := observation{id: p.newID(r), router: r.Name, path: path, key: key, sent: time.Now()}
 	a := testclient.Send(r.Clients, testclient.Request{Method: http.MethodGet, Host: host, Path: path + "x", ID: o.id, Key: key})
 	o.ended, o.status, o.service = time.Now(), a.Status, p.ranAt(o.id)
 	p.mu.Lock()
@@ -56,6 +56,15 @@
 	p.seen = append(p.seen, o)
 }
 
+// newID returns the id of a request that is about to be sent to the router.
+func (p *play) newID(r *routerset.Router) (id string) {
+	id = fmt.Sprintf("r%d", p.nextID.Add(1))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sentBy[id] = r.Name
+	return id
+}
+
 // ranAt returns the service whose endpoint ran the request, if any did.
 func (p *play) ranAt(id string) (service string) {
 	for _, e := range p.endpoints {
@@ -84,7 +93,7 @@
 		clients.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
 				path := []string{pathBook, pathText, pathRead}[(n+i)%3]
-				testclient.Send(r.Clients, testclient.Request{Method: http.MethodPost, Host: host, Path: path + "x", ID: fmt.Sprintf("l%d", p.nextID.Add(1)), Key: mainKey})
+				testclient.Send(r.Clients, testclient.Request{Method: http.MethodPost, Host: host, Path: path + "x", ID: p.newID(r), Key: mainKey})
 				background.Sleep(ctx, loadPause, nil)
 			}
 		})
--- a/soak/play/play.go
+++ b/soak/play/play.go
@@ -34,11 +34,15 @@
 	servers  []*http.Server
 	nextID   atomic.Int64
 
-	mu        sync.Mutex
 	endpoints []*fakeendpoint.Endpoint
-	down      []span
-	away      []awaySpan
-	seen      []observation
+
+	mu sync.Mutex
+	// left is when the store took that an endpoint leaves, and sentBy to which router each request was sent.
+	left   map[*fakeendpoint.Endpoint]time.Time
+	sentBy map[string]string
+	down   []span
+	away   []awaySpan
+	seen   []observation
 }
 
 // span is a time in which the store served no router, awaySpan one in which it turned some away.
@@ -58,8 +62,10 @@
 }
 
 const (
-	heartbeat    = 1200 * time.Millisecond
-	readyTimeout = 15 * time.Second
+	// endpointsPerService is how many endpoints each service has at first.
+	endpointsPerService = 6
+	heartbeat           = 1200 * time.Millisecond
+	readyTimeout        = 15 * time.Second
 	// leadTime is the time before the day begins, in which routers find each other.
 	leadTime = 8 * time.Second
 	// probeInterval is the time between two probes of a kind at a router, and slowInterval that between two slow requests.
@@ -77,12 +83,15 @@
 )
 
 func newPlay(o options, s *site.Site, d *day.Day) (p *play, err error) {
-	p = &play{options: o, site: s, day: d, random: rand.New(rand.NewPCG(o.seed, o.seed)), set: routerset.New(o.program, o.dir, s.ConfigurationWithin())}
+	p = &play{
+		options: o, site: s, day: d, random: rand.New(rand.NewPCG(o.seed, o.seed)), set: routerset.New(o.program, o.dir, s.ConfigurationWithin()),
+		left: map[*fakeendpoint.Endpoint]time.Time{}, sentBy: map[string]string{},
+	}
 	p.gate = storegate.New(&p.store)
 	p.gate.SetLatency(o.latency)
 	p.operator = newOperator(func(value []byte) { p.store.Put("keyed.op", "config", value) })
 	for _, service := range []string{firstService, otherService, slowService, modelService} {
-		for range 3 {
+		for range endpointsPerService {
 			err = p.startEndpoint(service)
 			if err != nil {
 				return p, err
@@ -188,8 +197,12 @@
 
 func (p *play) renewEntries(ctx context.Context) {
 	background.Every(ctx, heartbeat, func(time.Time) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
 		for _, e := range p.endpoints {
-			p.store.Put("keyed.servers", e.ID(), e.Entry())
+			if p.left[e].IsZero() {
+				p.store.Put("keyed.servers", e.ID(), e.Entry())
+			}
 		}
 	})
 }
@@ -208,6 +221,8 @@
 		p.operator.changeTimeout()
 	case day.KeyWithdrawn, day.LastKeyOfAnAccount:
 		p.operator.withdrawKey(e.Kind == day.LastKeyOfAnAccount)
+	case day.EndpointsLeave:
+		p.removeEndpoints(e, random)
 	case day.StoreDown:
 		from := time.Now()
 		p.gate.SetDown(answers[e.Answer])
@@ -227,6 +242,27 @@
 	}
 }
 
+// removeEndpoints removes the entries of endpoints of a service, which go on serving. One always stays.
+func (p *play) removeEndpoints(e day.Event, random *rand.Rand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var live []*fakeendpoint.Endpoint
+	for _, endpoint := range p.endpoints {
+		if endpoint.Service() == firstService && p.left[endpoint].IsZero() {
+			live = append(live, endpoint)
+		}
+	}
+	random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	n := e.Count
+	if n == 0 {
+		n = int(e.Share*float64(len(live)) + 0.999)
+	}
+	for _, endpoint := range live[:max(min(n, len(live)-1), 0)] {
+		p.store.Put("keyed.servers", endpoint.ID(), nil)
+		p.left[endpoint] = time.Now()
+	}
+}
+
 // turnAway has the store turn routers away: those that the event names, or the router that reads for the others and those that read next.
 func (p *play) turnAway(e day.Event, random *rand.Rand) {
 	if p.readers > 0 {
--- a/soak/play/verdict.go
+++ b/soak/play/verdict.go
@@ -1,29 +1,19 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
 	"time"
 
 	"savoryfall/platform/configrule"
+	"savoryfall/platform/drainrule"
 )
 
 // inTouch reports whether the bounds hold for the router at a time.
 func (p *play) inTouch(router string, at time.Time) bool {
-	settle := p.site.SettleTime()
-	within := func(s span) bool { return at.After(s.from) && at.Before(s.to.Add(settle)) }
-	for _, s := range p.down {
-		if within(s) {
-			return false
-		}
-	}
-	for _, s := range p.away {
-		if within(s.span) && slices.Contains(s.routers, router) {
-			return false
-		}
-	}
-	return true
+	return p.stable(at) && !p.turnedAway(router, at)
 }
 
 // served reports whether the store served the router at a time, and did not turn it away shortly before.
@@ -33,12 +23,14 @@
 			return false
 		}
 	}
-	for _, s := range p.away {
-		if at.After(s.from) && at.Before(s.to.Add(p.site.SettleTime())) && slices.Contains(s.routers, router) {
-			return false
-		}
-	}
-	return true
+	return !p.turnedAway(router, at)
+}
+
+// turnedAway reports whether the store turned the router away at a time or shortly before.
+func (p *play) turnedAway(router string, at time.Time) bool {
+	return slices.ContainsFunc(p.away, func(s awaySpan) bool {
+		return at.After(s.from) && at.Before(s.to.Add(p.site.SettleTime())) && slices.Contains(s.routers, router)
+	})
 }
 
 // judge judges what was seen, and prints the margins.
@@ -73,17 +65,47 @@
 			fmt.Fprintf(p.out, "%8.3f  %s\n", o.sent.Sub(p.began).Seconds(), v.Broken)
 		}
 	}
+	drained, drainErr := p.judgeDrains()
+	err = errors.Join(err, drainErr)
 	if late >= 8 && 4*late > slow {
 		err = fmt.Errorf("CONFIG is broken: %d of %d requests were not answered %v after their route's timeout", late, slow, slowSlack)
 	}
 	if ended := p.set.Ended(); len(ended) > 0 {
 		err = fmt.Errorf("routers ended by themselves: %v", ended)
 	}
-	fmt.Fprintf(p.out, "%s seed %d: %d probes, greatest delay of a change %d ms in touch, %d ms served (%d allowed); statuses %v; %d of %d slow requests late; %d answered otherwise in touch; %d calls to the store; away %v\n",
-		p.day.Name(), p.seed, len(p.seen), greatest.Milliseconds(), greatestAtAll.Milliseconds(), p.site.ConfigurationWithin().Milliseconds(), statuses, late, slow, unavailable, calls, p.awayNames())
+	fmt.Fprintf(p.out, "%s seed %d: %d probes, greatest delay of a change %d ms in touch, %d ms served (%d allowed), of an endpoint's leaving %d ms; statuses %v; %d of %d slow requests late; %d answered otherwise in touch; %d calls to the store; away %v\n",
+		p.day.Name(), p.seed, len(p.seen), greatest.Milliseconds(), greatestAtAll.Milliseconds(), p.site.ConfigurationWithin().Milliseconds(), drained.Milliseconds(), statuses, late, slow, unavailable, calls, p.awayNames())
 	return err
 }
 
+// judgeDrains judges the requests that reached endpoints which had left, and returns the greatest delay.
+func (p *play) judgeDrains() (greatest time.Duration, err error) {
+	j := drainrule.Judge{Within: p.site.DrainedWithin(), Stable: p.stable, InTouch: p.inTouch}
+	for e, left := range p.left {
+		for _, arrived := range e.ReceivedRequests() {
+			v := j.Judge(drainrule.Arrival{ID: arrived.ID, Router: p.sentBy[arrived.ID], Endpoint: e.ID(), At: arrived.At, Left: left, Misdirected: arrived.Misdirected})
+			if v.Judged {
+				greatest = max(greatest, v.Delay)
+			}
+			if v.Broken != "" {
+				err = fmt.Errorf("DRAIN is broken: %s", v.Broken)
+				fmt.Fprintf(p.out, "%8.3f  %s\n", arrived.At.Sub(p.began).Seconds(), v.Broken)
+			}
+		}
+	}
+	return greatest, err
+}
+
+// stable reports whether the store had been without disturbance for long enough at a time.
+func (p *play) stable(at time.Time) bool {
+	for _, s := range p.down {
+		if at.After(s.from) && at.Before(s.to.Add(p.site.SettleTime())) {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *play) awayNames() (names [][]string) {
 	for _, s := range p.away {
 		names = append(names, s.routers)
--- a/soak/routerset/set.go
+++ b/soak/routerset/set.go
@@ -72,7 +72,6 @@
 address = %q
 configurationWithin = "%dms"
 leavingWithin = "%dms"
-heartbeat = "1200ms"
 [keys]
 withdrawnWithin = "5000ms"
 [stop]
