--- a/io/follow/read.go
+++ b/io/follow/read.go
@@ -43,9 +43,9 @@
 	errHurried = errors.New("the store does not answer, and this router is to read for others")
 )
 
-// tryRead makes a read, and returns an error if it fails or is not answered in time. In the latter case it goes on, and what it
-// brings is still used. No other read waits for it: a call that was sent in an outage of the store may never be answered, and a
-// router that waited for it would stay on old data for as long after the store's return.
+// tryRead makes a read, and returns an error if it fails or is not answered in time. A late read goes on, and what it returns is still
+// used, but the next read does not wait for it: a call that was sent in an outage of the store may never be answered, and the
+// router would stay on old data after the store's return until the call times out.
 func (f *Follower) tryRead(ctx context.Context, sent time.Duration) (err error) {
 	wait := f.pollWait()
 	done := make(chan error, 1)
@@ -253,8 +253,8 @@
 // Failing returns whether this router's own reads fail.
 func (f *Follower) Failing() bool { return f.failureCount() > 0 }
 
-// FailedSince returns whether this router's own reads fail, also one that was sent since the given time since boot. One that was sent
-// before, in an outage of the store, may fail long after it.
+// FailedSince returns whether this router's own reads fail, and the last one that failed was sent at the given time since boot or later.
+// One that was sent before, in an outage of the store, may fail long after it.
 func (f *Follower) FailedSince(t time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
