--- a/core/members/list.go
+++ b/core/members/list.go
@@ -96,19 +96,6 @@
 	return len(l.byName)
 }
 
-// ShareStartedSince returns which part of the known routers has started since a time, by their own clocks, 0 if none is known.
-func (l *List) ShareStartedSince(t time.Time) float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	started := 0
-	for _, k := range l.ranked {
-		if k.member.Started >= t.UnixMilli() {
-			started++
-		}
-	}
-	return float64(started) / float64(max(len(l.ranked), 1))
-}
-
 // All returns all known routers.
 func (l *List) All() (routers []Member) {
 	l.mu.Lock()
--- a/core/members/member.go
+++ b/core/members/member.go
@@ -12,8 +12,8 @@
 	Name          string `json:"-"`
 	Address       string `json:"address"`
 	FailureDomain string `json:"domain"`
-	// Started is the start time of the router's process in Unix milliseconds. It distinguishes processes of the same
-	// name, and tells which routers have started recently. It is 0 for a router that is known from the store's list only.
+	// Started is the start time of the router's process in Unix milliseconds. It only distinguishes processes of
+	// the same name.
 	Started int64 `json:"-"`
 	// Bears is how many followers the router's VM could serve as hub.
 	Bears int `json:"bears"`
--- a/core/retrylimit/limiter.go
+++ b/core/retrylimit/limiter.go
@@ -7,9 +7,8 @@
 
 // Limiter counts first attempts and retries of this router in sliding windows, by service. The fleet's bound in any
 // window is a ratio of the requests plus a fixed slack. The ratio needs no division, since each router applies it to
-// its own requests; the slack is divided by the number of routers. A router that has just started has counted nothing, and its
-// earlier process may have spent its part: those that have started within a window share what the fleet leaves unused. The zero value
-// allows none.
+// its own requests; the slack is divided by the number of routers. A router that has just started has counted nothing
+// and has only its part of the slack, so that many restarts at once add no retries. The zero value allows none.
 type Limiter struct {
 	mu     sync.Mutex
 	limits Limits
@@ -26,9 +25,6 @@
 	Window time.Duration
 	// Routers is how many routers share the slack.
 	Routers int
-	// Restarted returns which part of the routers has started within the last window in place of earlier processes, whose retries
-	// nobody counts any more. It may be nil, for a fleet that starts for the first time.
-	Restarted func() float64
 }
 
 const (
@@ -71,7 +67,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c := l.slidingCounts(service, now)
-	if c == nil || l.remaining(c, now) < 1 {
+	if c == nil || l.remaining(c) < 1 {
 		return false
 	}
 	c.retries[c.slot%(windowSlots+1)]++
@@ -86,29 +82,17 @@
 	if c == nil {
 		return 0
 	}
-	return l.remaining(c, now)
+	return l.remaining(c)
 }
 
-func (l *Limiter) remaining(c *slidingCounts, now time.Time) float64 {
+func (l *Limiter) remaining(c *slidingCounts) float64 {
 	firsts, retries := 0, 0
 	for i := range c.firsts {
 		firsts += c.firsts[i]
 		retries += c.retries[i]
 	}
 	slack := l.limits.Slack / float64(max(l.limits.Routers, 1))
-	return l.usableShare(now)*(l.limits.Ratio*float64(firsts)+slack) - float64(retries)
-}
-
-// usableShare returns which part of its share of the bound this router uses.
-func (l *Limiter) usableShare(now time.Time) float64 {
-	if l.limits.Restarted == nil || now.Sub(l.epoch) >= l.limits.Window {
-		return usableShare
-	}
-	restarted := l.limits.Restarted()
-	if restarted <= 0 {
-		return usableShare
-	}
-	return min(usableShare, (1-usableShare)/restarted)
+	return usableShare*(l.limits.Ratio*float64(firsts)+slack) - float64(retries)
 }
 
 // slidingCounts returns the counts of the service, advanced to now.
--- a/io/command/entryvm.go
+++ b/io/command/entryvm.go
@@ -55,15 +55,13 @@
 
 // entryVM runs the services of a router on an entry VM. All state that routers share comes from the platform's store.
 type entryVM struct {
-	manager   lifecycle.Manager
-	settings  *settings.Entry
-	logger    log.Logger
-	stopGrace time.Duration
-	lease     freshness.Lease
-	retries   retrylimit.Limiter
-	limits    atomic.Pointer[retrylimit.Limits]
-	// started is when the process started.
-	started    time.Time
+	manager    lifecycle.Manager
+	settings   *settings.Entry
+	logger     log.Logger
+	stopGrace  time.Duration
+	lease      freshness.Lease
+	retries    retrylimit.Limiter
+	limits     atomic.Pointer[retrylimit.Limits]
 	dispatcher *dispatch.Dispatcher
 	reach      reach.Tracker
 	// connector opens the connections to endpoints.
@@ -136,7 +134,7 @@
 	defer annotate.Error(&err, "build entry VM %s", cfg.VM().Name())
 	vm = &entryVM{
 		settings: cfg, logger: log.With(logger, field.Time, log.DefaultTimestampUTC, field.VM, cfg.VM().Name()),
-		dispatcher: dispatch.New(cfg.VM().FailureDomain()), metricSet: metrics.NewSet(), started: time.Now(),
+		dispatcher: dispatch.New(cfg.VM().FailureDomain()), metricSet: metrics.NewSet(),
 	}
 	vm.manager.Register("stdout", logger)
 	vm.bodies.SetJoint(&vm.held)
@@ -211,24 +209,9 @@
 func (vm *entryVM) updateRetryLimits() {
 	limits := *vm.limits.Load()
 	limits.Routers = max(int(vm.routers.Load()), minRouters)
-	if !vm.settings.Bootstrap() {
-		limits.Restarted = vm.restartedShare
-	}
 	vm.retries.SetLimits(limits)
 }
 
-// startsKnownAfter is the time after its start from which on a router knows when the others have started: each reports it to its hub, which
-// tells all.
-const startsKnownAfter = 2 * time.Second
-
-// restartedShare returns which part of the routers has started within the window of the retry limit.
-func (vm *entryVM) restartedShare() float64 {
-	if time.Since(vm.started) < startsKnownAfter {
-		return 1
-	}
-	return vm.members.ShareStartedSince(time.Now().Add(-vm.limits.Load().Window))
-}
-
 func (vm *entryVM) onConfiguration(t *routetable.Table) {
 	vm.dispatcher.Configure(t)
 	vm.endpoints.Recheck()
