soak/play: late requests are counted against those in touch

The judge counted late requests of routers in touch against all, also those of routers that are not judged, so that a quarter was reached later than the rule says; and a break of one kind hid those found before. Both are mended; the time spans in which the store was down or turned routers away are tested in one place.

--- a/soak/play/play.go
+++ b/soak/play/play.go
@@ -48,6 +48,11 @@
 // span is a time in which the store served no router, awaySpan one in which it turned some away.
 type span struct{ from, to time.Time }
 
+// covers reports whether a time is in the span, or shorter after it than the given duration.
+func (s span) covers(at time.Time, after time.Duration) bool {
+	return at.After(s.from) && at.Before(s.to.Add(after))
+}
+
 type awaySpan struct {
 	span
 	routers []string
--- a/soak/play/verdict.go
+++ b/soak/play/verdict.go
@@ -18,21 +18,24 @@
 
 // served reports whether the store served the router at a time, and did not turn it away shortly before.
 func (p *play) served(router string, at time.Time) bool {
-	for _, s := range p.down {
-		if at.After(s.from) && at.Before(s.to) {
-			return false
-		}
-	}
-	return !p.turnedAway(router, at)
+	return !p.downWithin(0, at) && !p.turnedAway(router, at)
 }
 
 // turnedAway reports whether the store turned the router away at a time or shortly before.
 func (p *play) turnedAway(router string, at time.Time) bool {
 	return slices.ContainsFunc(p.away, func(s awaySpan) bool {
-		return at.After(s.from) && at.Before(s.to.Add(p.site.SettleTime())) && slices.Contains(s.routers, router)
+		return s.covers(at, p.site.SettleTime()) && slices.Contains(s.routers, router)
 	})
 }
 
+// minLate is how many late requests break the rule, if they are more than a quarter.
+const minLate = 8
+
+// isLate reports whether a request was not answered in time after the longest timeout of its route.
+func isLate(o observation) bool {
+	return o.ended.Sub(o.sent) > slices.Max(slowTimeouts)+slowSlack
+}
+
 // judge judges what was seen, and prints the margins.
 func (p *play) judge(calls int) (err error) {
 	versions, acknowledged := p.operator.snapshot()
@@ -43,9 +46,11 @@
 	slow, late, unavailable := 0, 0, 0
 	for _, o := range p.seen {
 		if o.path == pathSlow {
-			slow++
-			if p.inTouch(o.router, o.sent) && o.ended.Sub(o.sent) > slices.Max(slowTimeouts)+slowSlack {
-				late++
+			if p.inTouch(o.router, o.sent) {
+				slow++
+				if isLate(o) {
+					late++
+				}
 			}
 			continue
 		}
@@ -67,11 +72,11 @@
 	}
 	drained, drainErr := p.judgeDrains()
 	err = errors.Join(err, drainErr)
-	if late >= 8 && 4*late > slow {
-		err = fmt.Errorf("CONFIG is broken: %d of %d requests were not answered %v after their route's timeout", late, slow, slowSlack)
+	if late >= minLate && 4*late > slow {
+		err = errors.Join(err, fmt.Errorf("CONFIG is broken: %d of %d requests were not answered %v after their route's timeout", late, slow, slowSlack))
 	}
 	if ended := p.set.Ended(); len(ended) > 0 {
-		err = fmt.Errorf("routers ended by themselves: %v", ended)
+		err = errors.Join(err, fmt.Errorf("routers ended by themselves: %v", ended))
 	}
 	fmt.Fprintf(p.out, "%s seed %d: %d probes, greatest delay of a change %d ms in touch, %d ms served (%d allowed), of an endpoint's leaving %d ms; statuses %v; %d of %d slow requests late; %d answered otherwise in touch; %d calls to the store; away %v\n",
 		p.day.Name(), p.seed, len(p.seen), greatest.Milliseconds(), greatestAtAll.Milliseconds(), p.site.ConfigurationWithin().Milliseconds(), drained.Milliseconds(), statuses, late, slow, unavailable, calls, p.awayNames())
@@ -98,12 +103,12 @@
 
 // stable reports whether the store had been without disturbance for long enough at a time.
 func (p *play) stable(at time.Time) bool {
-	for _, s := range p.down {
-		if at.After(s.from) && at.Before(s.to.Add(p.site.SettleTime())) {
-			return false
-		}
-	}
-	return true
+	return !p.downWithin(p.site.SettleTime(), at)
+}
+
+// downWithin reports whether the store was down at a time, or shorter before it than the given duration.
+func (p *play) downWithin(d time.Duration, at time.Time) bool {
+	return slices.ContainsFunc(p.down, func(s span) bool { return s.covers(at, d) })
 }
 
 func (p *play) awayNames() (names [][]string) {
